--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -14,6 +14,7 @@
 	Instance Instance
 	Platform Platform
 	Peers    Peers
+	TLS      TLS
 	Server   Server
 }
 
@@ -37,12 +38,28 @@
 	Seeds []string
 }
 
+// TLS names certificate files in PEM. A listener without files speaks plain
+// HTTP. Instances talk to each other only when the peer files are given.
+type TLS struct {
+	CallerCert   string
+	CallerKey    string
+	OperatorCert string
+	OperatorKey  string
+	PeerCert     string
+	PeerKey      string
+	PeerCA       string // authority that signs the certificates of all instances
+}
+
 // Server holds limits of the listeners.
 type Server struct {
-	DrainTimeout time.Duration
+	DrainTimeout time.Duration // longest wait for running requests
+	ReadyGrace   time.Duration // time between leaving readiness and closing the listener
 }
 
-const defaultDrainTimeout = 2 * time.Minute
+const (
+	defaultDrainTimeout = 2 * time.Minute
+	defaultReadyGrace   = 0
+)
 
 // Load reads settings from a file.
 func Load(path string) (*Settings, error) {
@@ -71,6 +88,18 @@
 		},
 		Platform: Platform{Address: file.Section("platform").Key("address").String()},
 		Peers:    Peers{Seeds: file.Section("peers").Key("seeds").Strings(",")},
-		Server:   Server{DrainTimeout: file.Section("server").Key("drain_timeout").MustDuration(defaultDrainTimeout)},
+		TLS: TLS{
+			CallerCert:   file.Section("tls").Key("caller_cert").String(),
+			CallerKey:    file.Section("tls").Key("caller_key").String(),
+			OperatorCert: file.Section("tls").Key("operator_cert").String(),
+			OperatorKey:  file.Section("tls").Key("operator_key").String(),
+			PeerCert:     file.Section("tls").Key("peer_cert").String(),
+			PeerKey:      file.Section("tls").Key("peer_key").String(),
+			PeerCA:       file.Section("tls").Key("peer_ca").String(),
+		},
+		Server: Server{
+			DrainTimeout: file.Section("server").Key("drain_timeout").MustDuration(defaultDrainTimeout),
+			ReadyGrace:   file.Section("server").Key("ready_grace").MustDuration(defaultReadyGrace),
+		},
 	}, nil
 }
