Report service-level burn over instances

Cause: operators had no view of objectives. Change: pkg/burn counts requests per route and organisation in sliding windows, merges the documents of instances and writes text, JSON and HTML; command report; a caller that leaves is no longer counted as a failed target. Measured: go test -race ./pkg/burn passes (classes, windows, alarms, an instance that does not answer). Ruled out: counting refusals over the rate towards the objective; one organisation that sends several times its rate would then page the operators. Conclusion: the server still has to publish the document.

--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -45,6 +45,7 @@
 	CodeNotReady           Code = "not_ready"
 	CodeStopping           Code = "stopping"
 	CodeInternal           Code = "internal"
+	CodeCallerGone         Code = "caller_gone"
 )
 
 // Error is an error for a caller. Remedy tells the caller what to do next.
--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,116 @@
+package burn
+
+import (
+	"bytes"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+var objective = Objective{Good: 0.99, FirstToken: 460 * time.Millisecond, Window: 30 * 24 * time.Hour}
+
+func sample(class Class, firstToken time.Duration) Sample {
+	return Sample{Route: "chat", Organisation: "circle", Class: class, FirstToken: firstToken, Objective: objective, PromptTokens: 100, CachedTokens: 75}
+}
+
+// Guards against refusals that are the caller's own doing spending the budget,
+// and against late responses that do not.
+func TestClassesThatCount(t *testing.T) {
+	tests := []struct {
+		name      string
+		sample    Sample
+		good, bad uint64
+	}{
+		{"in time", sample(Served, 460*time.Millisecond), 1, 0},
+		{"late", sample(Served, 461*time.Millisecond), 0, 1},
+		{"failed", sample(Failed, 0), 0, 1},
+		{"refused inside the rate", sample(Refused, 0), 0, 1},
+		{"over the rate", sample(OverRate, 0), 0, 0},
+		{"caller error", sample(CallerError, 0), 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			fake := clock.NewFake(start)
+			r := NewRecorder(fake.Now)
+			r.Record(test.sample)
+			got := r.Document("i", "z").Series[0].Windows[0]
+			assert.Equal(t, got, Counts{Good: test.good, Bad: test.bad})
+		})
+	}
+}
+
+// Guards against windows that keep requests after their span, or lose them before it.
+func TestWindowsSlide(t *testing.T) {
+	fake := clock.NewFake(start)
+	r := NewRecorder(fake.Now)
+	r.Record(sample(Failed, 0))
+	counts := func(i int) uint64 { return r.Document("i", "z").Series[0].Windows[i].Bad }
+	fake.Advance(4 * time.Minute)
+	assert.Equal(t, counts(0), uint64(1))
+	fake.Advance(2 * time.Minute)
+	assert.Equal(t, counts(0), uint64(0))
+	assert.Equal(t, counts(windowTicketShort), uint64(1))
+	fake.Advance(7 * time.Hour)
+	assert.Equal(t, counts(windowTicketLong), uint64(0))
+}
+
+// Guards against an alarm on a fault that is over, and against none on a long one.
+func TestAlarmsNeedBothWindows(t *testing.T) {
+	fake := clock.NewFake(start)
+	r := NewRecorder(fake.Now)
+	alarm := func() Alarm {
+		return Merge(fake.Now(), []Document{r.Document("i", "z")}, nil).Rows[0].Alarm
+	}
+	for range 100 {
+		r.Record(sample(Failed, 0))
+	}
+	assert.Equal(t, alarm(), AlarmPage)
+	fake.Advance(6 * time.Minute)
+	assert.Equal(t, alarm(), AlarmTicket)
+	fake.Advance(31 * time.Minute)
+	assert.Equal(t, alarm(), AlarmNone)
+}
+
+// Guards against a report that hides an instance which did not answer, or that
+// cannot read what instances publish.
+func TestReportOverInstances(t *testing.T) {
+	r := NewRecorder(time.Now)
+	for range 10 {
+		r.Record(sample(Served, 100*time.Millisecond))
+	}
+	vars := new(expvar.Map).Init()
+	vars.Set(VarName, Var{Recorder: r, Instance: "r1", Zone: "a"})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(vars.String()))
+	}))
+	defer server.Close()
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+
+	documents, missing := Fetch(t.Context(), server.Client(), []string{server.URL, server.URL, closed.URL})
+	report := Merge(time.Now(), documents, missing)
+	assert.Equal(t, report.Rows[0].Totals.Served, uint64(20))
+	assert.Equal(t, report.Routes[0].Count, int64(20))
+	assert.Equal(t, report.HitRate, 0.75)
+	assert.Equal(t, len(report.Missing), 1)
+
+	var text, html bytes.Buffer
+	assert.NilError(t, WriteText(&text, report))
+	assert.NilError(t, WriteHTML(&html, report))
+	_, err := json.Marshal(report)
+	assert.NilError(t, err)
+	for _, out := range []string{text.String(), html.String()} {
+		assert.Assert(t, strings.Contains(out, strings.TrimPrefix(closed.URL, "http://")), out)
+		assert.Assert(t, strings.Contains(out, "circle"), out)
+	}
+}
--- /dev/null
+++ b/pkg/burn/fetch.go
@@ -0,0 +1,80 @@
+package burn
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// VarName is the name under which instances publish their document.
+const VarName = "service_level"
+
+const (
+	fetchTimeout     = 3 * time.Second
+	maxFetchParallel = 32
+	maxDocumentBytes = 64 << 20
+)
+
+var errNoDocument = errors.New("its variables have no " + VarName)
+
+// Fetch reads the documents of instances by their operator addresses, given as
+// URLs. Instances that do not answer are returned too.
+func Fetch(ctx context.Context, client *http.Client, addresses []string) ([]Document, []Missing) {
+	documents := make([]*Document, len(addresses))
+	failures := make([]error, len(addresses))
+	slots := make(chan struct{}, maxFetchParallel)
+	var group sync.WaitGroup
+	for i, address := range addresses {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			documents[i], failures[i] = fetchOne(ctx, client, address)
+		})
+	}
+	group.Wait()
+	var found []Document
+	var missing []Missing
+	for i, address := range addresses {
+		if failures[i] != nil {
+			missing = append(missing, Missing{Address: address, Reason: failures[i].Error()})
+			continue
+		}
+		found = append(found, *documents[i])
+	}
+	return found, missing
+}
+
+func fetchOne(ctx context.Context, client *http.Client, address string) (*Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/debug/vars", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var vars map[string]json.RawMessage
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(&vars); err != nil {
+		return nil, err
+	}
+	raw, ok := vars[VarName]
+	if !ok {
+		return nil, errNoDocument
+	}
+	var doc Document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return nil, err
+	}
+	return &doc, nil
+}
--- /dev/null
+++ b/pkg/gateway/burnrecorder.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/burn"
+)
+
+// BurnRecorder counts finished requests against the objectives of their routes.
+type BurnRecorder struct {
+	Recorder *burn.Recorder
+}
+
+// Record implements Recorder.
+func (r *BurnRecorder) Record(ex *Exchange, failure *apierr.Error) {
+	sample := burn.Sample{
+		Organisation: ex.OrganisationName(),
+		Class:        classify(failure),
+		PromptTokens: ex.Usage.PromptTokens,
+		CachedTokens: ex.Usage.CachedTokens,
+		OutputTokens: ex.Usage.OutputTokens,
+	}
+	if ex.Route != nil {
+		sample.Route = ex.Route.Name
+		sample.Objective = burn.Objective(ex.Route.Objective)
+	}
+	if !ex.Timing.FirstToken.IsZero() {
+		sample.FirstToken = ex.Timing.FirstToken.Sub(ex.Timing.Start)
+	}
+	r.Recorder.Record(sample)
+}
+
+// classify separates failures of the system from those of the caller.
+func classify(failure *apierr.Error) burn.Class {
+	if failure == nil {
+		return burn.Served
+	}
+	switch failure.Code {
+	case apierr.CodeRateLimited, apierr.CodeCostTooLarge:
+		return burn.OverRate
+	case apierr.CodeQueueFull, apierr.CodeNoTarget, apierr.CodeNotReady, apierr.CodeClaimUnavailable, apierr.CodeStopping:
+		return burn.Refused
+	case apierr.CodeTargetFailed, apierr.CodeDeadline, apierr.CodeInternal, apierr.CodeOutcomeUnknown:
+		return burn.Failed
+	}
+	return burn.CallerError
+}
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -10,6 +10,9 @@
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
+// statusCallerGone is only logged; nobody is left to receive it.
+const statusCallerGone = 499
+
 // maxAttempts bounds how often one request is sent to targets.
 const maxAttempts = 4
 
@@ -88,6 +91,12 @@
 		outcome = apierr.NotRun
 	}
 	switch cause := context.Cause(ex.Context()); {
+	case failure.callerGone || errors.Is(cause, context.Canceled):
+		return &apierr.Error{
+			Code: apierr.CodeCallerGone, Status: statusCallerGone, Outcome: outcome,
+			Message: "the caller closed the connection before the response was complete",
+			Remedy:  "keep the connection open until the response ends", Cause: failure.cause,
+		}
 	case errors.Is(cause, errWithdrawn):
 		return &apierr.Error{
 			Code: apierr.CodeKeyWithdrawn, Status: http.StatusUnauthorized, Outcome: outcome,
