Prove that keys stay in the router and stop working when revoked

Change: tests of the key, route and session filters with a stand-in engine; load tool and a benchmark of the time that the router adds; the code for a revoked key is key_revoked. Ruled out: matching only the Authorization header; a Referer can repeat a key from the query.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,8 +21,8 @@
 
 func main() {
 	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform, engines and services", SilenceUsage: true}
-	root.AddCommand(newPlatform(), newEngine(), newService())
-	if root.Execute() != nil {
+	root.AddCommand(newPlatform(), newEngine(), newService(), newLoad())
+	if root.ExecuteContext(context.Background()) != nil {
 		os.Exit(1)
 	}
 }
@@ -64,6 +65,30 @@
 	return cmd
 }
 
+func newLoad() *cobra.Command {
+	options := standin.LoadOptions{Model: "demo", Requests: 1000, Concurrency: 8, MaxTokens: 16, Prefixes: 8, PrefixBytes: 16000}
+	cmd := &cobra.Command{Use: "load", Short: "Send streaming requests and report the time to first token", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		result := standin.Load(cmd.Context(), options)
+		h := result.FirstToken
+		fmt.Printf("whole=%d failed=%d seconds=%.2f first_token_p50_us=%d p95_us=%d p99_us=%d\n",
+			result.Whole, result.Failed, result.Elapsed.Seconds(), h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.ValueAtQuantile(99))
+		if result.Failed > 0 {
+			return fmt.Errorf("%d requests failed, the first with: %w", result.Failed, result.FirstError)
+		}
+		return nil
+	}}
+	flags := cmd.Flags()
+	flags.StringVar(&options.URL, "url", "http://127.0.0.1:8080", "address of a router or an engine")
+	flags.StringVar(&options.Key, "key", "", "key of an organisation")
+	flags.StringVar(&options.Model, "model", options.Model, "model to ask for")
+	flags.IntVar(&options.Requests, "requests", options.Requests, "number of requests")
+	flags.IntVar(&options.Concurrency, "concurrency", options.Concurrency, "requests at a time")
+	flags.IntVar(&options.MaxTokens, "max-tokens", options.MaxTokens, "tokens of each response")
+	flags.IntVar(&options.Prefixes, "prefixes", options.Prefixes, "distinct shared prefixes")
+	flags.IntVar(&options.PrefixBytes, "prefix-bytes", options.PrefixBytes, "length of each shared prefix")
+	return cmd
+}
+
 func serve(role, listen string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -27,7 +27,7 @@
 	CodeBodyTooLarge       Code = "body_too_large"
 	CodeMissingKey         Code = "missing_key"
 	CodeInvalidKey         Code = "invalid_key"
-	CodeKeyWithdrawn       Code = "key_withdrawn"
+	CodeKeyRevoked         Code = "key_revoked"
 	CodeForbidden          Code = "organisation_not_allowed"
 	CodeNoRoute            Code = "no_route"
 	CodeMissingIdempotency Code = "missing_idempotency_key"
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -97,10 +97,10 @@
 			Message: "the caller closed the connection before the response was complete",
 			Remedy:  "keep the connection open until the response ends", Cause: failure.cause,
 		}
-	case errors.Is(cause, errWithdrawn):
+	case errors.Is(cause, errRevoked):
 		return &apierr.Error{
-			Code: apierr.CodeKeyWithdrawn, Status: http.StatusUnauthorized, Outcome: outcome,
-			Message: "the key was withdrawn while the request ran",
+			Code: apierr.CodeKeyRevoked, Status: http.StatusUnauthorized, Outcome: outcome,
+			Message: "the key was revoked while the request ran",
 			Remedy:  "ask the operators for a new key; check whether the request took effect",
 		}
 	case errors.Is(cause, context.DeadlineExceeded):
--- /dev/null
+++ b/pkg/gateway/key_test.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/burn"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+const secretKey = "lw-0123456789abcdef-secret"
+
+const keyRoutes = `[route chat]
+path = /v1/chat/completions
+pool = demo
+organisations = circle
+
+[route open]
+path = /open/
+pool = plain
+access = open
+
+[route plain]
+path = /plain/
+pool = plain
+`
+
+const keyPools = `[pool demo]
+targets = app=engine
+model = demo
+
+[pool plain]
+kind = service
+targets = app=plain
+
+[organisation circle]
+rate = 1000
+burst = 10000
+key.first = %s
+
+[organisation other]
+rate = 1000
+burst = 10000
+key.first = %s
+`
+
+type keyFixture struct {
+	snapshot atomic.Pointer[tables.Snapshot]
+	sessions *Sessions
+	engine   *standin.Engine
+	server   *httptest.Server
+	recorder *burn.Recorder
+	log      bytes.Buffer
+}
+
+func (f *keyFixture) Snapshot() *tables.Snapshot { return f.snapshot.Load() }
+
+type fixedTargets struct{ set *target.Set }
+
+func (f fixedTargets) Set() *target.Set { return f.set }
+
+func parseSnapshot(t *testing.T, generation uint64, pools string) *tables.Snapshot {
+	t.Helper()
+	parsed, err := tables.Parse(tables.Source{Routes: []byte(keyRoutes), Pools: []byte(pools)})
+	assert.NilError(t, err)
+	return tables.NewSnapshot(generation, parsed)
+}
+
+func digestOf(key string) string { return tables.FormatDigest(tables.DigestKey(key)) }
+
+// newKeyFixture serves a chain in front of a stand-in engine that also answers
+// plain paths.
+func newKeyFixture(t *testing.T) *keyFixture {
+	t.Helper()
+	options := standin.DefaultEngineOptions("demo")
+	options.TokenInterval = time.Millisecond
+	f := &keyFixture{sessions: NewSessions(), engine: standin.NewEngine(options), recorder: burn.NewRecorder(time.Now)}
+	f.snapshot.Store(parseSnapshot(t, 1, fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other"))))
+	targetServer := httptest.NewServer(f.engine.Handler())
+	t.Cleanup(targetServer.Close)
+	newTarget := func(id, app string, role platform.Role) *target.Target {
+		return &target.Target{
+			ID: id, Role: role, Address: targetServer.Listener.Addr().String(), Model: "demo", CanResume: true,
+			Labels: map[string]string{"app": app}, Reachable: true, Live: &target.Live{},
+		}
+	}
+	set := target.NewSet([]*target.Target{
+		newTarget("engine-1", "engine", platform.RoleEngine), newTarget("plain-1", "plain", platform.RoleService),
+	})
+	picker := &LeastLoaded{Targets: fixedTargets{set}}
+	log := hclog.New(&hclog.LoggerOptions{Output: &f.log, Level: hclog.Trace})
+	f.server = httptest.NewServer(NewChain(log, RequestID{},
+		&Account{Log: log, Recorder: &BurnRecorder{Recorder: f.recorder}},
+		&Key{Source: f, Sessions: f.sessions}, Route{}, &Choose{Picker: picker},
+		&Forward{Picker: picker, Sender: NewSender(), Budgets: NewRetryBudgets()}))
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *keyFixture) do(t *testing.T, path, body string, change func(*http.Request)) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	change(req)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+func bearer(key string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) }
+}
+
+const wholeCall = `{"model":"demo","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}`
+
+// Guards G5: a key must not reach a target, a log or a metric, wherever the
+// caller puts it.
+func TestKeyStaysInRouter(t *testing.T) {
+	places := map[string]func(*http.Request){
+		"bearer":          bearer(secretKey),
+		"bearer in lower": func(r *http.Request) { r.Header.Set("Authorization", "bearer "+secretKey) },
+		"plain header":    func(r *http.Request) { r.Header.Set("Authorization", secretKey) },
+		"x-api-key":       func(r *http.Request) { r.Header.Set("X-Api-Key", secretKey) },
+		"query":           func(r *http.Request) { r.URL.RawQuery = "a=1&api_key=" + secretKey },
+		"cookie":          func(r *http.Request) { r.Header.Set("Cookie", "theme=dark; api_key="+secretKey) },
+		"with a copy": func(r *http.Request) {
+			bearer(secretKey)(r)
+			r.Header.Set("Referer", "http://example/?api_key="+secretKey)
+			r.Header.Set("Proxy-Authorization", "Bearer "+secretKey)
+		},
+	}
+	for name, place := range places {
+		t.Run(name, func(t *testing.T) {
+			f := newKeyFixture(t)
+			resp := f.do(t, "/v1/chat/completions", wholeCall, place)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			received, err := json.Marshal(f.engine.ReceivedRequests())
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(received), "chat/completions"))
+			f.server.Close()
+			published := burn.Var{Recorder: f.recorder}.String()
+			for _, text := range []string{string(received), f.log.String(), published} {
+				assert.Assert(t, !strings.Contains(text, secretKey), text)
+			}
+		})
+	}
+}
+
+// Guards G4: only an allowed organisation gets through, and refusals say that
+// the request has not run.
+func TestRouteRunsOnlyForItsOrganisations(t *testing.T) {
+	tests := []struct {
+		name, path string
+		change     func(*http.Request)
+		status     int
+		code       apierr.Code
+	}{
+		{"no key", "/v1/chat/completions", func(*http.Request) {}, http.StatusUnauthorized, apierr.CodeMissingKey},
+		{"unknown key", "/v1/chat/completions", bearer("lw-unknown"), http.StatusUnauthorized, apierr.CodeInvalidKey},
+		{"other organisation", "/v1/chat/completions", bearer("key-of-other"), http.StatusForbidden, apierr.CodeForbidden},
+		{"two keys", "/v1/chat/completions", func(r *http.Request) {
+			bearer(secretKey)(r)
+			r.Header.Set("X-Api-Key", "key-of-other")
+		}, http.StatusUnauthorized, apierr.CodeInvalidKey},
+		{"unknown key on an open route", "/open/x", bearer("lw-unknown"), http.StatusUnauthorized, apierr.CodeInvalidKey},
+		{"no route", "/nowhere", bearer(secretKey), http.StatusNotFound, apierr.CodeNoRoute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := newKeyFixture(t)
+			resp := f.do(t, test.path, wholeCall, test.change)
+			var doc apierr.Body
+			assert.NilError(t, json.NewDecoder(resp.Body).Decode(&doc))
+			assert.Equal(t, resp.StatusCode, test.status)
+			assert.Equal(t, doc.Error.Code, test.code)
+			assert.Equal(t, doc.Error.Outcome, apierr.NotRun)
+			assert.Assert(t, doc.Error.Remedy != "")
+			assert.Equal(t, len(f.engine.ReceivedRequests()), 0)
+		})
+	}
+}
+
+// Guards G6: a running stream must end when its key is revoked, and must not
+// end as if it were complete.
+func TestRevokedKeyEndsStream(t *testing.T) {
+	f := newKeyFixture(t)
+	resp := f.do(t, "/v1/chat/completions",
+		`{"model":"demo","stream":true,"max_tokens":100000,"messages":[{"role":"user","content":"hi"}]}`, bearer(secretKey))
+	reader := engine.NewEventReader(resp.Body)
+	_, err := reader.Next()
+	assert.NilError(t, err)
+	revoked := parseSnapshot(t, 2, fmt.Sprintf(keyPools, digestOf("another"), digestOf("key-of-other")))
+	f.snapshot.Store(revoked)
+	assert.Equal(t, f.sessions.Recheck(revoked), 1)
+	var last engine.StreamEvent
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			break
+		}
+		last = event
+	}
+	assert.Assert(t, strings.Contains(string(last.Data), string(apierr.CodeKeyRevoked)), string(last.Data))
+	resp = f.do(t, "/v1/chat/completions", wholeCall, bearer(secretKey))
+	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
+}
--- a/pkg/gateway/sessions.go
+++ b/pkg/gateway/sessions.go
@@ -8,10 +8,10 @@
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
-// errWithdrawn is the cause with which requests of a withdrawn key are cancelled.
-var errWithdrawn = errors.New("the key was withdrawn")
+// errRevoked is the cause with which requests of a revoked key are cancelled.
+var errRevoked = errors.New("the key was revoked")
 
-// Sessions knows the running requests of each key, so that a withdrawn key
+// Sessions knows the running requests of each key, so that a revoked key
 // ends them.
 type Sessions struct {
 	mu   sync.Mutex
@@ -60,7 +60,7 @@
 		org := snapshot.FindKey(digest)
 		for ex, cancel := range running {
 			if org == nil || org.Name != ex.Organisation.Name {
-				cancel(errWithdrawn)
+				cancel(errRevoked)
 				cancelled++
 			}
 		}
--- /dev/null
+++ b/test/bench/overhead_test.go
@@ -0,0 +1,119 @@
+// Package bench measures what the router adds to a direct call.
+package bench
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/config"
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/server"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+const (
+	key    = "key-of-circle"
+	routes = "[route chat]\npath = /v1/chat/completions\npool = demo\n"
+	pools  = "[pool demo]\ntargets = app=engine\nmodel = demo\n\n[organisation circle]\nrate = 1000000000\nburst = 1000000000\nkey.first = "
+)
+
+// BenchmarkFirstToken sends the same requests to an engine and to a router in
+// front of it. The difference of the two is what the router adds. Client,
+// router and engine share one process, so allocations are those of all three.
+func BenchmarkFirstToken(b *testing.B) {
+	options := standin.DefaultEngineOptions("demo")
+	options.PrefillPerKB, options.TokenInterval = 0, 0
+	engineServer := httptest.NewServer(standin.NewEngine(options).Handler())
+	defer engineServer.Close()
+	router, stop := startRouter(b, engineServer.Listener.Addr().String())
+	defer stop()
+	for _, bench := range []struct{ name, url string }{
+		{"direct", engineServer.URL},
+		{"router", "http://" + router},
+	} {
+		for _, concurrency := range []struct {
+			name string
+			n    int
+		}{{"one", 1}, {"sixteen", 16}} {
+			b.Run(bench.name+"/"+concurrency.name, func(b *testing.B) {
+				measure(b, bench.url, concurrency.n)
+			})
+		}
+	}
+}
+
+func measure(b *testing.B, url string, concurrency int) {
+	options := standin.LoadOptions{
+		URL: url, Key: key, Model: "demo", Concurrency: concurrency,
+		MaxTokens: 8, Prefixes: 8, PrefixBytes: 16000, Requests: 200,
+	}
+	standin.Load(b.Context(), options) // opens the connections
+	options.Requests = b.N
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	result := standin.Load(b.Context(), options)
+	b.StopTimer()
+	runtime.ReadMemStats(&after)
+	assert.NilError(b, result.FirstError)
+	b.ReportMetric(float64(result.FirstToken.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(result.FirstToken.ValueAtQuantile(99)), "p99-us")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "allocs/req")
+}
+
+func startRouter(b *testing.B, engineAddress string) (string, func()) {
+	p := standin.NewPlatform()
+	p.SetInstance(platform.Instance{
+		ID: "engine-1", Role: platform.RoleEngine, Address: engineAddress, Zone: "a",
+		Labels: map[string]string{"app": "engine"},
+	})
+	accepted := control.Accepted{Generation: 1, Routes: routes, Pools: pools + tables.FormatDigest(tables.DigestKey(key)) + "\n"}
+	value, err := accepted.Encode()
+	assert.NilError(b, err)
+	_, err = p.Store.Create(b.Context(), control.KindConfiguration, control.NameAccepted, value)
+	assert.NilError(b, err)
+	platformServer := httptest.NewServer(p.Handler())
+	s, err := server.New(&config.Settings{
+		Instance: config.Instance{ID: "r1", Zone: "a", CallerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0"},
+		Platform: config.Platform{Address: platformServer.URL},
+		Server:   config.Server{DrainTimeout: time.Second},
+	}, hclog.NewNullLogger())
+	assert.NilError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	waitForTarget(b, s.CallerAddress())
+	return s.CallerAddress(), func() {
+		cancel()
+		<-done
+		platformServer.CloseClientConnections()
+		platformServer.Close()
+	}
+}
+
+// waitForTarget waits until a request is served.
+func waitForTarget(b *testing.B, address string) {
+	b.Helper()
+	_, _, err := net.SplitHostPort(address)
+	assert.NilError(b, err)
+	probe := standin.LoadOptions{URL: "http://" + address, Key: key, Model: "demo", Requests: 1, Concurrency: 1, MaxTokens: 1}
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		result := standin.Load(b.Context(), probe)
+		if result.Whole == 1 {
+			return
+		}
+		if time.Now().After(deadline) {
+			b.Fatal(result.FirstError)
+		}
+	}
+}
