--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -42,6 +42,8 @@
 	Stream bool
 	// Position is that of the last event that the caller received.
 	Position uint64
+	// weights is the weight version that gave the events so far.
+	weights string
 }
 
 // Call is what the router reads of a generation request.
--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -65,6 +65,7 @@
 	engine   *standin.Engine
 	server   *httptest.Server
 	recorder *burn.Recorder
+	set      *target.Set
 	log      bytes.Buffer
 }
 
@@ -102,6 +103,7 @@
 	set := target.NewSet([]*target.Target{
 		newTarget("engine-1", "engine", platform.RoleEngine), newTarget("plain-1", "plain", platform.RoleService),
 	})
+	f.set = set
 	picker := &LeastLoaded{Targets: fixedTargets{set}}
 	log := hclog.New(&hclog.LoggerOptions{Output: &f.log, Level: hclog.Trace})
 	f.server = httptest.NewServer(NewChain(log, RequestID{},
@@ -220,3 +222,15 @@
 	resp = f.do(t, "/v1/chat/completions", wholeCall, bearer(secretKey))
 	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
 }
+
+// Guards G1: a target that loaded other weights after its state was read must
+// not answer for the pool's weights.
+func TestOtherWeightsAreRefused(t *testing.T) {
+	f := newKeyFixture(t)
+	pools := strings.Replace(fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other")),
+		"model = demo\n", "model = demo\nweight_version = 2\n", 1)
+	f.snapshot.Store(parseSnapshot(t, 2, pools))
+	f.set.ByID["engine-1"].WeightVersion = "2" // as read before; the engine runs version 1
+	resp := f.do(t, "/v1/chat/completions", wholeCall, bearer(secretKey))
+	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
+}
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 const (
@@ -111,9 +111,12 @@
 // checkHeader refuses answers that belong to another request and answers by
 // which the target says that it did not run the request.
 func checkHeader(ex *Exchange, resp *http.Response) *attemptError {
-	if echoed := resp.Header.Get(engine.HeaderRequestID); echoed != ex.ID && (echoed != "" || ex.Pool.Kind == "engine") {
+	if echoed := resp.Header.Get(engine.HeaderRequestID); echoed != ex.ID && (echoed != "" || ex.Pool.Kind == tables.PoolEngine) {
 		return &attemptError{cause: errCrossed}
 	}
+	if failure := checkWeights(ex, resp); failure != nil {
+		return failure
+	}
 	refusal := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	if refusal && resp.Header.Get(engine.HeaderNotRun) == "1" {
 		return &attemptError{cause: fmt.Errorf("the target refused with status %d", resp.StatusCode), notRun: true}
@@ -121,6 +124,26 @@
 	return nil
 }
 
+// errWeights means that a target has loaded other weights since its state was read.
+var errWeights = errors.New("the target runs another weight version")
+
+// checkWeights refuses responses from weights that the pool does not ask for,
+// and a resumed stream from other weights than its start.
+func checkWeights(ex *Exchange, resp *http.Response) *attemptError {
+	weights := resp.Header.Get(engine.HeaderWeights)
+	if weights == "" || ex.Pool.Kind != tables.PoolEngine {
+		return nil
+	}
+	if ex.Pool.WeightVersion != "" && weights != ex.Pool.WeightVersion {
+		return &attemptError{cause: errWeights}
+	}
+	if ex.Position > 0 && weights != ex.weights {
+		return &attemptError{cause: errWeights}
+	}
+	ex.weights = weights
+	return nil
+}
+
 func newTargetRequest(ctx context.Context, ex *Exchange) (*http.Request, error) {
 	url := "http://" + ex.Target.Address + ex.Request.URL.RequestURI()
 	var body io.Reader = http.NoBody
@@ -179,9 +202,8 @@
 	return listed
 }
 
-// noteTarget records that an answer came from a target's present state.
-func noteUsage(ex *Exchange, t *target.Target, h http.Header) {
-	_ = t
+// noteUsage reads the usage that a target reports in its header.
+func noteUsage(ex *Exchange, h http.Header) {
 	ex.Usage.PromptTokens, _ = strconv.Atoi(h.Get(engine.HeaderPrompt))
 	ex.Usage.CachedTokens, _ = strconv.Atoi(h.Get(engine.HeaderCached))
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -23,7 +23,7 @@
 	if answer.resp.StatusCode != http.StatusOK {
 		return s.relayStatus(ex, answer)
 	}
-	noteUsage(ex, ex.Target, answer.resp.Header)
+	noteUsage(ex, answer.resp.Header)
 	reader := engine.NewEventReader(answer.resp.Body)
 	for {
 		event, err := reader.Next()
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -42,7 +42,7 @@
 	case ex.Writer.Started():
 		return &attemptError{cause: fmt.Errorf("the target refused to resume with status %d", answer.resp.StatusCode)}
 	}
-	noteUsage(ex, ex.Target, answer.resp.Header)
+	noteUsage(ex, answer.resp.Header)
 	readUsage(ex, body)
 	ex.Timing.FirstToken = time.Now()
 	copyResponseHeader(ex.Writer.Header(), answer.resp.Header)
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -27,6 +27,7 @@
 	TokenInterval time.Duration
 	CanResume     bool
 	ChecksFence   bool
+	LoadDelay     time.Duration // time to load weights; no model is loaded meanwhile
 }
 
 // DefaultEngineOptions return a fast engine.
@@ -63,6 +64,7 @@
 	incarnation string
 	model       string
 	weights     string
+	adapter     string
 	cache       *prefixCache
 	fence       uint64
 	running     map[string]context.CancelFunc
@@ -132,7 +134,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return engine.State{
-		Incarnation: e.incarnation, Model: e.model, WeightVersion: e.weights,
+		Incarnation: e.incarnation, Model: e.model, WeightVersion: e.weights, Adapter: e.adapter,
 		CanResume: e.options.CanResume, Leaving: e.faults.Leaving, Load: e.load,
 	}
 }
@@ -165,11 +167,18 @@
 	}
 	e.fence = max(e.fence, order.Fence)
 	if order.Action == engine.ActionLoadModel {
-		e.model, e.weights = order.Model, order.WeightVersion
+		e.model, e.weights, e.adapter = "", "", ""
 		e.cache = newPrefixCache(e.options.PieceBytes, e.options.CachePieces)
+		time.AfterFunc(e.options.LoadDelay, func() { e.loaded(order) })
 	}
 }
 
+func (e *Engine) loaded(order engine.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model, e.weights, e.adapter = order.Model, order.WeightVersion, order.Adapter
+}
+
 func (e *Engine) cancel(_ http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
