Prove that streams are whole and end a request whose caller stops reading

Cause: a write to a caller that does not read blocks and does not see the end of its context, so such a request never ended and held up a graceful stop. Streams could also be resumed by an engine that cannot resume. Without the check the stream goes on from an engine that cannot resume. Ruled out: http.Server.WriteTimeout, which would cut long streams that are read.

--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -66,14 +66,24 @@
 	server   *httptest.Server
 	recorder *burn.Recorder
 	set      *target.Set
+	address  string
 	log      bytes.Buffer
 }
 
 func (f *keyFixture) Snapshot() *tables.Snapshot { return f.snapshot.Load() }
 
-type fixedTargets struct{ set *target.Set }
+func (f *keyFixture) Set() *target.Set { return f.set }
 
-func (f fixedTargets) Set() *target.Set { return f.set }
+// addTarget adds a target that the one stand-in engine answers for. Call it
+// before the first request.
+func (f *keyFixture) addTarget(id, app string, role platform.Role) {
+	f.set = target.NewSet(append(f.set.Targets, &target.Target{
+		ID: id, Role: role, Address: f.address, Model: "demo", CanResume: true,
+		Labels: map[string]string{"app": app}, Reachable: true, Live: &target.Live{},
+	}))
+}
+
+func (f *keyFixture) addEngine(id string) { f.addTarget(id, "engine", platform.RoleEngine) }
 
 func parseSnapshot(t *testing.T, generation uint64, pools string) *tables.Snapshot {
 	t.Helper()
@@ -94,17 +104,11 @@
 	f.snapshot.Store(parseSnapshot(t, 1, fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other"))))
 	targetServer := httptest.NewServer(f.engine.Handler())
 	t.Cleanup(targetServer.Close)
-	newTarget := func(id, app string, role platform.Role) *target.Target {
-		return &target.Target{
-			ID: id, Role: role, Address: targetServer.Listener.Addr().String(), Model: "demo", CanResume: true,
-			Labels: map[string]string{"app": app}, Reachable: true, Live: &target.Live{},
-		}
-	}
-	set := target.NewSet([]*target.Target{
-		newTarget("engine-1", "engine", platform.RoleEngine), newTarget("plain-1", "plain", platform.RoleService),
-	})
-	f.set = set
-	picker := &LeastLoaded{Targets: fixedTargets{set}}
+	f.address = targetServer.Listener.Addr().String()
+	f.set = target.NewSet(nil)
+	f.addTarget("engine-1", "engine", platform.RoleEngine)
+	f.addTarget("plain-1", "plain", platform.RoleService)
+	picker := &LeastLoaded{Targets: f}
 	log := hclog.New(&hclog.LoggerOptions{Output: &f.log, Level: hclog.Trace})
 	f.server = httptest.NewServer(NewChain(log, RequestID{},
 		&Account{Log: log, Recorder: &BurnRecorder{Recorder: f.recorder}},
--- a/pkg/gateway/leastloaded.go
+++ b/pkg/gateway/leastloaded.go
@@ -20,7 +20,7 @@
 	var best *target.Target
 	var bestWork int64
 	for _, t := range p.Targets.Set().Targets {
-		if exclude[t.ID] || !Usable(t, ex.Pool) {
+		if exclude[t.ID] || !CanServe(t, ex) {
 			continue
 		}
 		work := t.Live.InFlight.Load()
@@ -31,6 +31,12 @@
 	return best
 }
 
+// CanServe reports whether a target can take the request, or the rest of it if
+// the caller already has a part.
+func CanServe(t *target.Target, ex *Exchange) bool {
+	return Usable(t, ex.Pool) && (ex.Position == 0 || t.CanResume)
+}
+
 // Usable reports whether a target can take a request of the pool.
 func Usable(t *target.Target, pool *tables.Pool) bool {
 	if t.Leaving || !t.Reachable || !t.Matches(pool.Selector) {
--- a/pkg/gateway/route.go
+++ b/pkg/gateway/route.go
@@ -46,10 +46,12 @@
 	ctx, cancel := context.WithDeadline(ex.Context(), ex.Deadline)
 	defer cancel()
 	ex.Request = ex.Request.WithContext(ctx)
+	defer unblockWrites(ctx, ex.Writer)()
 	return next(ex)
 }
 
 func readBody(ex *Exchange) ([]byte, error) {
+	defer limitBodyRead(ex.Writer)()
 	body, err := io.ReadAll(http.MaxBytesReader(ex.Writer, ex.Request.Body, maxBodyBytes))
 	if err == nil {
 		return body, nil
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -58,6 +58,9 @@
 	options EngineOptions
 	// Crash ends the process, or its likeness in a test.
 	Crash func()
+	// OnReceive, if set, is called with the number of requests received so far,
+	// after the faults for the last one were read.
+	OnReceive func(received int)
 
 	mu          sync.Mutex
 	faults      EngineFaults
@@ -201,6 +204,14 @@
 	if err != nil {
 		return nil, EngineFaults{}, err
 	}
+	faults := e.recordReceived(r, body)
+	if e.OnReceive != nil {
+		e.OnReceive(len(e.ReceivedRequests()))
+	}
+	return body, faults, nil
+}
+
+func (e *Engine) recordReceived(r *http.Request, body []byte) EngineFaults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.received = append(e.received, Received{
@@ -210,7 +221,27 @@
 	if len(e.received) > maxReceived {
 		e.received = e.received[1:]
 	}
-	return body, e.faults, nil
+	return e.faults
+}
+
+// Running returns the number of requests that the engine works on.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.load.Running
+}
+
+// SetTokenInterval changes the time between tokens.
+func (e *Engine) SetTokenInterval(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.options.TokenInterval = d
+}
+
+func (e *Engine) tokenInterval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.options.TokenInterval
 }
 
 // Token returns the text of the output token at a position for a prompt. It is
--- a/pkg/standin/generate.go
+++ b/pkg/standin/generate.go
@@ -147,9 +147,9 @@
 	controller := http.NewResponseController(w)
 	_ = controller.Flush()
 	after, _ := strconv.ParseUint(r.Header.Get(engine.HeaderResumeAfter), 10, 64)
-	sent := 0
+	interval, sent := e.tokenInterval(), 0
 	for position := after + 1; position <= uint64(call.MaxTokens); position++ {
-		if !wait(ctx, e.options.TokenInterval) {
+		if !wait(ctx, interval) {
 			return
 		}
 		if position != faults.SkipEvent {
@@ -190,8 +190,9 @@
 
 func (e *Engine) answer(ctx context.Context, w http.ResponseWriter, body []byte, call generateBody) {
 	var text strings.Builder
+	interval := e.tokenInterval()
 	for position := uint64(1); position <= uint64(call.MaxTokens); position++ {
-		if !wait(ctx, e.options.TokenInterval) {
+		if !wait(ctx, interval) {
 			return
 		}
 		text.WriteString(Token(body, position))
