--- /dev/null
+++ b/pkg/tables/fields.go
@@ -0,0 +1,126 @@
+package tables
+
+import (
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/inifile"
+)
+
+// Kinds of sections.
+var (
+	kindRoute        = inifile.Kind{Word: "route", Named: true}
+	kindPool         = inifile.Kind{Word: "pool", Named: true}
+	kindOrganisation = inifile.Kind{Word: "organisation", Named: true}
+	kindQuota        = inifile.Kind{Word: "quota"}
+)
+
+// keyPrefixText starts the key of a section that holds a key digest. The rest
+// is the name of the key.
+const keyPrefixText = "key."
+
+// Keys that checks refer to.
+const (
+	keyPool          = "pool"
+	keyPath          = "path"
+	keyAccess        = "access"
+	keyOrganisations = "organisations"
+	keyRepeatable    = "repeatable"
+	keyDeadline      = "deadline"
+	keyWeight        = "weight"
+	keyFirstToken    = "objective_first_token"
+	keyKind          = "kind"
+	keyModel         = "model"
+	keyDefaultTokens = "default_tokens"
+	keyRate          = "rate"
+	keyBurst         = "burst"
+	keyStallTimeout  = "stall_timeout"
+)
+
+const (
+	defaultQuotaShares   = 16
+	defaultDeadline      = 60 * time.Second
+	defaultPieceTokens   = 1000
+	defaultBytesPerToken = 4.0
+	defaultOutputTokens  = 1024
+	defaultQueueLimit    = 256
+	defaultTargetLimit   = 64
+	defaultRetryBudget   = 0.2
+	defaultLoadLimit     = 2
+	defaultStallTimeout  = 10 * time.Second
+	defaultGood          = 0.99
+	defaultFirstToken    = 460 * time.Millisecond
+	defaultWindow        = 30 * 24 * time.Hour
+)
+
+const (
+	// maxGood leaves an error budget: burn rates divide by it.
+	maxGood = 0.99999
+	// maxQuotaShares bounds the leases, each of which costs platform writes.
+	maxQuotaShares = 1024
+	maxDeadline    = 24 * time.Hour
+	maxWindow      = 90 * 24 * time.Hour
+	maxTokens      = 10_000_000
+	maxRate        = 1e9
+	maxBurst       = 1e12
+	maxCount       = 1_000_000
+	maxWeight      = 1000
+	maxPriority    = 100
+)
+
+func routeFields(r *Route) []inifile.Field {
+	return []inifile.Field{
+		inifile.Text("host", &r.Host, hostRule),
+		inifile.Text(keyPath, &r.Path, pathRule),
+		inifile.Text(keyModel, &r.Model, labelRule),
+		inifile.Text(keyPool, &r.Pool, inifile.Rule{Required: true, Form: "the name of a pool", Check: CheckName}),
+		inifile.Enum(keyAccess, &r.Access, AccessKeys, AccessOpen),
+		inifile.List(keyOrganisations, &r.Organisations, inifile.Rule{Form: "names of organisations, separated by commas", Check: CheckName}),
+		inifile.Bool(keyRepeatable, &r.Repeatable, true),
+		inifile.Duration(keyDeadline, &r.Deadline, inifile.Range[time.Duration]{Default: defaultDeadline, Min: time.Millisecond, Max: maxDeadline}),
+		inifile.Int("priority", &r.Priority, inifile.Range[int]{Min: -maxPriority, Max: maxPriority}),
+		inifile.Int(keyWeight, &r.Weight, inifile.Range[int]{Default: 1, Max: maxWeight}),
+		inifile.Float("objective_good", &r.Objective.Good, inifile.Range[float64]{Default: defaultGood, Min: 0.01, Max: maxGood}),
+		inifile.Duration(keyFirstToken, &r.Objective.FirstToken, inifile.Range[time.Duration]{Default: defaultFirstToken, Min: time.Millisecond, Max: maxDeadline}),
+		inifile.Duration("objective_window", &r.Objective.Window, inifile.Range[time.Duration]{Default: defaultWindow, Min: time.Minute, Max: maxWindow}),
+	}
+}
+
+func poolFields(p *Pool) []inifile.Field {
+	return []inifile.Field{
+		inifile.Enum(keyKind, &p.Kind, PoolEngine, PoolService),
+		selectorField("targets", &p.Selector),
+		inifile.Text(keyModel, &p.Model, labelRule),
+		inifile.Text("weight_version", &p.WeightVersion, labelRule),
+		inifile.Text("adapter", &p.Adapter, labelRule),
+		inifile.Int("piece_tokens", &p.PieceTokens, inifile.Range[int]{Default: defaultPieceTokens, Min: 1, Max: maxTokens}),
+		inifile.Float("bytes_per_token", &p.BytesPerToken, inifile.Range[float64]{Default: defaultBytesPerToken, Min: 0.1, Max: 100}),
+		inifile.Int(keyDefaultTokens, &p.DefaultTokens, inifile.Range[int]{Default: defaultOutputTokens, Min: 1, Max: maxTokens}),
+		inifile.Int("queue_limit", &p.QueueLimit, inifile.Range[int]{Default: defaultQueueLimit, Max: maxCount}),
+		inifile.Int("target_limit", &p.TargetLimit, inifile.Range[int]{Default: defaultTargetLimit, Min: 1, Max: maxCount}),
+		inifile.Float("retry_budget", &p.RetryBudget, inifile.Range[float64]{Default: defaultRetryBudget, Max: 1}),
+		inifile.Duration(keyStallTimeout, &p.StallTimeout, inifile.Range[time.Duration]{Default: defaultStallTimeout, Min: time.Millisecond, Max: maxDeadline}),
+		inifile.Bool("fencing", &p.Fencing, false),
+		inifile.Int("load_limit", &p.LoadLimit, inifile.Range[int]{Default: defaultLoadLimit, Min: 1, Max: maxCount}),
+	}
+}
+
+// engineOnly are the keys that mean nothing for a pool of plain services.
+var engineOnly = []string{keyModel, "weight_version", "adapter", "piece_tokens", "fencing", "load_limit"}
+
+func organisationFields(o *Organisation) []inifile.Field {
+	fields := []inifile.Field{
+		inifile.Float(keyRate, &o.Rate, inifile.Range[float64]{Required: true, Min: 0.001, Max: maxRate}),
+		inifile.Float(keyBurst, &o.Burst, inifile.Range[float64]{Required: true, Min: 1, Max: maxBurst}),
+		inifile.Int(keyWeight, &o.Weight, inifile.Range[int]{Default: 1, Min: 1, Max: maxWeight}),
+	}
+	for i := range o.Keys {
+		fields = append(fields, digestField(keyPrefixText+o.Keys[i].Name, &o.Keys[i].Digest))
+	}
+	return fields
+}
+
+func settingsFields(s *PoolSettings) []inifile.Field {
+	return []inifile.Field{
+		inifile.Int("shares", &s.QuotaShares, inifile.Range[int]{Default: defaultQuotaShares, Min: 1, Max: maxQuotaShares}),
+	}
+}
