Check settings strictly

Cause: a process started with a misspelt key, a certificate without its key or seeds without a peer listener, and silently did without that part. Change: pkg/config on pkg/inifile; Parse takes the file name for errors; addresses are ip:port, TLS files come in pairs, peer files all three or none, peer settings need a listener, and the listener needs an announced address. Ruled out: checking that files exist, because check runs on the operator's machine; host names in addresses, because processes reach each other by IP. Conclusion: settings are read in full or refused with all mistakes.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -1,4 +1,4 @@
-// Package config reads the settings of one process.
+// Package config reads and checks the settings of one process.
 package config
 
 import (
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"gopkg.in/ini.v1"
+	"lacewingwheel.example/lacewingwheel/pkg/inifile"
 )
 
 // Settings are the settings of a router process.
@@ -56,50 +56,36 @@
 	ReadyGrace   time.Duration // time between leaving readiness and closing the listener
 }
 
-const (
-	defaultDrainTimeout = 2 * time.Minute
-	defaultReadyGrace   = 0
-)
-
-// Load reads settings from a file.
+// Load reads settings from a file. Mistakes in it are an *inifile.Error.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
+		return nil, fmt.Errorf("settings: %w; name a readable file with --settings", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads settings. The name is the file name that errors show. The error
+// is an *inifile.Error with all mistakes.
+func Parse(name string, text []byte) (*Settings, error) {
+	var report inifile.Report
+	s := Check(name, text, &report)
+	if err := report.Err(); err != nil {
 		return nil, err
 	}
-	return Parse(text)
+	return s, nil
 }
 
-// Parse reads settings.
-func Parse(text []byte) (*Settings, error) {
-	file, err := ini.Load(text)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+// Check reads settings and adds their mistakes to report.
+func Check(name string, text []byte, report *inifile.Report) *Settings {
+	s := &Settings{}
+	doc := inifile.Read(name, text, report, kinds()...)
+	sections := make(map[string]*inifile.Section)
+	for _, group := range groups(s) {
+		section := doc.Section(group.word)
+		section.Decode(group.fields...)
+		sections[group.word] = section
 	}
-	instance := file.Section("instance")
-	return &Settings{
-		Instance: Instance{
-			ID:             instance.Key("id").String(),
-			Zone:           instance.Key("zone").String(),
-			CallerListen:   instance.Key("caller_listen").String(),
-			OperatorListen: instance.Key("operator_listen").String(),
-			PeerListen:     instance.Key("peer_listen").String(),
-			PeerAddress:    instance.Key("peer_address").String(),
-		},
-		Platform: Platform{Address: file.Section("platform").Key("address").String()},
-		Peers:    Peers{Seeds: file.Section("peers").Key("seeds").Strings(",")},
-		TLS: TLS{
-			CallerCert:   file.Section("tls").Key("caller_cert").String(),
-			CallerKey:    file.Section("tls").Key("caller_key").String(),
-			OperatorCert: file.Section("tls").Key("operator_cert").String(),
-			OperatorKey:  file.Section("tls").Key("operator_key").String(),
-			PeerCert:     file.Section("tls").Key("peer_cert").String(),
-			PeerKey:      file.Section("tls").Key("peer_key").String(),
-			PeerCA:       file.Section("tls").Key("peer_ca").String(),
-		},
-		Server: Server{
-			DrainTimeout: file.Section("server").Key("drain_timeout").MustDuration(defaultDrainTimeout),
-			ReadyGrace:   file.Section("server").Key("ready_grace").MustDuration(defaultReadyGrace),
-		},
-	}, nil
+	checker{s, sections}.check()
+	return s
 }
