--- /dev/null
+++ b/pkg/cli/tables_put.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/tablestore"
+)
+
+func newTablesPut() *cobra.Command {
+	var to platformFlags
+	var dir, name string
+	cmd := &cobra.Command{
+		Use:   "put",
+		Short: "Check the tables of a directory and make them the accepted configuration",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if problem := tables.CheckName(name); problem != nil {
+				return &ExitError{Code: ExitInvalid, Err: fmt.Errorf("--editor: %s; %s", problem.Problem, problem.Remedy)}
+			}
+			editor, err := to.editor(cmd)
+			if err != nil {
+				return err
+			}
+			editor.Name = name
+			a, err := editor.Put(cmd.Context(), tablestore.Dir(dir))
+			if err != nil {
+				return storeError(err)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "generation %d is accepted\n", a.Generation)
+			return nil
+		},
+	}
+	to.add(cmd)
+	addDirFlag(cmd, &dir)
+	cmd.Flags().StringVar(&name, "editor", os.Getenv("USER"), "name of the operator, shown to others")
+	return cmd
+}
