--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +78,15 @@
 		})
 	}
 }
+
+// Guards against a key that operators can set but cannot look up.
+func TestKeysAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	assert.NilError(t, err)
+	for _, group := range groups(&Settings{}) {
+		assert.Assert(t, strings.Contains(string(page), "### `["+group.word+"]`"), group.word)
+		for _, field := range group.fields {
+			assert.Assert(t, strings.Contains(string(page), "`"+field.Key+"`"), field.Key)
+		}
+	}
+}
--- a/pkg/tables/check_pools.go
+++ b/pkg/tables/check_pools.go
@@ -73,12 +73,10 @@
 	}
 }
 
-// reaches reports whether a route leads the organisation to the pool. Without
-// the routes table, it assumes so.
+// reaches reports whether a route leads the organisation to the pool. None does
+// when the routes table was not read, so that a pools table that is sound
+// together with its routes is not reported alone.
 func (d *decoder) reaches(organisation, pool string) bool {
-	if len(d.tables.Routes) == 0 {
-		return true
-	}
 	for i := range d.tables.Routes {
 		route := &d.tables.Routes[i]
 		if route.Pool == pool && route.Access != AccessOpen && route.Allows(organisation) {
--- a/pkg/tablestore/editor.go
+++ b/pkg/tablestore/editor.go
@@ -102,7 +102,7 @@
 	}
 	local, err := tables.Parse(src)
 	if err != nil {
-		return nil, 0, invalid("the tables have mistakes:\n"+err.Error(), nil, "")
+		return nil, 0, invalid("the tables have mistakes", err, "")
 	}
 	_, wanted, err := e.fetch(ctx, generation)
 	if err != nil {
--- a/pkg/tablestore/errors.go
+++ b/pkg/tablestore/errors.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/inifile"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
@@ -41,7 +42,9 @@
 // Error implements error.
 func (e *Error) Error() string {
 	text := e.Problem
-	if e.Cause != nil {
+	if mistakes := (*inifile.Error)(nil); errors.As(e.Cause, &mistakes) {
+		text += ":\n" + mistakes.Error() // one mistake a line, each with its own remedy
+	} else if e.Cause != nil {
 		text += ": " + e.Cause.Error()
 	}
 	if e.Remedy == "" {
--- a/pkg/tablestore/put.go
+++ b/pkg/tablestore/put.go
@@ -33,7 +33,7 @@
 	var report inifile.Report
 	tables.Check(src, &report)
 	if err := report.Err(); err != nil {
-		return nil, invalid("the tables have mistakes:\n"+err.Error(), nil, "")
+		return nil, invalid("the tables have mistakes", err, "")
 	}
 	base, err := dir.readState()
 	if err != nil {
