Pass over comments in streams and keep event names

Cause: a keep-alive comment of a target reached the caller as an event with empty data, which clients cannot parse, and the name of an event was lost. Ruled out: forwarding comments as they are; the caller's timeout is the deadline of the route. Conclusion: events reach the caller as the target sent them.

--- a/pkg/engine/sse.go
+++ b/pkg/engine/sse.go
@@ -18,6 +18,7 @@
 // StreamEvent is one server-sent event of a generation stream.
 type StreamEvent struct {
 	Position uint64 // from the id field; zero if the event has none
+	Name     string // from the event field; usually empty
 	Data     []byte
 }
 
@@ -34,7 +35,8 @@
 	return &EventReader{r: bufio.NewReader(r)}
 }
 
-// Next returns the next complete event. An event that the stream cuts off is
+// Next returns the next complete event. Comments and events without data are
+// passed over, as the format demands. An event that the stream cuts off is
 // not returned: the error is then io.ErrUnexpectedEOF.
 func (r *EventReader) Next() (StreamEvent, error) {
 	var event StreamEvent
@@ -49,7 +51,8 @@
 			return StreamEvent{}, err
 		}
 		if len(line) == 0 {
-			if !started {
+			if data == nil {
+				event, started = StreamEvent{}, false
 				continue
 			}
 			event.Data = data
@@ -88,10 +91,14 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "data":
-		if *data != nil {
+		if *data == nil {
+			*data = []byte{}
+		} else {
 			*data = append(*data, '\n')
 		}
 		*data = append(*data, value...)
+	case "event":
+		event.Name = string(value)
 	case "id":
 		position, err := strconv.ParseUint(string(value), 10, 64)
 		if err != nil {
@@ -110,6 +117,11 @@
 		buf = strconv.AppendUint(buf, event.Position, 10)
 		buf = append(buf, '\n')
 	}
+	if event.Name != "" {
+		buf = append(buf, "event: "...)
+		buf = append(buf, event.Name...)
+		buf = append(buf, '\n')
+	}
 	for _, line := range bytes.Split(event.Data, []byte("\n")) {
 		buf = append(buf, "data: "...)
 		buf = append(buf, line...)
