Let the stand-in engine report load and cache events late

Cause: targets report load with a lag and publish cache events late, and no stand-in could do so. Change: faults event_delay_ms and load_lag_ms. Measured: go test ./pkg/gateway passes. Ruled out: nothing. Conclusion: tests can now use both faults.

--- a/pkg/standin/cache.go
+++ b/pkg/standin/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,10 +17,15 @@
 	capacity   int // pieces
 	order      *list.List
 	pieces     map[uint64]*list.Element
-	events     []engine.CacheEvent
+	events     []publishedEvent
 	sequence   uint64
 }
 
+type publishedEvent struct {
+	engine.CacheEvent
+	at time.Time
+}
+
 // maxCacheEvents bounds the events kept for readers. Older ones are lost.
 const maxCacheEvents = 8192
 
@@ -67,18 +73,21 @@
 
 func (c *prefixCache) publish(digest uint64, evicted bool) {
 	c.sequence++
-	c.events = append(c.events, engine.CacheEvent{Sequence: c.sequence, Digest: digest, Evicted: evicted})
+	c.events = append(c.events, publishedEvent{
+		CacheEvent: engine.CacheEvent{Sequence: c.sequence, Digest: digest, Evicted: evicted}, at: time.Now(),
+	})
 	if len(c.events) > maxCacheEvents {
 		c.events = c.events[1:]
 	}
 }
 
-// since returns the events after a sequence number.
-func (c *prefixCache) since(after uint64) []engine.CacheEvent {
+// since returns the events after a sequence number that are at least as old as
+// limit.
+func (c *prefixCache) since(after uint64, limit time.Time) []engine.CacheEvent {
 	events := []engine.CacheEvent{}
 	for _, event := range c.events {
-		if event.Sequence > after {
-			events = append(events, event)
+		if event.Sequence > after && !event.at.After(limit) {
+			events = append(events, event.CacheEvent)
 		}
 	}
 	return events
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -50,6 +50,8 @@
 	DelayMillis      int    `json:"delay_ms"`           // added before the first event
 	CrashOnText      string `json:"crash_on_text"`      // ends the process if the body contains it
 	LoseEvents       int    `json:"lose_events"`        // drops the next n cache events
+	EventDelayMillis int    `json:"event_delay_ms"`     // age of the newest cache event that readers see
+	LoadLagMillis    int    `json:"load_lag_ms"`        // age of the load that readers see
 	Leaving          bool   `json:"leaving"`            // reports that it is leaving
 }
 
@@ -72,6 +74,8 @@
 	fence       uint64
 	running     map[string]context.CancelFunc
 	load        target.Load
+	reported    target.Load // with a lag: what readers see until reportedAt is older than the lag
+	reportedAt  time.Time
 	received    []Received
 }
 
@@ -138,10 +142,19 @@
 	defer e.mu.Unlock()
 	return engine.State{
 		Incarnation: e.incarnation, Model: e.model, WeightVersion: e.weights, Adapter: e.adapter,
-		CanResume: e.options.CanResume, Leaving: e.faults.Leaving, Load: e.load,
+		CanResume: e.options.CanResume, Leaving: e.faults.Leaving, Load: e.reportedLoad(),
 	}
 }
 
+// reportedLoad returns the load as old as the lag says.
+func (e *Engine) reportedLoad() target.Load {
+	lag := time.Duration(e.faults.LoadLagMillis) * time.Millisecond
+	if lag == 0 || time.Since(e.reportedAt) >= lag {
+		e.reported, e.reportedAt = e.load, time.Now()
+	}
+	return e.reported
+}
+
 func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
@@ -150,7 +163,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	events := e.cache.since(after)
+	events := e.cache.since(after, time.Now().Add(-time.Duration(e.faults.EventDelayMillis)*time.Millisecond))
 	lost := min(e.faults.LoseEvents, len(events))
 	e.faults.LoseEvents -= lost
 	writeJSON(w, http.StatusOK, engine.EventBatch{Incarnation: e.incarnation, Events: events[lost:]})
