Find requests that crash their targets

Cause: a request that crashes each target that runs it takes down a pool by retries and when it is sent again. Change: claim.Poison counts the crashes at which a request digest was running and quarantines it after the second one for ten minutes; notices of other instances are added and cut to that time. The error code is quarantined. Ruled out: telling crashes apart by target and incarnation alone; services have no incarnation and the known one of an engine lags, so failures on one incarnation are one crash only within two seconds. Conclusion: decisions are pure; the gateway does not feed them yet.

--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -41,7 +41,7 @@
 	CodeDeadline           Code = "deadline_exceeded"
 	CodeNoTarget           Code = "no_target"
 	CodeTargetFailed       Code = "target_failed"
-	CodeHeldBack           Code = "held_back"
+	CodeQuarantined        Code = "quarantined"
 	CodeNotReady           Code = "not_ready"
 	CodeStopping           Code = "stopping"
 	CodeInternal           Code = "internal"
--- a/pkg/apierr/render.go
+++ b/pkg/apierr/render.go
@@ -36,10 +36,13 @@
 	}}
 }
 
+// HeaderOutcome carries the outcome of a refused or failed request.
+const HeaderOutcome = "X-Outcome"
+
 // Write sends the error as a complete HTTP response.
 func (e *Error) Write(w http.ResponseWriter, requestID string) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("X-Outcome", string(e.Outcome))
+	w.Header().Set(HeaderOutcome, string(e.Outcome))
 	if e.RetryAfter > 0 {
 		seconds := int64(math.Ceil(e.RetryAfter.Seconds()))
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
--- /dev/null
+++ b/pkg/claim/poison.go
@@ -0,0 +1,184 @@
+package claim
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// QuarantineTime is how long a request that crashes targets is refused.
+	QuarantineTime = 10 * time.Minute
+	// suspectTime is how long one crash is remembered. Unrelated crashes are
+	// further apart.
+	suspectTime = 10 * time.Minute
+	// crashesToQuarantine is the number of crashes that a request is let cause:
+	// one may be chance.
+	crashesToQuarantine = 2
+	// sameCrashWindow is the time within which failures on one incarnation of a
+	// target are one crash, seen by several copies of a request. A target needs
+	// longer to start again, and services have no incarnation to tell starts
+	// apart by.
+	sameCrashWindow = 2 * time.Second
+	// maxPoison bounds the digests kept, for suspects and quarantined each.
+	maxPoison = 4096
+	// removeExpiredInterval is the time between two removals of released
+	// requests.
+	removeExpiredInterval = time.Minute
+)
+
+// Poison finds requests that crash their targets.
+type Poison struct {
+	// OnQuarantine is called for each request that this instance quarantines,
+	// to tell other instances. It may be nil and must be set before use.
+	OnQuarantine func(request Digest, expiry time.Time)
+
+	mu          sync.Mutex
+	suspects    map[Digest]*suspect
+	quarantined map[Digest]time.Time
+	nextRemoval time.Time
+}
+
+type suspect struct {
+	crashes []crash
+	expiry  time.Time
+}
+
+type crash struct {
+	target, incarnation string
+	at                  time.Time
+}
+
+// NewPoison returns an empty detector.
+func NewPoison() *Poison {
+	return &Poison{suspects: make(map[Digest]*suspect), quarantined: make(map[Digest]time.Time)}
+}
+
+// Observe records that a request was running on a target that crashed.
+func (p *Poison) Observe(request Digest, target, incarnation string, now time.Time) {
+	expiry := now.Add(QuarantineTime)
+	if !p.record(request, crash{target: target, incarnation: incarnation, at: now}, expiry) {
+		return
+	}
+	if p.OnQuarantine != nil {
+		p.OnQuarantine(request, expiry)
+	}
+}
+
+// record reports whether the request is quarantined by this crash.
+func (p *Poison) record(request Digest, seen crash, expiry time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.suspects[request]
+	if s == nil || !seen.at.Before(s.expiry) {
+		p.makeRoomForSuspect(request, seen.at)
+		s = &suspect{}
+		p.suspects[request] = s
+	}
+	if s.has(seen) {
+		return false
+	}
+	s.crashes = append(s.crashes, seen)
+	s.expiry = seen.at.Add(suspectTime)
+	if len(s.crashes) < crashesToQuarantine {
+		return false
+	}
+	delete(p.suspects, request)
+	p.quarantine(request, expiry)
+	return true
+}
+
+func (s *suspect) has(seen crash) bool {
+	for _, c := range s.crashes {
+		if c.target == seen.target && c.incarnation == seen.incarnation && seen.at.Sub(c.at) < sameCrashWindow {
+			return true
+		}
+	}
+	return false
+}
+
+// Add quarantines a request by the notice of another instance.
+func (p *Poison) Add(request Digest, expiry time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if expiry.After(p.quarantined[request]) {
+		p.quarantine(request, expiry)
+	}
+}
+
+// Quarantined reports until when a request is quarantined. It is false when the
+// request may run.
+func (p *Poison) Quarantined(request Digest, now time.Time) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removeExpired(now)
+	expiry, ok := p.quarantined[request]
+	if !ok || !now.Before(expiry) {
+		return time.Time{}, false
+	}
+	// The clock of the instance that sent a notice may be ahead.
+	if latest := now.Add(QuarantineTime); expiry.After(latest) {
+		expiry = latest
+		p.quarantined[request] = expiry
+	}
+	return expiry, true
+}
+
+// removeExpired releases requests whose time is over, at intervals, because it
+// looks at all of them.
+func (p *Poison) removeExpired(now time.Time) {
+	if now.Before(p.nextRemoval) {
+		return
+	}
+	p.nextRemoval = now.Add(removeExpiredInterval)
+	for request, expiry := range p.quarantined {
+		if !now.Before(expiry) {
+			delete(p.quarantined, request)
+		}
+	}
+}
+
+// Empty reports whether nothing is quarantined, so that the digest of a
+// request need not be computed.
+func (p *Poison) Empty() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.quarantined) == 0
+}
+
+// quarantine adds a request. When there are too many, the one that would be
+// released first makes room.
+func (p *Poison) quarantine(request Digest, expiry time.Time) {
+	if _, ok := p.quarantined[request]; !ok && len(p.quarantined) >= maxPoison {
+		var first Digest
+		var firstExpiry time.Time
+		for other, at := range p.quarantined {
+			if firstExpiry.IsZero() || at.Before(firstExpiry) {
+				first, firstExpiry = other, at
+			}
+		}
+		delete(p.quarantined, first)
+	}
+	p.quarantined[request] = expiry
+}
+
+// makeRoomForSuspect drops the suspects that have expired, and if that is not
+// enough the one that expires first.
+func (p *Poison) makeRoomForSuspect(request Digest, now time.Time) {
+	if _, ok := p.suspects[request]; ok || len(p.suspects) < maxPoison {
+		return
+	}
+	var first Digest
+	var firstExpiry time.Time
+	for other, s := range p.suspects {
+		if !now.Before(s.expiry) {
+			delete(p.suspects, other)
+			continue
+		}
+		if firstExpiry.IsZero() || s.expiry.Before(firstExpiry) {
+			first, firstExpiry = other, s.expiry
+		}
+	}
+	if len(p.suspects) >= maxPoison {
+		delete(p.suspects, first)
+	}
+}
