Run non-repeatable requests at most once through the gateway

Cause: the gateway required no idempotency key, its outcome covered only some attempts of a request, and what a target sees of a failing request was not tested. Change: filter idempotency (claim, run, store; the response is recorded in bounded size while it is sent) and filter quarantine after it. Exchange notes when a target may have received the request, and no error says not_run after that. Retries wait with jitter and do not start if the wait passes the deadline; the budget pays only for retries that have another target. A broken connection counts as a crash only if the target then refuses connections or has another incarnation. Content-Length is sent where it is known, so that the caller has the response before the outcome is written. Ruled out: quarantine before idempotency; a duplicate of a request that may have run would be told not_run. A timeout as proof of a crash; a lost zone would make suspects of all requests there.

--- a/pkg/gateway/account.go
+++ b/pkg/gateway/account.go
@@ -29,7 +29,7 @@
 	ex.Timing.End = time.Now()
 	var failure *apierr.Error
 	if err != nil {
-		failure = apierr.From(err)
+		failure = ex.failure(err)
 	}
 	f.Recorder.Record(ex, failure)
 	f.logRequest(ex, failure)
--- a/pkg/gateway/chain.go
+++ b/pkg/gateway/chain.go
@@ -6,8 +6,6 @@
 	"net/http"
 
 	"github.com/hashicorp/go-hclog"
-
-	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 )
 
 // Handler continues the handling of a request.
@@ -45,7 +43,7 @@
 	if err == nil {
 		return
 	}
-	failure := apierr.From(err)
+	failure := ex.failure(err)
 	if failure.Status >= http.StatusInternalServerError {
 		c.log.Warn("request failed", "request_id", ex.ID, "code", failure.Code, "outcome", failure.Outcome, "cause", failure.Cause)
 	}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -38,10 +39,15 @@
 
 	// Attempts counts how often the request was sent to a target.
 	Attempts int
+	// MayHaveRun is true from the time at which a target may have received the
+	// request.
+	MayHaveRun bool
 	// Stream is true while the response is a stream of events.
 	Stream bool
 	// Position is that of the last event that the caller received.
 	Position uint64
+
+	digest *claim.Digest // of the request; computed on first use
 }
 
 // Call is what the router reads of a generation request.
@@ -77,6 +83,25 @@
 	return ex.Organisation.Name
 }
 
+// Digest returns the digest of the request's content for its organisation.
+func (ex *Exchange) Digest() claim.Digest {
+	if ex.digest == nil {
+		d := claim.DigestRequest(ex.OrganisationName(), ex.Request.Method, ex.Request.URL.RequestURI(), ex.Body)
+		ex.digest = &d
+	}
+	return *ex.digest
+}
+
+// failure returns err as the error for the caller. Whatever a filter states,
+// the outcome is unknown once a target may have received the request.
+func (ex *Exchange) failure(err error) *apierr.Error {
+	failure := apierr.From(err)
+	if ex.MayHaveRun {
+		failure.Outcome = apierr.Unknown
+	}
+	return failure
+}
+
 // endStarted ends a response that has begun and cannot be completed. A stream
 // gets an error event in place of the end marker; any other response is cut, so
 // that the caller cannot take it as complete.
@@ -95,17 +120,44 @@
 	ex.Writer.Flush()
 }
 
-// responseWriter remembers whether the response has begun.
+// responseWriter remembers whether the response has begun, and records it on
+// request.
 type responseWriter struct {
 	http.ResponseWriter
-	started bool
-	Status  int
+	started   bool
+	Status    int
+	recording *recording
+}
+
+// recording is a copy of a response in bounded size.
+type recording struct {
+	response claim.Response
+	overflow bool
+}
+
+// record starts to record the response. While the recording is complete, a
+// caller that is gone does not fail the writes: the rest is still recorded.
+func (w *responseWriter) record() { w.recording = &recording{} }
+
+// endRecording returns the recorded response, or nil if there is none or it is
+// too large.
+func (w *responseWriter) endRecording() *claim.Response {
+	r := w.recording
+	w.recording = nil
+	if r == nil || r.overflow || !w.started {
+		return nil
+	}
+	return &r.response
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
 	w.started = true
 	w.Status = status
+	if w.recording != nil {
+		w.recording.response = claim.Response{Status: status, Header: w.Header().Clone()}
+		w.recording.response.Header.Del(engine.HeaderRequestID)
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
@@ -114,7 +166,25 @@
 	if !w.started {
 		w.WriteHeader(http.StatusOK)
 	}
-	return w.ResponseWriter.Write(data)
+	n, err := w.ResponseWriter.Write(data)
+	if w.recording.add(data) {
+		return len(data), nil
+	}
+	return n, err
+}
+
+// add records data and reports whether the recording is complete so far.
+func (r *recording) add(data []byte) bool {
+	if r == nil || r.overflow {
+		return false
+	}
+	if len(r.response.Body)+len(data) > claim.MaxResponseBytes {
+		r.overflow = true
+		r.response.Body = nil
+		return false
+	}
+	r.response.Body = append(r.response.Body, data...)
+	return true
 }
 
 // Flush sends buffered data to the caller.
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -3,15 +3,23 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
-// maxAttempts bounds how often one request is sent to targets.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds how often one request is sent to targets.
+	maxAttempts = 4
+	// firstRetryWait is the mean wait before the first retry. It doubles with
+	// each further one.
+	firstRetryWait = 20 * time.Millisecond
+)
 
 // Forward sends the request to its target and the answer to the caller. A
 // request on a repeatable route that fails is sent to another target; a stream
@@ -20,6 +28,9 @@
 	Picker  Picker
 	Sender  *Sender
 	Budgets *RetryBudgets
+	// Poison and Crashes find requests that crash their targets. Both may be nil.
+	Poison  *claim.Poison
+	Crashes CrashDetector
 }
 
 // Name implements Filter.
@@ -36,19 +47,34 @@
 			return next(ex)
 		}
 		failed[ex.Target.ID] = true
-		if !f.mayRetry(ex, failure) {
+		f.observeCrash(ex, failure)
+		if err := checkQuarantine(f.Poison, ex); err != nil {
+			return err
+		}
+		if !mayRetry(ex, failure) {
 			return f.finalError(ex, failure)
 		}
 		other := f.Picker.Pick(ex, failed)
-		if other == nil {
+		if other == nil || !f.Budgets.withdraw(ex.Pool) || !waitForRetry(ex) {
 			return f.finalError(ex, failure)
 		}
 		ex.Target = other
 	}
 }
 
-// attempt sends the request once and keeps count of the work in flight.
+// attempt sends the request once and notes whether it may have run.
 func (f *Forward) attempt(ex *Exchange) *attemptError {
+	before := ex.MayHaveRun
+	ex.MayHaveRun = true
+	failure := f.send(ex)
+	if failure != nil && failure.notRun {
+		ex.MayHaveRun = before
+	}
+	return failure
+}
+
+// send sends the request once and keeps count of the work in flight.
+func (f *Forward) send(ex *Exchange) *attemptError {
 	defer reserve(ex.Target, ex.Cost)()
 	if ex.Pool.Kind == tables.PoolService {
 		return f.Sender.service(ex)
@@ -68,25 +94,36 @@
 	}
 }
 
-func (f *Forward) mayRetry(ex *Exchange, failure *attemptError) bool {
+func mayRetry(ex *Exchange, failure *attemptError) bool {
 	if ex.Context().Err() != nil || failure.callerGone || ex.Attempts >= maxAttempts {
 		return false
 	}
 	if !ex.Route.Repeatable && !failure.notRun {
 		return false
 	}
-	if ex.Writer.Started() && !ex.Stream {
+	return !ex.Writer.Started() || ex.Stream
+}
+
+// retryWait returns the wait after a number of attempts. It is spread over half
+// to one and a half of its mean, so that requests that failed together on one
+// target do not reach the next one together.
+func retryWait(attempts int) time.Duration {
+	mean := firstRetryWait << (attempts - 1)
+	return mean/2 + rand.N(mean)
+}
+
+// waitForRetry waits before a retry. It reports whether the retry can still
+// start before the deadline.
+func waitForRetry(ex *Exchange) bool {
+	wait := retryWait(ex.Attempts)
+	if deadline, ok := ex.Context().Deadline(); ok && time.Until(deadline) <= wait {
 		return false
 	}
-	return f.Budgets.withdraw(ex.Pool)
+	return pause(ex.Context(), wait)
 }
 
 func (f *Forward) finalError(ex *Exchange, failure *attemptError) error {
-	outcome := apierr.Unknown
-	// Earlier attempts may have run even if the last one was refused.
-	if failure.notRun && ex.Attempts == 1 {
-		outcome = apierr.NotRun
-	}
+	outcome := outcomeOf(ex)
 	switch cause := context.Cause(ex.Context()); {
 	case errors.Is(cause, errWithdrawn):
 		return &apierr.Error{
@@ -109,6 +146,15 @@
 	}
 }
 
+// outcomeOf returns the outcome over all attempts: earlier ones may have run
+// even if the last one was refused.
+func outcomeOf(ex *Exchange) apierr.Outcome {
+	if ex.MayHaveRun {
+		return apierr.Unknown
+	}
+	return apierr.NotRun
+}
+
 func remedyFor(outcome apierr.Outcome) string {
 	if outcome == apierr.NotRun {
 		return "send the request again after the time in Retry-After"
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -31,6 +31,7 @@
 type attemptError struct {
 	cause      error
 	notRun     bool // no target can have run this attempt
+	broken     bool // the connection failed after it was made, not by our cancellation
 	callerGone bool
 }
 
@@ -78,6 +79,15 @@
 	s.watch.stop()
 }
 
+// endedEarly returns the failure of an attempt whose answer could not be read
+// to its end.
+func (s *sent) endedEarly(what string, err error) *attemptError {
+	return &attemptError{
+		cause:  fmt.Errorf("%s ended early: %w", what, s.watch.cause(err)),
+		broken: s.watch.ctx.Err() == nil,
+	}
+}
+
 // send makes one attempt up to the response header.
 func (s *Sender) send(ex *Exchange) (*sent, *attemptError) {
 	watch := newStallWatch(ex.Context(), ex.Pool.StallTimeout)
@@ -96,9 +106,10 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		broken := connected.Load() && watch.ctx.Err() == nil
 		cause := watch.cause(err)
 		watch.stop()
-		return nil, &attemptError{cause: cause, notRun: !connected.Load()}
+		return nil, &attemptError{cause: cause, notRun: !connected.Load(), broken: broken}
 	}
 	answer := &sent{resp: resp, watch: watch}
 	if failure := checkHeader(ex, resp); failure != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -28,7 +27,7 @@
 	for {
 		event, err := reader.Next()
 		if err != nil {
-			return &attemptError{cause: fmt.Errorf("stream ended early: %w", answer.watch.cause(err))}
+			return answer.endedEarly("stream", err)
 		}
 		done, failure := deliver(ex, answer.watch, event)
 		if done || failure != nil {
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -32,7 +33,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer.resp.Body, maxWholeAnswerBytes+1))
 	switch {
 	case err != nil:
-		return &attemptError{cause: fmt.Errorf("answer ended early: %w", answer.watch.cause(err))}
+		return answer.endedEarly("answer", err)
 	case len(body) > maxWholeAnswerBytes:
 		return &attemptError{cause: errAnswerTooLarge}
 	case answer.resp.StatusCode >= http.StatusInternalServerError:
@@ -45,7 +46,10 @@
 	noteUsage(ex, ex.Target, answer.resp.Header)
 	readUsage(ex, body)
 	ex.Timing.FirstToken = time.Now()
-	copyResponseHeader(ex.Writer.Header(), answer.resp.Header)
+	copyResponseHeader(ex.Writer.Header(), answer.resp)
+	// With its length the caller has the whole response before the handler
+	// returns, that is, without the wait for the write of a claim's outcome.
+	ex.Writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	ex.Writer.WriteHeader(answer.resp.StatusCode)
 	if _, err := ex.Writer.Write(body); err != nil {
 		return &attemptError{cause: err, callerGone: true}
