Test a poison request over several targets and instances

Cause: the quarantine must hold over retries, resends and instances. Change: test with five stand-in engines and two instances, one telling the other, with engines that stay away and engines that restart at once; tests that broken connections are no crashes and that a quarantined request keeps no claim. Measured: two of five engines crash, and the second instance refuses the request unrun. Ruled out: nothing. Conclusion: holds for requests sent one after the other. Copies that run at the same time can still take down more than two targets, because they have started before the first crash is seen.

--- /dev/null
+++ b/pkg/gateway/poison_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+const poisonBody = `{"model":"m","prompt":"POISON"}`
+
+// crashingEngines returns stand-in engines that end on poisonBody: with
+// restart they come back at once with another incarnation, else they are gone.
+func crashingEngines(t *testing.T, n int, restart bool, crashes *atomic.Int64) []*target.Target {
+	var targets []*target.Target
+	for i := range n {
+		e := standin.NewEngine(standin.DefaultEngineOptions("m"))
+		e.SetFaults(standin.EngineFaults{CrashOnText: "POISON"})
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.Close)
+		e.Crash = func() {
+			crashes.Add(1)
+			if restart {
+				e.Restart()
+			} else {
+				server.Config.Close()
+			}
+			panic(http.ErrAbortHandler)
+		}
+		address := server.Listener.Addr().String()
+		state, err := engine.NewHTTPClient().State(t.Context(), address)
+		assert.NilError(t, err)
+		targets = append(targets, &target.Target{
+			ID: fmt.Sprintf("engine-%d", i), Address: address, Reachable: true,
+			Incarnation: state.Incarnation, Model: "m", Live: &target.Live{},
+		})
+	}
+	return targets
+}
+
+// Guards against a poison request that takes down one target after the other,
+// by retries, when it is sent again, and over another instance.
+func TestPoisonTakesDownAtMostTwoTargets(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restart=%v", restart), func(t *testing.T) {
+			var crashes atomic.Int64
+			p := standin.NewPlatform()
+			targets := crashingEngines(t, 5, restart, &crashes)
+			r, other := newRouter(t, p, targets...), newRouter(t, p, targets...)
+			r.poison.OnQuarantine = other.poison.Add
+			r.serve()
+			other.serve()
+			a := r.post(pathGenerate, "", poisonBody)
+			a.want(t, 422, apierr.CodeQuarantined, apierr.Unknown)
+			assert.Equal(t, crashes.Load(), int64(2))
+			for _, instance := range []*testRouter{r, other} {
+				a := instance.post(pathGenerate, "", poisonBody)
+				a.want(t, 422, apierr.CodeQuarantined, apierr.NotRun)
+				assert.Assert(t, a.header.Get("Retry-After") != "")
+			}
+			assert.Equal(t, crashes.Load(), int64(2))
+			assert.Equal(t, r.post(pathGenerate, "", generateBody).status, 200)
+		})
+	}
+}
+
+// Guards against the quarantine of a request whose target only broke the
+// connection, or answers late.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	var targets []*target.Target
+	for i := range 3 {
+		e := standin.NewEngine(standin.DefaultEngineOptions("m"))
+		e.SetFaults(standin.EngineFaults{CutBeforeAnswer: true})
+		server := httptest.NewServer(e.Handler())
+		t.Cleanup(server.Close)
+		address := server.Listener.Addr().String()
+		state, err := engine.NewHTTPClient().State(t.Context(), address)
+		assert.NilError(t, err)
+		targets = append(targets, &target.Target{
+			ID: fmt.Sprint(i), Address: address, Reachable: true, Incarnation: state.Incarnation, Model: "m", Live: &target.Live{},
+		})
+	}
+	r := newRouter(t, standin.NewPlatform(), targets...)
+	r.serve()
+	for range 2 {
+		r.post(pathGenerate, "", generateBody).want(t, 502, apierr.CodeTargetFailed, apierr.Unknown)
+	}
+	assert.Assert(t, r.poison.Empty())
+}
+
+// Guards against a duplicate of a request that may have run being told not_run
+// by the quarantine, and against a claim that a quarantined request keeps.
+func TestQuarantineOnNonRepeatableRoute(t *testing.T) {
+	s := newTarget(t, "s", handleCut)
+	r := newRouter(t, standin.NewPlatform(), s.Target)
+	r.serve()
+	r.post(pathBook, "k", "b").want(t, 502, apierr.CodeTargetFailed, apierr.Unknown)
+	content := claim.DigestRequest("coop", http.MethodPost, pathBook, []byte("b"))
+	r.poison.Add(content, time.Now().Add(time.Minute))
+	r.post(pathBook, "k", "b").want(t, 409, apierr.CodeOutcomeUnknown, apierr.Unknown)
+	for range 2 {
+		r.post(pathBook, "k2", "b").want(t, 422, apierr.CodeQuarantined, apierr.NotRun)
+	}
+	assert.Equal(t, s.reads.Load(), int64(1))
+}
+
+// Guards against a crash of a service, which has no incarnation, going unseen.
+func TestServiceCrashIsSeen(t *testing.T) {
+	probe := &CrashProbe{Client: engine.NewHTTPClient()}
+	assert.Assert(t, probe.Crashed(t.Context(), refusingTarget(t, "s"), tables.PoolService))
+	assert.Assert(t, !probe.Crashed(t.Context(), newTarget(t, "s", handleOK).Target, tables.PoolService))
+}
