Spread configurations and instance lists between instances

Change: pkg/control gets the instances controller with Probe, the spread of configurations (offers to 6 neighbours, fetches, exchange of generations with a random peer) and an instance list that falls back to peers; readiness waits for the first read of the targets. pkg/server assembles them, serves TLS with reloaded files, keeps serving during ready_grace, has a status page, and holds its metrics outside expvar's global registry. The operator and caller listeners are one type. The instance list is read once per second for targets and peers together. Measured: go test -race -count=5 passes in pkg/peer and pkg/control; a chain of 5 nodes, each knowing one other, gets 3 generations; test/e2e passes. The race detector found two faults before: a WaitGroup that grew while Close waited for it (fixed in Transport.run), and a shared variable in a test. Ruled out: taking the age of a peer's list from the time of its answer; two instances would renew each other's old list for ever. Skipping a generation that is being fetched already; a frozen peer would hold it up, so the second fetch only starts later.

--- /dev/null
+++ b/pkg/control/compress.go
@@ -0,0 +1,39 @@
+package control
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// compress packs what one instance sends to another.
+func compress(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// decompress is the inverse of compress. It fails beyond limit bytes, because a
+// small message can unpack to any size.
+func decompress(data []byte, limit int) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	out, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("compressed data: %w", err)
+	}
+	if len(out) > limit {
+		return nil, fmt.Errorf("compressed data: more than %d bytes", limit)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/pkg/control/instances.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+)
+
+const (
+	// contactLife is how long a peer that is neither listed nor a seed stays
+	// known after its last contact. The instance list may lag by minutes.
+	contactLife = 10 * time.Minute
+	// failedLife replaces contactLife for such a peer when it does not answer.
+	failedLife = time.Minute
+	// failedShare is how seldom a peer that does not answer is tried: one of so
+	// many attempts goes to one of them.
+	failedShare = 4
+	// probeTimeout bounds a probe.
+	probeTimeout = 1500 * time.Millisecond
+)
+
+// Self is what an instance tells its peers about itself.
+type Self struct {
+	ID          string
+	Address     string
+	Zone        string
+	Incarnation string // made at start, so a restart is seen
+}
+
+// Peer is another instance as last observed. It is immutable.
+type Peer struct {
+	ID          string
+	Address     string
+	Zone        string
+	Incarnation string // empty before the first contact
+	Generation  uint64 // configuration in force at the last contact
+	Leaving     bool
+	LastContact time.Time // zero before the first contact
+	FailedSince time.Time // zero unless the last attempt failed
+	listed      bool      // in the instance list or a seed
+}
+
+// PeerSet is an immutable set of peers, sorted by address.
+type PeerSet struct {
+	Peers     []*Peer
+	ByAddress map[string]*Peer
+}
+
+// Instances knows the other instances: from the instance list, from seeds, and
+// from contact, which is newer than the list.
+type Instances struct {
+	Self       Self
+	Seeds      []string
+	Transport  *peer.Transport
+	Generation func() uint64 // configuration in force here
+	Log        hclog.Logger
+
+	mu        sync.Mutex // serialises changes
+	set       atomic.Pointer[PeerSet]
+	listeners []func(Peer)
+}
+
+// Set returns the known peers.
+func (c *Instances) Set() *PeerSet {
+	if s := c.set.Load(); s != nil {
+		return s
+	}
+	return &PeerSet{}
+}
+
+// OnContact registers a function that runs after each contact. Register before
+// the transport serves.
+func (c *Instances) OnContact(f func(Peer)) { c.listeners = append(c.listeners, f) }
+
+// Register answers hello.
+func (c *Instances) Register(r *peer.Registry) {
+	peer.Hello.Handle(r, func(_ context.Context, body peer.HelloBody) (peer.HelloBody, error) {
+		c.observe(body)
+		return c.hello(), nil
+	})
+}
+
+func (c *Instances) hello() peer.HelloBody {
+	return peer.HelloBody{
+		ID: c.Self.ID, Address: c.Self.Address, Zone: c.Self.Zone,
+		Incarnation: c.Self.Incarnation, Generation: c.Generation(),
+	}
+}
+
+// Merge takes over the routers of the instance list. The address of a router's
+// row is the one that it listens on for peers.
+func (c *Instances) Merge(rows []platform.Instance) {
+	c.change(func(peers map[string]*Peer) {
+		for address, p := range peers {
+			unlisted := *p
+			unlisted.listed = false
+			peers[address] = &unlisted
+		}
+		for _, row := range rows {
+			if row.Role != platform.RoleRouter || row.Address == "" || row.ID == c.Self.ID {
+				continue
+			}
+			next := c.known(peers, row.Address)
+			if next.Incarnation == "" {
+				next.ID, next.Zone = row.ID, row.Zone
+			}
+			next.Leaving, next.listed = row.Leaving, true
+			peers[row.Address] = &next
+		}
+		for _, seed := range c.Seeds {
+			next := c.known(peers, seed)
+			next.listed = true
+			peers[seed] = &next
+		}
+	})
+}
+
+// known returns a copy of what is known of an address.
+func (c *Instances) known(peers map[string]*Peer, address string) Peer {
+	if p := peers[address]; p != nil {
+		return *p
+	}
+	return Peer{Address: address}
+}
+
+// change applies an edit to a copy of the set and publishes it.
+func (c *Instances) change(edit func(map[string]*Peer)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peers := make(map[string]*Peer, len(c.Set().Peers)+1)
+	for _, p := range c.Set().Peers {
+		peers[p.Address] = p
+	}
+	edit(peers)
+	delete(peers, c.Self.Address)
+	now := time.Now()
+	next := &PeerSet{ByAddress: peers}
+	for address, p := range peers {
+		if p.expired(now) {
+			delete(peers, address)
+			continue
+		}
+		next.Peers = append(next.Peers, p)
+	}
+	sort.Slice(next.Peers, func(i, j int) bool { return next.Peers[i].Address < next.Peers[j].Address })
+	c.set.Store(next)
+}
+
+func (p *Peer) expired(now time.Time) bool {
+	if p.listed {
+		return false
+	}
+	life := contactLife
+	if !p.FailedSince.IsZero() {
+		life = failedLife
+	}
+	return now.Sub(p.LastContact) > life
+}
+
+// observe records a contact.
+func (c *Instances) observe(body peer.HelloBody) {
+	if body.Incarnation == c.Self.Incarnation || body.Address == "" {
+		return
+	}
+	var next Peer
+	c.change(func(peers map[string]*Peer) {
+		next = c.known(peers, body.Address)
+		if next.Incarnation != "" && next.Incarnation != body.Incarnation {
+			c.Log.Info("peer restarted", "peer", body.ID, "address", body.Address)
+		}
+		next.ID, next.Zone = body.ID, body.Zone
+		next.Incarnation, next.Generation = body.Incarnation, body.Generation
+		next.LastContact, next.FailedSince = time.Now(), time.Time{}
+		peers[body.Address] = &next
+	})
+	for _, f := range c.listeners {
+		f(next)
+	}
+}
+
+// fail records that a peer did not answer.
+func (c *Instances) fail(address string, err error) {
+	c.change(func(peers map[string]*Peer) {
+		p := peers[address]
+		if p == nil || !p.FailedSince.IsZero() {
+			return
+		}
+		next := *p
+		next.FailedSince = time.Now()
+		peers[address] = &next
+		c.Log.Warn("peer does not answer", "peer", p.ID, "address", address, "cause", err)
+	})
+}
+
+// Hello exchanges generations with a peer.
+func (c *Instances) Hello(ctx context.Context, address string) error {
+	body, err := peer.Hello.Call(ctx, c.Transport, address, c.hello())
+	if err != nil {
+		if ctx.Err() == nil {
+			c.fail(address, err)
+		}
+		return err
+	}
+	c.settle(address, body)
+	return nil
+}
+
+// settle records an answer. A seed may be another name of the peer, or of this
+// instance; its entry then does not look like a peer that fails.
+func (c *Instances) settle(address string, body peer.HelloBody) {
+	c.observe(body)
+	if body.Address == address {
+		return
+	}
+	c.change(func(peers map[string]*Peer) {
+		if p := peers[address]; p != nil {
+			next := *p
+			next.ID, next.FailedSince, next.LastContact = body.ID, time.Time{}, time.Now()
+			peers[address] = &next
+		}
+	})
+}
+
+// Random returns the address of a random peer, seldom one that fails, or "" if
+// there is no peer.
+func (c *Instances) Random() string {
+	sound, failing := c.split()
+	if len(sound) == 0 || len(failing) > 0 && rand.N(failedShare) == 0 {
+		sound = failing
+	}
+	if len(sound) == 0 {
+		return ""
+	}
+	return sound[rand.N(len(sound))]
+}
+
+// Neighbours returns the addresses of up to limit random peers, those that fail
+// last.
+func (c *Instances) Neighbours(limit int) []string {
+	sound, failing := c.split()
+	rand.Shuffle(len(sound), func(i, j int) { sound[i], sound[j] = sound[j], sound[i] })
+	rand.Shuffle(len(failing), func(i, j int) { failing[i], failing[j] = failing[j], failing[i] })
+	all := append(sound, failing...)
+	return all[:min(limit, len(all))]
+}
+
+func (c *Instances) split() (sound, failing []string) {
+	for _, p := range c.Set().Peers {
+		if p.FailedSince.IsZero() {
+			sound = append(sound, p.Address)
+		} else {
+			failing = append(failing, p.Address)
+		}
+	}
+	return sound, failing
+}
--- /dev/null
+++ b/pkg/control/spread.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+)
+
+const (
+	// fanOut is the number of neighbours that a change is offered to. With six
+	// random ones, about one instance in 400 hears of a change only by the
+	// periodic exchange.
+	fanOut = 6
+	// exchangeInterval is the time between exchanges of generations with a
+	// random peer.
+	exchangeInterval = time.Second
+	// fetchers is the number of fetches at a time. One more than two frozen
+	// peers can hold up.
+	fetchers = 3
+	// hedgeDelay is the head start of a fetch over the next one. Fetches on
+	// loopback take a few milliseconds, between zones a few more.
+	hedgeDelay = 300 * time.Millisecond
+	// maxOffers bounds the offers that wait. The periodic exchange makes up for
+	// those that are dropped.
+	maxOffers = 64
+	// maxRounds bounds the rounds of offers that run at a time; a round with a
+	// frozen neighbour lasts as long as its timeout.
+	maxRounds = 4
+)
+
+// Spread passes configurations between instances, so that a change reaches all
+// of them once one has it.
+type Spread struct {
+	configuration *Configuration
+	instances     *Instances
+	caller        peer.Caller
+	log           hclog.Logger
+
+	offers   chan offer
+	changed  chan struct{}
+	fetching atomic.Int32
+}
+
+// offer says that a peer has a generation.
+type offer struct {
+	address    string
+	generation uint64
+}
+
+// NewSpread connects a configuration to the peers.
+func NewSpread(configuration *Configuration, instances *Instances, caller peer.Caller, log hclog.Logger) *Spread {
+	s := &Spread{
+		configuration: configuration, instances: instances, caller: caller, log: log,
+		offers:  make(chan offer, maxOffers),
+		changed: make(chan struct{}, 1),
+	}
+	instances.OnContact(func(p Peer) { s.consider(offer{address: p.Address, generation: p.Generation}) })
+	return s
+}
+
+// Changed tells that a configuration came into force. It does not block.
+func (s *Spread) Changed() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Register answers offers and fetches.
+func (s *Spread) Register(r *peer.Registry) {
+	peer.ConfigOffer.Handle(r, func(_ context.Context, body peer.ConfigOfferBody) (peer.ConfigOfferAnswer, error) {
+		s.consider(offer{address: body.Address, generation: body.Generation})
+		return peer.ConfigOfferAnswer{Generation: s.configuration.Generation()}, nil
+	})
+	peer.ConfigFetch.Handle(r, func(_ context.Context, body peer.ConfigFetchBody) (peer.ConfigFetchAnswer, error) {
+		return s.answerFetch(body)
+	})
+}
+
+func (s *Spread) answerFetch(body peer.ConfigFetchBody) (peer.ConfigFetchAnswer, error) {
+	accepted := s.configuration.Accepted()
+	if accepted == nil || accepted.Generation < body.Generation {
+		return peer.ConfigFetchAnswer{}, &peer.Error{Kind: peer.KindNotFound, Message: fmt.Sprintf("generation %d is not in force here", body.Generation)}
+	}
+	value, err := accepted.Encode()
+	if err != nil {
+		return peer.ConfigFetchAnswer{}, err
+	}
+	packed, err := compress(value)
+	return peer.ConfigFetchAnswer{Generation: accepted.Generation, Accepted: packed}, err
+}
+
+// Run spreads configurations until ctx ends.
+func (s *Spread) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for range fetchers {
+		group.Go(func() { s.fetchOffered(ctx) })
+	}
+	group.Go(func() { s.announceChanges(ctx) })
+	s.join(ctx)
+	s.exchange(ctx)
+	group.Wait()
+}
+
+// join asks several peers at once until one has given a configuration.
+func (s *Spread) join(ctx context.Context) {
+	for wait := joinInterval; ctx.Err() == nil && s.configuration.Generation() == 0; wait = min(2*wait, exchangeInterval) {
+		var group sync.WaitGroup
+		for _, address := range s.instances.Neighbours(fanOut) {
+			group.Go(func() { _ = s.instances.Hello(ctx, address) })
+		}
+		group.Wait()
+		sleep(ctx, jitter(wait))
+	}
+}
+
+// exchange compares generations with one random peer at a time. Whichever side
+// has the lower one fetches from the other.
+func (s *Spread) exchange(ctx context.Context) {
+	for ctx.Err() == nil {
+		if address := s.instances.Random(); address != "" {
+			_ = s.instances.Hello(ctx, address)
+		}
+		sleep(ctx, jitter(exchangeInterval))
+	}
+}
+
+// announceChanges offers each new generation to neighbours.
+func (s *Spread) announceChanges(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	rounds := make(chan struct{}, maxRounds)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case rounds <- struct{}{}:
+		}
+		group.Go(func() {
+			defer func() { <-rounds }()
+			s.announce(ctx)
+		})
+	}
+}
+
+func (s *Spread) announce(ctx context.Context) {
+	body := peer.ConfigOfferBody{Address: s.instances.Self.Address, Generation: s.configuration.Generation()}
+	var group sync.WaitGroup
+	for _, address := range s.instances.Neighbours(fanOut) {
+		group.Go(func() {
+			answer, err := peer.ConfigOffer.Call(ctx, s.caller, address, body)
+			if err != nil {
+				if ctx.Err() == nil {
+					s.instances.fail(address, err)
+				}
+				return
+			}
+			s.consider(offer{address: address, generation: answer.Generation})
+		})
+	}
+	group.Wait()
+}
+
+// consider queues an offer that is worth a fetch.
+func (s *Spread) consider(o offer) {
+	if !s.wanted(o.generation) || o.address == "" {
+		return
+	}
+	select {
+	case s.offers <- o:
+	default:
+	}
+}
+
+// wanted reports whether a generation would change something. One that failed
+// its check here is not fetched again.
+func (s *Spread) wanted(generation uint64) bool {
+	if rejected := s.configuration.Rejected(); rejected != nil && rejected.Generation == generation {
+		return false
+	}
+	return generation > s.configuration.Generation()
+}
+
+func (s *Spread) fetchOffered(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-s.offers:
+			s.fetch(ctx, o)
+		}
+	}
+}
+
+// fetch takes a configuration over from a peer. While another fetch runs, it
+// waits a little, because that one usually makes it needless.
+func (s *Spread) fetch(ctx context.Context, o offer) {
+	defer s.fetching.Add(-1)
+	if s.fetching.Add(1) > 1 && s.wanted(o.generation) {
+		sleep(ctx, hedgeDelay)
+	}
+	if !s.wanted(o.generation) {
+		return
+	}
+	accepted, err := s.fetchFrom(ctx, o)
+	if err != nil {
+		if ctx.Err() == nil {
+			s.log.Warn("configuration of a peer not fetched", "peer", o.address, "generation", o.generation, "cause", err)
+		}
+		return
+	}
+	s.configuration.Offer(accepted, "peer "+o.address)
+}
+
+func (s *Spread) fetchFrom(ctx context.Context, o offer) (*Accepted, error) {
+	answer, err := peer.ConfigFetch.Call(ctx, s.caller, o.address, peer.ConfigFetchBody{Generation: o.generation})
+	if err != nil {
+		return nil, err
+	}
+	value, err := decompress(answer.Accepted, platform.MaxValueBytes)
+	if err != nil {
+		return nil, err
+	}
+	return DecodeAccepted(value)
+}
--- /dev/null
+++ b/pkg/control/spread_test.go
@@ -0,0 +1,249 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lacewingwheel.example/lacewingwheel/pkg/certs"
+	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+// node is the control part of an instance, without a platform.
+type node struct {
+	configuration *Configuration
+	listing       *Listing
+	instances     *Instances
+	spread        *Spread
+	registry      *peer.Registry
+	transport     *peer.Transport
+}
+
+// deadList is an instance list of a platform that does not answer.
+type deadList struct{}
+
+func (deadList) Instances(context.Context) ([]platform.Instance, error) {
+	return nil, errors.New("outage")
+}
+
+func newIdentity(t *testing.T, authority *certstest.Authority) *peer.Identity {
+	t.Helper()
+	files := authority.Issue("node")
+	pair, err := certs.LoadPair(files.Cert, files.Key, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	trusted, err := certs.LoadAuthority(authority.File, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	return &peer.Identity{Pair: pair, Authority: trusted}
+}
+
+func newNode(t *testing.T, authority *certstest.Authority, seeds ...string) *node {
+	t.Helper()
+	log := hclog.NewNullLogger()
+	n := &node{
+		configuration: &Configuration{Log: log}, listing: NewListing(deadList{}, log), registry: peer.NewRegistry(),
+	}
+	var err error
+	n.transport, err = peer.Listen("127.0.0.1:0", newIdentity(t, authority), n.registry, log)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = n.transport.Close() })
+	n.instances = &Instances{
+		Self:  Self{ID: n.transport.Address(), Address: n.transport.Address(), Incarnation: uuid.NewString()},
+		Seeds: seeds, Transport: n.transport, Generation: n.configuration.Generation, Log: log,
+	}
+	n.spread = NewSpread(n.configuration, n.instances, n.transport, log)
+	n.configuration.OnChange(func(*tables.Snapshot, *Accepted) { n.spread.Changed() })
+	n.listing.Caller, n.listing.Peers = n.transport, n.instances.Neighbours
+	n.listing.OnChange(n.instances.Merge)
+	n.instances.Register(n.registry)
+	n.spread.Register(n.registry)
+	n.listing.Register(n.registry)
+	n.instances.Merge(nil)
+	return n
+}
+
+func (n *node) run(t *testing.T) *node {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 2)
+	go n.transport.Serve()
+	go func() { n.spread.Run(ctx); done <- struct{}{} }()
+	go func() { n.listing.Run(ctx); done <- struct{}{} }()
+	t.Cleanup(func() { cancel(); <-done; <-done })
+	return n
+}
+
+func accepted(generation uint64, editor string) *Accepted {
+	return &Accepted{
+		Generation: generation, Editor: editor,
+		Routes: "[route chat]\npath = /v1/chat/completions\npool = demo\n",
+		Pools:  "[pool demo]\ntargets = app=engine\nmodel = demo\n",
+	}
+}
+
+func waitFor(t *testing.T, limit time.Duration, what string, done func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(limit), poll.WithDelay(2*time.Millisecond))
+}
+
+// Guards against a configuration that stops at the neighbours of the instance
+// that has it, and against instances that only hear of it when they ask.
+func TestConfigurationReachesAll(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	first := newNode(t, authority).run(t)
+	nodes := []*node{first}
+	for range 4 {
+		// Each knows only the one before it.
+		nodes = append(nodes, newNode(t, authority, nodes[len(nodes)-1].transport.Address()).run(t))
+	}
+	for generation := uint64(1); generation <= 3; generation++ {
+		assert.Assert(t, first.configuration.Offer(accepted(generation, "first"), "test"))
+		for i, n := range nodes {
+			waitFor(t, 10*time.Second, fmt.Sprintf("node %d has no generation %d", i, generation), func() bool {
+				return n.configuration.Generation() == generation
+			})
+		}
+	}
+	assert.Equal(t, nodes[4].configuration.Accepted().Editor, "first")
+}
+
+// Guards G13: neither an offer nor an answer of a peer may bring back a lower
+// generation, and a configuration that fails its check is not fetched in a loop.
+func TestLowerAndFaultyConfigurationsOfPeers(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	n := newNode(t, authority).run(t)
+	assert.Assert(t, n.configuration.Offer(accepted(5, "good"), "test"))
+
+	registry := peer.NewRegistry()
+	fetched := make(chan uint64, 100)
+	var answer atomic.Pointer[Accepted]
+	answer.Store(accepted(4, "old"))
+	peer.ConfigFetch.Handle(registry, func(_ context.Context, body peer.ConfigFetchBody) (peer.ConfigFetchAnswer, error) {
+		fetched <- body.Generation
+		value, err := answer.Load().Encode()
+		if err != nil {
+			return peer.ConfigFetchAnswer{}, err
+		}
+		packed, err := compress(value)
+		return peer.ConfigFetchAnswer{Generation: answer.Load().Generation, Accepted: packed}, err
+	})
+	fake, err := peer.Listen("127.0.0.1:0", newIdentity(t, authority), registry, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	defer fake.Close()
+	go fake.Serve()
+	offerGeneration := func(generation uint64) {
+		got, err := peer.ConfigOffer.Call(t.Context(), fake, n.transport.Address(), peer.ConfigOfferBody{Address: fake.Address(), Generation: generation})
+		assert.NilError(t, err)
+		assert.Equal(t, got.Generation, uint64(5))
+	}
+	offerGeneration(4) // not worth a fetch
+	offerGeneration(9) // the answer then has generation 4
+	assert.Equal(t, <-fetched, uint64(9))
+	bad := accepted(7, "bad")
+	bad.Routes = "[route chat]\npath = /x\npool = missing\n"
+	answer.Store(bad)
+	offerGeneration(7)
+	assert.Equal(t, <-fetched, uint64(7))
+	waitFor(t, 5*time.Second, "generation 7 is not rejected", func() bool { return n.configuration.Rejected() != nil })
+	offerGeneration(7)
+	answer.Store(accepted(8, "good again"))
+	offerGeneration(8)
+	assert.Equal(t, <-fetched, uint64(8), "a rejected generation was fetched again")
+	waitFor(t, 5*time.Second, "generation 8 is not in force", func() bool { return n.configuration.Generation() == 8 })
+}
+
+// Guards against a small message that unpacks to any size.
+func TestDecompressIsBounded(t *testing.T) {
+	packed, err := compress(make([]byte, 1<<20))
+	assert.NilError(t, err)
+	_, err = decompress(packed, 1<<20-1)
+	assert.ErrorContains(t, err, "more than")
+	data, err := decompress(packed, 1<<20)
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), 1<<20)
+}
+
+// Guards G3 in an outage: a restarted instance gets the instance list from a
+// peer. Guards also against two instances that pass a list to and fro and make
+// it look new.
+func TestInstanceListFromPeer(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	first := newNode(t, authority).run(t)
+	rows := []platform.Instance{
+		{ID: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:1"},
+		{ID: "r9", Role: platform.RoleRouter, Address: "127.0.0.1:9", Zone: "b", Leaving: true},
+	}
+	const age = time.Minute
+	first.listing.put(rows, time.Now().Add(-age))
+	second := newNode(t, authority, first.transport.Address()).run(t)
+	got, err := second.listing.Instances(t.Context())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, rows)
+	router := second.instances.Set().ByAddress["127.0.0.1:9"]
+	assert.Assert(t, router != nil && router.Leaving && router.Zone == "b")
+	for range 3 {
+		first.listing.ask(t.Context(), second.transport.Address())
+		second.listing.ask(t.Context(), first.transport.Address())
+	}
+	for _, n := range []*node{first, second} {
+		known, _ := n.listing.Age()
+		assert.Assert(t, known >= age, "%v", known)
+	}
+	second.listing.put(nil, time.Now().Add(-2*age))
+	assert.Equal(t, len(second.listing.current.Load().rows), len(rows), "an older list replaced a newer one")
+}
+
+// Guards a takeover of leases against false proof: only an answer or a closed
+// port proves something; a process that holds the port in silence does not.
+func TestProbe(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	prober, other := newNode(t, authority).run(t), newNode(t, authority).run(t)
+	got := prober.instances.Probe(t.Context(), other.transport.Address())
+	assert.Equal(t, got, ProbeResult{State: ProbeAlive, Incarnation: other.instances.Self.Incarnation})
+
+	silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	address := silent.LocalAddr().String()
+	assert.Equal(t, prober.instances.Probe(t.Context(), address).State, ProbeUnknown)
+	assert.NilError(t, silent.Close())
+	assert.Equal(t, prober.instances.Probe(t.Context(), address).State, ProbeRefused)
+
+	stranger := newNode(t, certstest.NewAuthority(t)).run(t)
+	assert.Equal(t, prober.instances.Probe(t.Context(), stranger.transport.Address()).State, ProbeUnknown)
+}
+
+// Guards against a set of peers that only grows, and against forgetting one that
+// the lagging list does not show yet.
+func TestPeersExpire(t *testing.T) {
+	now := time.Now()
+	cases := []struct {
+		name    string
+		peer    Peer
+		expired bool
+	}{
+		{"listed, never contacted", Peer{listed: true}, false},
+		{"listed, failing for long", Peer{listed: true, FailedSince: now.Add(-time.Hour)}, false},
+		{"known by contact", Peer{LastContact: now.Add(-contactLife / 2)}, false},
+		{"silent for long", Peer{LastContact: now.Add(-2 * contactLife)}, true},
+		{"failing", Peer{LastContact: now.Add(-2 * failedLife), FailedSince: now}, true},
+	}
+	for _, c := range cases {
+		assert.Equal(t, c.peer.expired(now), c.expired, c.name)
+	}
+}
--- a/pkg/control/targets.go
+++ b/pkg/control/targets.go
@@ -30,8 +30,9 @@
 	Client engine.Client
 	Log    hclog.Logger
 
-	set  atomic.Pointer[target.Set]
-	live map[string]*target.Live // by target id; used by Run only
+	set   atomic.Pointer[target.Set]
+	ready atomic.Bool
+	live  map[string]*target.Live // by target id; used by Run only
 }
 
 // Set returns the known targets.
@@ -42,16 +43,24 @@
 	return target.NewSet(nil)
 }
 
+// Ready reports whether the targets of a known instance list have been read at
+// least once.
+func (c *Targets) Ready() bool { return c.ready.Load() }
+
 // Run reconciles until ctx ends.
 func (c *Targets) Run(ctx context.Context) {
 	var rows []platform.Instance
 	for ctx.Err() == nil {
-		if listed, err := c.List.Instances(ctx); err == nil {
+		listed, err := c.List.Instances(ctx)
+		if err == nil {
 			rows = listed
 		} else if ctx.Err() == nil {
 			c.Log.Warn("instance list does not answer; the last one is used", "cause", err)
 		}
 		c.Reconcile(ctx, rows)
+		if err == nil {
+			c.ready.Store(true)
+		}
 		sleep(ctx, jitter(targetInterval))
 	}
 }
--- a/pkg/peer/connections.go
+++ b/pkg/peer/connections.go
@@ -177,12 +177,24 @@
 	return c.recent.Len()
 }
 
-// close empties the cache for good.
+// close empties the cache for good and ends its connections, used or not.
 func (c *connections) close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.closed = true
+	var open []*quic.Conn
 	for _, element := range c.byAddr {
-		c.remove(element.Value.(*connection))
+		entry := element.Value.(*connection)
+		select {
+		case <-entry.ready:
+			if entry.conn != nil {
+				open = append(open, entry.conn)
+			}
+		default:
+		}
+		c.remove(entry)
+	}
+	c.mu.Unlock()
+	for _, conn := range open {
+		_ = conn.CloseWithError(codeClosing, "stopping")
 	}
 }
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -43,7 +43,11 @@
 	connections *connections
 	slots       chan struct{}
 	incoming    chan struct{}
-	running     sync.WaitGroup
+
+	mu         sync.Mutex // orders new goroutines before or after closing
+	running    sync.WaitGroup
+	closing    context.Context
+	startClose context.CancelFunc
 }
 
 // Listen opens the socket. Requests are answered once Serve runs.
@@ -67,6 +71,7 @@
 		incoming: make(chan struct{}, maxIncoming),
 	}
 	t.connections = newConnections(maxConnections, t.dial)
+	t.closing, t.startClose = context.WithCancel(context.Background())
 	if t.listener, err = t.quic.Listen(identity.serverTLS(), quicConfig()); err != nil {
 		return nil, errors.Join(err, t.quic.Close(), socket.Close())
 	}
@@ -90,7 +95,7 @@
 // Serve answers requests until the transport is closed.
 func (t *Transport) Serve() {
 	for {
-		conn, err := t.listener.Accept(context.Background())
+		conn, err := t.listener.Accept(t.closing)
 		if err != nil {
 			return
 		}
@@ -100,20 +105,37 @@
 			_ = conn.CloseWithError(codeTooMany, "too many connections")
 			continue
 		}
-		t.running.Go(func() {
+		started := t.run(func() {
 			defer func() { <-t.incoming }()
 			t.serveConnection(conn)
 		})
+		if !started {
+			return
+		}
+	}
+}
+
+// run starts a goroutine that Close waits for, unless Close has begun.
+func (t *Transport) run(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing.Err() != nil {
+		return false
 	}
+	t.running.Go(f)
+	return true
 }
 
 func (t *Transport) serveConnection(conn *quic.Conn) {
+	defer conn.CloseWithError(codeClosing, "stopping")
 	for {
-		stream, err := conn.AcceptStream(context.Background())
+		stream, err := conn.AcceptStream(t.closing)
 		if err != nil {
 			return
 		}
-		t.running.Go(func() { t.serveStream(conn.Context(), stream) })
+		if !t.run(func() { t.serveStream(conn.Context(), stream) }) {
+			return
+		}
 	}
 }
 
@@ -237,12 +259,14 @@
 	return answer, nil
 }
 
-// Close stops answering, closes all connections and frees the address. Peers
-// take a closed address as proof that the instance has stopped, so it must be
-// the last thing that a stopping instance does.
+// Close stops answering, tells all peers, and frees the address. Peers take a
+// closed address as proof that the instance has stopped, so it must be the last
+// thing that a stopping instance does.
 func (t *Transport) Close() error {
+	t.mu.Lock()
+	t.startClose()
+	t.mu.Unlock()
 	t.connections.close()
-	err := errors.Join(t.listener.Close(), t.quic.Close(), t.socket.Close())
 	t.running.Wait()
-	return err
+	return errors.Join(t.listener.Close(), t.quic.Close(), t.socket.Close())
 }
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -39,7 +39,7 @@
 	transport, err := Listen(address, identity, registry, hclog.NewNullLogger())
 	assert.NilError(t, err)
 	go transport.Serve()
-	t.Cleanup(func() { transport.Close() })
+	t.Cleanup(func() { _ = transport.Close() })
 	return transport
 }
 
@@ -191,3 +191,25 @@
 		cancel()
 	}
 }
+
+// Guards against peers that keep a connection to an instance that has stopped:
+// they must see the end at once, not after a timeout.
+func TestCloseTellsPeers(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	identity := newIdentity(t, authority, authority.Issue("a"))
+	server := listen(t, anyPort, identity, echoRegistry())
+	client := listen(t, anyPort, identity, NewRegistry())
+	u, err := client.connections.acquire(t.Context(), server.Address())
+	assert.NilError(t, err)
+	defer u.release()
+	_, err = roundTrip(t.Context(), u.conn, mustEncode(t, []any{1, "test.echo", []byte("x")}))
+	assert.NilError(t, err)
+	assert.NilError(t, server.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), idleTimeout/2)
+	defer cancel()
+	select {
+	case <-u.conn.Context().Done():
+	case <-ctx.Done():
+		t.Fatal("the connection is still open")
+	}
+}
--- a/pkg/server/metrics.go
+++ b/pkg/server/metrics.go
@@ -1,20 +1,36 @@
 package server
 
 import (
-	"sync/atomic"
+	"expvar"
+	"fmt"
+	"net/http"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/gateway"
 )
 
-// Metrics counts finished requests.
+// metricsName is the name of the router's metrics in /debug/vars.
+const metricsName = "lacewingwheel"
+
+// Metrics holds the metrics of one router. They are not published in expvar's
+// global registry, which panics when a second router of the process uses the
+// same names.
 type Metrics struct {
-	requests atomic.Int64
-	failures atomic.Int64
+	vars     *expvar.Map
+	requests expvar.Int
+	failures expvar.Int
+}
+
+// NewMetrics returns empty metrics.
+func NewMetrics() *Metrics {
+	m := &Metrics{vars: new(expvar.Map).Init()}
+	m.Publish("requests", &m.requests)
+	m.Publish("failures", &m.failures)
+	return m
 }
 
-// NewMetrics returns empty counters.
-func NewMetrics() *Metrics { return &Metrics{} }
+// Publish adds a metric, or replaces the one of the same name.
+func (m *Metrics) Publish(name string, v expvar.Var) { m.vars.Set(name, v) }
 
 // Record implements gateway.Recorder.
 func (m *Metrics) Record(_ *gateway.Exchange, failure *apierr.Error) {
@@ -23,3 +39,24 @@
 		m.failures.Add(1)
 	}
 }
+
+// ServeHTTP writes the metrics of the process and of the router, in the format
+// of expvar's own handler.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprint(w, "{\n")
+	expvar.Do(func(v expvar.KeyValue) { fmt.Fprintf(w, "%q: %s,\n", v.Key, v.Value) })
+	fmt.Fprintf(w, "%q: %s\n}\n", metricsName, m.vars)
+}
+
+// publishState adds the metrics that are read from the controllers.
+func (s *Server) publishState() {
+	s.metrics.Publish("generation", expvar.Func(func() any { return s.configuration.Generation() }))
+	s.metrics.Publish("ready", expvar.Func(func() any { return s.ready() }))
+	s.metrics.Publish("targets", expvar.Func(func() any { return len(s.targets.Set().Targets) }))
+	if s.peers == nil {
+		return
+	}
+	s.metrics.Publish("peers", expvar.Func(func() any { return len(s.peers.instances.Set().Peers) }))
+	s.metrics.Publish("peers_failing", expvar.Func(func() any { return s.peers.failing() }))
+}
--- /dev/null
+++ b/pkg/server/peers.go
@@ -0,0 +1,126 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/certs"
+	"lacewingwheel.example/lacewingwheel/pkg/config"
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+// peers is the part of a router that talks to other instances.
+type peers struct {
+	transport *peer.Transport
+	registry  *peer.Registry // other parts register their messages before Run
+	instances *control.Instances
+	spread    *control.Spread
+}
+
+// errPeerSettings means that only some of the settings for peers are given.
+var errPeerSettings = errors.New("[instance] peer_listen and [tls] peer_cert, peer_key and peer_ca: give all four, or none to run without peers")
+
+// peersWanted reports whether the settings ask for peers.
+func peersWanted(s *config.Settings) (bool, error) {
+	given := 0
+	values := []string{s.Instance.PeerListen, s.TLS.PeerCert, s.TLS.PeerKey, s.TLS.PeerCA}
+	for _, value := range values {
+		if value != "" {
+			given++
+		}
+	}
+	if given != 0 && given != len(values) {
+		return false, errPeerSettings
+	}
+	return given > 0, nil
+}
+
+// newPeers opens the socket for peers and connects the controllers to it.
+func newPeers(settings *config.Settings, configuration *control.Configuration, listing *control.Listing, log hclog.Logger) (*peers, error) {
+	identity, err := loadIdentity(settings, log)
+	if err != nil {
+		return nil, err
+	}
+	p := &peers{registry: peer.NewRegistry()}
+	p.transport, err = peer.Listen(settings.Instance.PeerListen, identity, p.registry, log.Named("peer"))
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w; choose another address or end the process that uses it", err)
+	}
+	address, err := peerAddress(settings, p.transport)
+	if err != nil {
+		return nil, errors.Join(err, p.transport.Close())
+	}
+	p.instances = &control.Instances{
+		Self: control.Self{
+			ID: settings.Instance.ID, Zone: settings.Instance.Zone, Address: address, Incarnation: uuid.NewString(),
+		},
+		Seeds: settings.Peers.Seeds, Transport: p.transport,
+		Generation: configuration.Generation, Log: log.Named("instances"),
+	}
+	p.spread = control.NewSpread(configuration, p.instances, p.transport, log.Named("spread"))
+	p.connect(configuration, listing)
+	return p, nil
+}
+
+// connect registers the controllers with each other.
+func (p *peers) connect(configuration *control.Configuration, listing *control.Listing) {
+	listing.Caller, listing.Peers = p.transport, p.instances.Neighbours
+	listing.OnChange(p.instances.Merge)
+	configuration.OnChange(func(*tables.Snapshot, *control.Accepted) { p.spread.Changed() })
+	p.instances.Register(p.registry)
+	p.spread.Register(p.registry)
+	listing.Register(p.registry)
+	p.instances.Merge(nil)
+}
+
+func loadIdentity(settings *config.Settings, log hclog.Logger) (*peer.Identity, error) {
+	pair, err := certs.LoadPair(settings.TLS.PeerCert, settings.TLS.PeerKey, log.Named("certs"))
+	if err != nil {
+		return nil, fmt.Errorf("[tls] peer_cert: %w; give a certificate and its key in PEM", err)
+	}
+	authority, err := certs.LoadAuthority(settings.TLS.PeerCA, log.Named("certs"))
+	if err != nil {
+		return nil, fmt.Errorf("[tls] peer_ca: %w; give the authority's certificate in PEM", err)
+	}
+	return &peer.Identity{Pair: pair, Authority: authority}, nil
+}
+
+// peerAddress returns the address that other instances use.
+func peerAddress(settings *config.Settings, transport *peer.Transport) (string, error) {
+	if settings.Instance.PeerAddress != "" {
+		return settings.Instance.PeerAddress, nil
+	}
+	host, _, err := net.SplitHostPort(transport.Address())
+	if err != nil {
+		return "", err
+	}
+	if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() {
+		return "", fmt.Errorf("peer_listen %s names no address of this instance: set peer_address to the one that other instances use", settings.Instance.PeerListen)
+	}
+	return transport.Address(), nil
+}
+
+// run spreads configurations until ctx ends. Requests of peers are answered
+// until the transport is closed.
+func (p *peers) run(ctx context.Context) {
+	go p.transport.Serve()
+	p.spread.Run(ctx)
+}
+
+// failing returns the number of peers that did not answer the last time.
+func (p *peers) failing() int {
+	n := 0
+	for _, other := range p.instances.Set().Peers {
+		if !other.FailedSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -4,12 +4,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -21,38 +18,33 @@
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-	idleTimeout       = 2 * time.Minute
-)
-
 // Server is one router process.
 type Server struct {
 	settings *config.Settings
 	log      hclog.Logger
 
 	configuration *control.Configuration
+	listing       *control.Listing
 	targets       *control.Targets
+	peers         *peers // nil without settings for peers
 	sessions      *gateway.Sessions
 	metrics       *Metrics
 	stopping      atomic.Bool
 
-	caller   *http.Server
-	operator *http.Server
-
-	callerListener   net.Listener
-	operatorListener net.Listener
+	caller   *endpoint
+	operator *endpoint
 }
 
 // New assembles a router and opens its listeners.
 func New(settings *config.Settings, log hclog.Logger) (*Server, error) {
 	client := httpapi.New(settings.Platform.Address)
+	listing := control.NewListing(client, log.Named("listing"))
 	s := &Server{
 		settings:      settings,
 		log:           log,
 		configuration: &control.Configuration{Store: client, Log: log.Named("configuration")},
-		targets:       &control.Targets{List: client, Client: engine.NewHTTPClient(), Log: log.Named("targets")},
+		listing:       listing,
+		targets:       &control.Targets{List: listing, Client: engine.NewHTTPClient(), Log: log.Named("targets")},
 		sessions:      gateway.NewSessions(),
 		metrics:       NewMetrics(),
 	}
@@ -61,39 +53,61 @@
 			log.Info("requests of revoked keys cancelled", "count", n)
 		}
 	})
-	s.caller = s.newHTTPServer(s.callerMux())
-	s.operator = s.newHTTPServer(s.operatorMux())
-	return s, s.listen()
+	if err := s.open(); err != nil {
+		return nil, errors.Join(err, s.close())
+	}
+	s.publishState()
+	s.logListening()
+	return s, nil
 }
 
-func (s *Server) newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          s.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
+// open opens all sockets.
+func (s *Server) open() error {
+	wanted, err := peersWanted(s.settings)
+	if err != nil {
+		return err
+	}
+	if wanted {
+		if s.peers, err = newPeers(s.settings, s.configuration, s.listing, s.log); err != nil {
+			return err
+		}
 	}
+	instance, files := s.settings.Instance, s.settings.TLS
+	s.caller, err = newEndpoint(endpointOptions{
+		setting: "caller", address: instance.CallerListen, certFile: files.CallerCert, keyFile: files.CallerKey,
+		handler: s.leaveConnections(s.callerMux()), log: s.log,
+	})
+	if err != nil {
+		return err
+	}
+	s.operator, err = newEndpoint(endpointOptions{
+		setting: "operator", address: instance.OperatorListen, certFile: files.OperatorCert, keyFile: files.OperatorKey,
+		handler: s.operatorMux(), log: s.log,
+	})
+	return err
 }
 
-func (s *Server) listen() error {
-	var err error
-	if s.callerListener, err = net.Listen("tcp", s.settings.Instance.CallerListen); err != nil {
-		return fmt.Errorf("caller_listen: %w; choose another address or end the process that uses it", err)
+func (s *Server) logListening() {
+	args := []any{"caller", s.CallerAddress(), "operator", s.OperatorAddress()}
+	if s.peers != nil {
+		args = append(args, "peer", s.PeerAddress())
 	}
-	if s.operatorListener, err = net.Listen("tcp", s.settings.Instance.OperatorListen); err != nil {
-		s.callerListener.Close()
-		return fmt.Errorf("operator_listen: %w; choose another address or end the process that uses it", err)
-	}
-	s.log.Info("listening", "caller", s.CallerAddress(), "operator", s.OperatorAddress())
-	return nil
+	s.log.Info("listening", args...)
 }
 
 // CallerAddress returns the address that callers use.
-func (s *Server) CallerAddress() string { return s.callerListener.Addr().String() }
+func (s *Server) CallerAddress() string { return s.caller.address() }
 
 // OperatorAddress returns the address that operators use.
-func (s *Server) OperatorAddress() string { return s.operatorListener.Addr().String() }
+func (s *Server) OperatorAddress() string { return s.operator.address() }
+
+// PeerAddress returns the address that other instances use, or "" without peers.
+func (s *Server) PeerAddress() string {
+	if s.peers == nil {
+		return ""
+	}
+	return s.peers.instances.Self.Address
+}
 
 // callerMux routes everything but the model list through the whole chain. The
 // route table, not the mux, decides which paths exist.
@@ -113,39 +127,49 @@
 	return mux
 }
 
-// Run serves until ctx ends, then drains.
+// Run serves until ctx ends, then stops gracefully. The controllers run until
+// the last request is over, so that a key revoked meanwhile takes effect.
 func (s *Server) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
 	var group sync.WaitGroup
-	for _, run := range []func(context.Context){s.configuration.Run, s.targets.Run} {
+	for _, run := range s.controllers() {
 		group.Go(func() { run(background) })
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- s.caller.Serve(s.callerListener) }()
-	go func() { failed <- s.operator.Serve(s.operatorListener) }()
+	go func() { failed <- s.caller.serve() }()
+	go func() { failed <- s.operator.serve() }()
 	var err error
 	select {
 	case <-ctx.Done():
-		err = s.drain()
+		err = s.stop(failed)
 	case err = <-failed:
 	}
-	s.operator.Close()
 	stopBackground()
 	group.Wait()
-	return err
+	return errors.Join(err, s.close())
 }
 
-// drain leaves readiness and waits for the running requests.
-func (s *Server) drain() error {
-	s.stopping.Store(true)
-	s.log.Info("stopping; waiting for running requests", "limit", s.settings.Server.DrainTimeout)
-	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Server.DrainTimeout)
-	defer cancel()
-	if err := s.caller.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.caller.Close()
-		return fmt.Errorf("requests were still running at the drain timeout: %w; raise drain_timeout", err)
+func (s *Server) controllers() []func(context.Context) {
+	all := []func(context.Context){s.configuration.Run, s.listing.Run, s.targets.Run}
+	if s.peers != nil {
+		all = append(all, s.peers.run)
+	}
+	return all
+}
+
+// close frees what is still open. The socket for peers is last: its closed port
+// proves to them that this instance has stopped.
+func (s *Server) close() error {
+	var errs []error
+	for _, e := range []*endpoint{s.caller, s.operator} {
+		if e != nil {
+			errs = append(errs, e.http.Close())
+			_ = e.listener.Close() // already closed if it was served
+		}
+	}
+	if s.peers != nil {
+		errs = append(errs, s.peers.transport.Close())
 	}
-	s.log.Info("stopped")
-	return nil
+	return errors.Join(errs...)
 }
--- /dev/null
+++ b/pkg/server/status.go
@@ -0,0 +1,113 @@
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+)
+
+// Status is the document of /status.json.
+type Status struct {
+	Instance    string             `json:"instance"`
+	Zone        string             `json:"zone"`
+	Incarnation string             `json:"incarnation,omitempty"`
+	Ready       bool               `json:"ready"`
+	NotReady    string             `json:"not_ready,omitempty"` // reason
+	Stopping    bool               `json:"stopping"`
+	Generation  uint64             `json:"generation"`
+	Editor      string             `json:"editor,omitempty"`
+	Rejected    *control.Rejection `json:"rejected,omitempty"`
+	Remedy      string             `json:"remedy,omitempty"`
+	ListAge     string             `json:"list_age,omitempty"` // age of the instance list
+	Targets     []TargetStatus     `json:"targets"`
+	Peers       []PeerStatus       `json:"peers"`
+}
+
+// TargetStatus is one target in the status document.
+type TargetStatus struct {
+	ID            string `json:"id"`
+	Zone          string `json:"zone"`
+	Reachable     bool   `json:"reachable"`
+	Leaving       bool   `json:"leaving"`
+	Model         string `json:"model"`
+	WeightVersion string `json:"weight_version"`
+	InFlight      int64  `json:"in_flight"`
+}
+
+// PeerStatus is one other instance in the status document.
+type PeerStatus struct {
+	ID          string     `json:"id"`
+	Address     string     `json:"address"`
+	Zone        string     `json:"zone"`
+	Incarnation string     `json:"incarnation"`
+	Generation  uint64     `json:"generation"`
+	Leaving     bool       `json:"leaving"`
+	LastContact *time.Time `json:"last_contact,omitempty"` // absent before the first
+	FailedSince *time.Time `json:"failed_since,omitempty"` // absent while it answers
+}
+
+func (s *Server) statusJSON(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(s.status())
+}
+
+func (s *Server) status() Status {
+	status := Status{
+		Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone,
+		Ready: s.ready(), NotReady: s.notReadyReason(), Stopping: s.stopping.Load(),
+		Generation: s.configuration.Generation(),
+		Targets:    s.targetStatus(), Peers: s.peerStatus(),
+	}
+	if accepted := s.configuration.Accepted(); accepted != nil {
+		status.Editor = accepted.Editor
+	}
+	if rejected := s.configuration.Rejected(); rejected != nil && rejected.Generation > status.Generation {
+		status.Rejected = rejected
+		status.Remedy = fmt.Sprintf("generation %d stays in force; correct the tables, check them with `lacewingwheel check` and put them again with `lacewingwheel tables put`", status.Generation)
+	}
+	if age, known := s.listing.Age(); known {
+		status.ListAge = age.Round(time.Millisecond).String()
+	}
+	if s.peers != nil {
+		status.Incarnation = s.peers.instances.Self.Incarnation
+	}
+	return status
+}
+
+func (s *Server) targetStatus() []TargetStatus {
+	rows := []TargetStatus{}
+	for _, t := range s.targets.Set().Targets {
+		rows = append(rows, TargetStatus{
+			ID: t.ID, Zone: t.Zone, Reachable: t.Reachable, Leaving: t.Leaving,
+			Model: t.Model, WeightVersion: t.WeightVersion, InFlight: t.Live.InFlight.Load(),
+		})
+	}
+	return rows
+}
+
+func (s *Server) peerStatus() []PeerStatus {
+	rows := []PeerStatus{}
+	if s.peers == nil {
+		return rows
+	}
+	for _, p := range s.peers.instances.Set().Peers {
+		rows = append(rows, PeerStatus{
+			ID: p.ID, Address: p.Address, Zone: p.Zone, Incarnation: p.Incarnation,
+			Generation: p.Generation, Leaving: p.Leaving,
+			LastContact: optionalTime(p.LastContact), FailedSince: optionalTime(p.FailedSince),
+		})
+	}
+	return rows
+}
+
+func optionalTime(t time.Time) *time.Time {
+	if t.IsZero() {
+		return nil
+	}
+	return &t
+}
