--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,13 @@
 	contactLife = 10 * time.Minute
 	// failedLife replaces contactLife for such a peer when it does not answer.
 	failedLife = time.Minute
+	// recentContact is how new a contact must be for a peer to be named to
+	// others. Without a limit, addresses of instances that are gone would be
+	// passed on for ever.
+	recentContact = time.Minute
+	// maxPeers bounds the set against peers that name addresses without end. It
+	// is several times the design scale.
+	maxPeers = 2048
 	// failedShare is how seldom a peer that does not answer is tried: one of so
 	// many attempts goes to one of them.
 	failedShare = 4
@@ -46,6 +54,7 @@
 	LastContact time.Time // zero before the first contact
 	FailedSince time.Time // zero unless the last attempt failed
 	listed      bool      // in the instance list or a seed
+	named       time.Time // when another peer first named it
 }
 
 // PeerSet is an immutable set of peers, sorted by address.
@@ -91,10 +100,22 @@
 func (c *Instances) hello() peer.HelloBody {
 	return peer.HelloBody{
 		ID: c.Self.ID, Address: c.Self.Address, Zone: c.Self.Zone,
-		Incarnation: c.Self.Incarnation, Generation: c.Generation(),
+		Incarnation: c.Self.Incarnation, Generation: c.Generation(), Peers: c.recent(),
 	}
 }
 
+// recent returns the addresses of a few random peers that answered lately.
+func (c *Instances) recent() []string {
+	var addresses []string
+	for _, p := range c.Set().Peers {
+		if p.Incarnation != "" && p.FailedSince.IsZero() && time.Since(p.LastContact) < recentContact {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(peer.MaxHelloPeers, len(addresses))]
+}
+
 // Merge takes over the routers of the instance list. The address of a router's
 // row is the one that it listens on for peers.
 func (c *Instances) Merge(rows []platform.Instance) {
@@ -158,6 +179,9 @@
 	if p.listed {
 		return false
 	}
+	if p.LastContact.IsZero() {
+		return now.Sub(p.named) > failedLife
+	}
 	life := contactLife
 	if !p.FailedSince.IsZero() {
 		life = failedLife
@@ -180,12 +204,25 @@
 		next.Incarnation, next.Generation = body.Incarnation, body.Generation
 		next.LastContact, next.FailedSince = time.Now(), time.Time{}
 		peers[body.Address] = &next
+		addNamed(peers, body.Peers)
 	})
 	for _, f := range c.listeners {
 		f(next)
 	}
 }
 
+// addNamed adds peers that another one has named.
+func addNamed(peers map[string]*Peer, addresses []string) {
+	for _, address := range addresses[:min(peer.MaxHelloPeers, len(addresses))] {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			continue
+		}
+		if peers[address] == nil && len(peers) < maxPeers {
+			peers[address] = &Peer{Address: address, named: time.Now()}
+		}
+	}
+}
+
 // fail records that a peer did not answer.
 func (c *Instances) fail(address string, err error) {
 	c.change(func(peers map[string]*Peer) {
--- a/pkg/control/spread.go
+++ b/pkg/control/spread.go
@@ -46,6 +46,7 @@
 	offers   chan offer
 	changed  chan struct{}
 	fetching atomic.Int32
+	inForce  atomic.Pointer[chan struct{}] // closed and replaced by each change
 }
 
 // offer says that a peer has a generation.
@@ -61,12 +62,16 @@
 		offers:  make(chan offer, maxOffers),
 		changed: make(chan struct{}, 1),
 	}
+	next := make(chan struct{})
+	s.inForce.Store(&next)
 	instances.OnContact(func(p Peer) { s.consider(offer{address: p.Address, generation: p.Generation}) })
 	return s
 }
 
 // Changed tells that a configuration came into force. It does not block.
 func (s *Spread) Changed() {
+	next := make(chan struct{})
+	close(*s.inForce.Swap(&next))
 	select {
 	case s.changed <- struct{}{}:
 	default:
@@ -205,11 +210,17 @@
 }
 
 // fetch takes a configuration over from a peer. While another fetch runs, it
-// waits a little, because that one usually makes it needless.
+// waits until that one is done or late, because it usually makes this needless.
 func (s *Spread) fetch(ctx context.Context, o offer) {
+	inForce := *s.inForce.Load()
 	defer s.fetching.Add(-1)
 	if s.fetching.Add(1) > 1 && s.wanted(o.generation) {
-		sleep(ctx, hedgeDelay)
+		hedge, cancel := context.WithTimeout(ctx, hedgeDelay)
+		defer cancel()
+		select {
+		case <-inForce:
+		case <-hedge.Done():
+		}
 	}
 	if !s.wanted(o.generation) {
 		return
--- a/pkg/control/spread_test.go
+++ b/pkg/control/spread_test.go
@@ -241,9 +241,34 @@
 		{"listed, failing for long", Peer{listed: true, FailedSince: now.Add(-time.Hour)}, false},
 		{"known by contact", Peer{LastContact: now.Add(-contactLife / 2)}, false},
 		{"silent for long", Peer{LastContact: now.Add(-2 * contactLife)}, true},
+		{"named by a peer", Peer{named: now.Add(-failedLife / 2)}, false},
+		{"named, never contacted", Peer{named: now.Add(-2 * failedLife)}, true},
 		{"failing", Peer{LastContact: now.Add(-2 * failedLife), FailedSince: now}, true},
 	}
 	for _, c := range cases {
 		assert.Equal(t, c.peer.expired(now), c.expired, c.name)
 	}
 }
+
+// Guards against one frozen peer that holds up a change which others have too.
+func TestFrozenPeerDoesNotDelayFetch(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	registry := peer.NewRegistry()
+	asked := make(chan struct{}, 10)
+	peer.ConfigFetch.Handle(registry, func(ctx context.Context, _ peer.ConfigFetchBody) (peer.ConfigFetchAnswer, error) {
+		asked <- struct{}{}
+		<-ctx.Done()
+		return peer.ConfigFetchAnswer{}, ctx.Err()
+	})
+	frozen, err := peer.Listen("127.0.0.1:0", newIdentity(t, authority), registry, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	defer frozen.Close()
+	go frozen.Serve()
+	n := newNode(t, authority).run(t)
+	_, err = peer.ConfigOffer.Call(t.Context(), frozen, n.transport.Address(), peer.ConfigOfferBody{Address: frozen.Address(), Generation: 2})
+	assert.NilError(t, err)
+	<-asked
+	sound := newNode(t, authority, n.transport.Address()).run(t)
+	assert.Assert(t, sound.configuration.Offer(accepted(2, "sound"), "test"))
+	waitFor(t, peer.ConfigFetch.Timeout/2, "generation 2 is not in force", func() bool { return n.configuration.Generation() == 2 })
+}
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -17,8 +17,14 @@
 	Zone        string `cbor:"zone"`
 	Incarnation string `cbor:"incarnation"`
 	Generation  uint64 `cbor:"generation"`
+	// Peers are addresses of a few other instances that answered lately, for
+	// instances that the lagging instance list does not show yet.
+	Peers []string `cbor:"peers,omitempty"`
 }
 
+// MaxHelloPeers bounds the addresses in HelloBody.Peers.
+const MaxHelloPeers = 6
+
 // Hello tells a peer that the sender is alive and asks the same of it.
 var Hello = &Message[HelloBody, HelloBody]{Request: "hello", Response: "hello.answer", Timeout: shortTimeout}
 
--- /dev/null
+++ b/pkg/server/server_test.go
@@ -0,0 +1,308 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/config"
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	testKey = "key-of-circle"
+)
+
+// newPlatform starts a stand-in platform with one engine in its list.
+func newPlatform(t *testing.T) (*standin.Platform, string) {
+	t.Helper()
+	options := standin.DefaultEngineOptions("demo")
+	options.TokenInterval = 10 * time.Millisecond
+	engine := httptest.NewServer(standin.NewEngine(options).Handler())
+	t.Cleanup(engine.Close)
+	p := standin.NewPlatform()
+	p.SetInstance(platform.Instance{
+		ID: "engine-1", Role: platform.RoleEngine, Address: engine.Listener.Addr().String(), Labels: map[string]string{"app": "engine"},
+	})
+	api := httptest.NewServer(p.Handler())
+	t.Cleanup(api.CloseClientConnections)
+	return p, api.URL
+}
+
+// put accepts a configuration. The route goes to the named pool; another name
+// than "demo" makes it fail its check.
+func put(t *testing.T, p *standin.Platform, generation uint64, pool string) {
+	t.Helper()
+	a := control.Accepted{
+		Generation: generation, Editor: "<b>anna</b>", Nonce: "n",
+		Routes: "[route chat]\npath = /v1/chat/completions\npool = " + pool + "\n",
+		Pools: fmt.Sprintf("[pool demo]\ntargets = app=engine\nmodel = demo\n\n[organisation circle]\nrate = 1000\nburst = 100000\nkey.first = %s\n",
+			tables.FormatDigest(tables.DigestKey(testKey))),
+	}
+	value, err := a.Encode()
+	assert.NilError(t, err)
+	if generation == 1 {
+		_, err = p.Store.Create(t.Context(), control.KindConfiguration, control.NameAccepted, value)
+	} else {
+		_, err = p.Store.Update(t.Context(), control.KindConfiguration, control.NameAccepted, value, generation-1)
+	}
+	assert.NilError(t, err)
+}
+
+// running is a server whose Run has been called.
+type running struct {
+	*Server
+	stop   context.CancelFunc
+	result chan error
+}
+
+func runServer(t *testing.T, settings *config.Settings) *running {
+	t.Helper()
+	if settings.Server.DrainTimeout == 0 {
+		settings.Server.DrainTimeout = 10 * time.Second
+	}
+	settings.Instance.CallerListen, settings.Instance.OperatorListen = anyPort, anyPort
+	s, err := New(settings, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{Server: s, stop: stop, result: make(chan error, 1)}
+	done := make(chan struct{})
+	go func() {
+		r.result <- s.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	return r
+}
+
+func (r *running) operatorGet(t *testing.T, path string) (int, string) {
+	t.Helper()
+	resp, err := http.Get("http://" + r.OperatorAddress() + path)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(text)
+}
+
+func (r *running) waitReady(t *testing.T, status int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got, text := r.operatorGet(t, "/readyz"); got != status {
+			return poll.Continue("%d: %s", got, text)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func chat(t *testing.T, client *http.Client, base string, tokens int) *http.Response {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"demo","stream":true,"max_tokens":%d,"messages":[]}`, tokens)
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(req)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	return resp
+}
+
+func readAll(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(text)
+}
+
+// Guards against metrics that make a second server of the process panic, or that
+// count for both; and against /debug/vars that is not JSON.
+func TestMetricsOfTwoServers(t *testing.T) {
+	p, address := newPlatform(t)
+	put(t, p, 1, "demo")
+	var counts []float64
+	for n := range 2 {
+		r := runServer(t, &config.Settings{Platform: config.Platform{Address: address}})
+		r.waitReady(t, http.StatusOK)
+		for range n + 1 {
+			readAll(t, chat(t, http.DefaultClient, "http://"+r.CallerAddress(), 1))
+		}
+		_, text := r.operatorGet(t, "/debug/vars")
+		var vars map[string]json.RawMessage
+		assert.NilError(t, json.Unmarshal([]byte(text), &vars))
+		assert.Assert(t, vars["memstats"] != nil)
+		var own map[string]any
+		assert.NilError(t, json.Unmarshal(vars[metricsName], &own))
+		assert.Equal(t, own["generation"], 1.0)
+		counts = append(counts, own["requests"].(float64))
+	}
+	assert.DeepEqual(t, counts, []float64{1, 2})
+}
+
+// Guards against a page that hides from on-call why a change did not take
+// effect, or that runs markup from the tables.
+func TestStatusPage(t *testing.T) {
+	p, address := newPlatform(t)
+	put(t, p, 1, "demo")
+	r := runServer(t, &config.Settings{Instance: config.Instance{ID: "r1"}, Platform: config.Platform{Address: address}})
+	r.waitReady(t, http.StatusOK)
+	put(t, p, 2, "missing")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.configuration.Rejected() == nil {
+			return poll.Continue("generation 2 is not rejected yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	status, text := r.operatorGet(t, "/status")
+	assert.Equal(t, status, http.StatusOK)
+	for _, want := range []string{"r1", "engine-1", "&lt;b&gt;anna", "Rejected generation", "missing", "generation 1 stays in force", "tables put"} {
+		assert.Assert(t, strings.Contains(text, want), "%q is not on the page:\n%s", want, text)
+	}
+	for _, foreign := range []string{"http://", "https://", "src=", "<b>anna"} {
+		assert.Assert(t, !strings.Contains(text, foreign), "%q is on the page", foreign)
+	}
+}
+
+// Guards against an instance that says it is ready before it knows its targets:
+// the load balancer would send it requests that it can only refuse.
+func TestReadyNeedsTargets(t *testing.T) {
+	p, _ := newPlatform(t)
+	lists := make(chan struct{})
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/v1/instances" {
+			select {
+			case <-lists:
+			case <-req.Context().Done():
+			}
+		}
+		p.Handler().ServeHTTP(w, req)
+	}))
+	t.Cleanup(slow.CloseClientConnections)
+	put(t, p, 1, "demo")
+	r := runServer(t, &config.Settings{Platform: config.Platform{Address: slow.URL}})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r.configuration.Generation() == 0 {
+			return poll.Continue("no configuration yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	status, text := r.operatorGet(t, "/readyz")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(text, "instance list"))
+	close(lists)
+	r.waitReady(t, http.StatusOK)
+	assert.Equal(t, len(r.targets.Set().Targets), 1)
+}
+
+// Guards G12: during the grace new requests are served although readiness is
+// gone, and neither they nor older ones are cut by the stop.
+func TestReadyGrace(t *testing.T) {
+	p, address := newPlatform(t)
+	put(t, p, 1, "demo")
+	r := runServer(t, &config.Settings{
+		Platform: config.Platform{Address: address},
+		Server:   config.Server{ReadyGrace: time.Second},
+	})
+	r.waitReady(t, http.StatusOK)
+	base := "http://" + r.CallerAddress()
+	before := chat(t, http.DefaultClient, base, 80)
+	r.stop()
+	r.waitReady(t, http.StatusServiceUnavailable)
+	during := chat(t, http.DefaultClient, base, 80)
+	assert.Assert(t, during.Close, "the caller was not asked to leave the connection")
+	for _, resp := range []*http.Response{before, during} {
+		assert.Assert(t, strings.HasSuffix(readAll(t, resp), "[DONE]\n\n"))
+	}
+	assert.NilError(t, <-r.result)
+	_, err := http.Get(base)
+	assert.ErrorContains(t, err, "refused")
+}
+
+// Guards against a renewed certificate that takes a restart, and against a
+// renewal that goes wrong and stops the listener. HTTP/2 streams are covered too.
+func TestListenersReloadCertificates(t *testing.T) {
+	p, address := newPlatform(t)
+	put(t, p, 1, "demo")
+	authority := certstest.NewAuthority(t)
+	caller, operator := authority.Issue("caller-1"), authority.Issue("operator-1")
+	r := runServer(t, &config.Settings{
+		Platform: config.Platform{Address: address},
+		TLS:      config.TLS{CallerCert: caller.Cert, CallerKey: caller.Key, OperatorCert: operator.Cert, OperatorKey: operator.Key},
+	})
+	trust := &tls.Config{RootCAs: authority.Pool()}
+	presented := func(address string) string {
+		conn, err := tls.Dial("tcp", address, trust)
+		assert.NilError(t, err)
+		defer conn.Close()
+		return conn.ConnectionState().PeerCertificates[0].Subject.CommonName
+	}
+	assert.Equal(t, presented(r.CallerAddress()), "caller-1")
+	assert.Equal(t, presented(r.OperatorAddress()), "operator-1")
+	authority.Renew(caller, "caller-2")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if name := presented(r.CallerAddress()); name != "caller-2" {
+			return poll.Continue("%s", name)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second))
+
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: trust, ForceAttemptHTTP2: true}}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if !r.ready() {
+			return poll.Continue("not ready")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	resp := chat(t, client, "https://"+r.CallerAddress(), 50)
+	assert.Equal(t, resp.ProtoMajor, 2)
+	r.stop()
+	assert.Assert(t, strings.HasSuffix(readAll(t, resp), "[DONE]\n\n"))
+	assert.NilError(t, <-r.result)
+}
+
+// Guards against a start that passes over settings which cannot work, and
+// against errors that do not name the setting.
+func TestBadSettings(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	files := authority.Issue("r1")
+	peerFiles := config.TLS{PeerCert: files.Cert, PeerKey: files.Key, PeerCA: authority.File}
+	cases := []struct {
+		name     string
+		instance config.Instance
+		tls      config.TLS
+		want     string
+	}{
+		{"key without certificate", config.Instance{}, config.TLS{CallerKey: files.Key}, "caller_cert"},
+		{"missing file", config.Instance{}, config.TLS{OperatorCert: "/missing", OperatorKey: files.Key}, "operator_cert"},
+		{"peers without files", config.Instance{PeerListen: anyPort}, config.TLS{}, "peer_listen"},
+		{"authority is no certificate", config.Instance{PeerListen: anyPort}, config.TLS{PeerCert: files.Cert, PeerKey: files.Key, PeerCA: files.Key}, "peer_ca"},
+		{"no address for peers", config.Instance{PeerListen: "0.0.0.0:0"}, peerFiles, "peer_address"},
+		{"address in use", config.Instance{CallerListen: "127.0.0.1:1:1"}, config.TLS{}, "caller_listen"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if c.instance.CallerListen == "" {
+				c.instance.CallerListen = anyPort
+			}
+			c.instance.OperatorListen = anyPort
+			_, err := New(&config.Settings{Instance: c.instance, TLS: c.tls}, hclog.NewNullLogger())
+			assert.ErrorContains(t, err, c.want)
+		})
+	}
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -56,7 +56,7 @@
 var listeningPattern = regexp.MustCompile(`(\w+)=(127\.0\.0\.1:\d+)`)
 
 // start runs a program and waits until it listens.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	cmd := exec.Command(filepath.Join(binaries, name), args...)
 	stderr, err := cmd.StderrPipe()
@@ -98,14 +98,14 @@
 	<-p.exited
 }
 
-func (p *process) signal(t *testing.T, s syscall.Signal) {
+func (p *process) signal(t testing.TB, s syscall.Signal) {
 	t.Helper()
 	assert.NilError(t, p.cmd.Process.Signal(s))
 }
 
 // fleet is a whole system on loopback.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform *process
 	store    *httpapi.Client
 	key      string
@@ -135,7 +135,7 @@
 pool = booking
 `
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	p := start(t, "standin", "platform")
 	f := &fleet{t: t, platform: p, store: httpapi.New("http://" + p.addresses["address"]), key: "key-of-circle"}
