Ask peers for the instance list as soon as they answer

Change: while no list is known, each peer that answers hello is asked at once. A configuration from a peer may have 2 MB, because encoding it again can escape more than its editor did. Tests with dead seeds and with tables of 0.9 MB. Ruled out: asking all known peers at once; 410 instances that restart would each send as many requests. Conclusion: a start takes as long as the first peer that answers.

--- a/pkg/control/listing.go
+++ b/pkg/control/listing.go
@@ -27,6 +27,7 @@
 	// 1,000 rows of 200 bytes.
 	maxListBytes = 4 << 20
 	listPeers    = 2 // asked at a time
+	maxContacts  = 8 // contacts that wait while another is asked
 )
 
 // Listing keeps the newest known instance list: from the platform, or from a
@@ -42,6 +43,7 @@
 	mu        sync.Mutex // serialises changes
 	current   atomic.Pointer[knownList]
 	known     chan struct{}
+	contacts  chan string // addresses of peers that have just answered
 	listeners []func([]platform.Instance)
 	down      atomic.Bool
 }
@@ -56,7 +58,17 @@
 
 // NewListing returns a listing that knows nothing yet.
 func NewListing(list platform.InstanceList, log hclog.Logger) *Listing {
-	return &Listing{List: list, Log: log, known: make(chan struct{})}
+	return &Listing{List: list, Log: log, known: make(chan struct{}), contacts: make(chan string, maxContacts)}
+}
+
+// Contacted tells that a peer answers. An instance without a list asks it at
+// once; the periodic choice may fall on peers that are gone.
+func (l *Listing) Contacted(p Peer) {
+	select {
+	case <-l.known:
+	case l.contacts <- p.Address:
+	default:
+	}
 }
 
 // OnChange registers a function that gets each changed list. Register before Run.
@@ -88,6 +100,7 @@
 	group.Go(func() { l.followPlatform(ctx) })
 	if l.Caller != nil {
 		group.Go(func() { l.followPeers(ctx) })
+		group.Go(func() { l.followContacts(ctx) })
 	}
 	group.Wait()
 }
@@ -128,6 +141,20 @@
 	}
 }
 
+// followContacts asks peers that answer until a list is known.
+func (l *Listing) followContacts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.known:
+			return
+		case address := <-l.contacts:
+			l.ask(ctx, address)
+		}
+	}
+}
+
 func (l *Listing) askPeers(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, address := range l.Peers(listPeers) {
--- a/pkg/control/spread.go
+++ b/pkg/control/spread.go
@@ -30,6 +30,9 @@
 	// maxOffers bounds the offers that wait. The periodic exchange makes up for
 	// those that are dropped.
 	maxOffers = 64
+	// maxAcceptedBytes bounds a configuration from a peer. The platform's limit is
+	// half of it; encoding it again can escape more than its editor did.
+	maxAcceptedBytes = 2 * platform.MaxValueBytes
 	// maxRounds bounds the rounds of offers that run at a time; a round with a
 	// frozen neighbour lasts as long as its timeout.
 	maxRounds = 4
@@ -240,7 +243,7 @@
 	if err != nil {
 		return nil, err
 	}
-	value, err := decompress(answer.Accepted, platform.MaxValueBytes)
+	value, err := decompress(answer.Accepted, maxAcceptedBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/control/spread_test.go
+++ b/pkg/control/spread_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +68,7 @@
 	n.configuration.OnChange(func(*tables.Snapshot, *Accepted) { n.spread.Changed() })
 	n.listing.Caller, n.listing.Peers = n.transport, n.instances.Neighbours
 	n.listing.OnChange(n.instances.Merge)
+	n.instances.OnContact(n.listing.Contacted)
 	n.instances.Register(n.registry)
 	n.spread.Register(n.registry)
 	n.listing.Register(n.registry)
@@ -272,3 +275,47 @@
 	assert.Assert(t, sound.configuration.Offer(accepted(2, "sound"), "test"))
 	waitFor(t, peer.ConfigFetch.Timeout/2, "generation 2 is not in force", func() bool { return n.configuration.Generation() == 2 })
 }
+
+// Guards G3 against seeds that are gone: they must not delay what the remaining
+// one can give at once.
+func TestDeadSeedsDoNotDelayStart(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	first := newNode(t, authority).run(t)
+	assert.Assert(t, first.configuration.Offer(accepted(3, "first"), "test"))
+	first.listing.put([]platform.Instance{{ID: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:1"}}, time.Now())
+	seeds := []string{first.transport.Address()}
+	for len(seeds) < fanOut {
+		silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		assert.NilError(t, err)
+		defer silent.Close()
+		seeds = append(seeds, silent.LocalAddr().String())
+	}
+	second := newNode(t, authority, seeds...).run(t)
+	waitFor(t, time.Second, "the second node knows too little", func() bool {
+		_, known := second.listing.Age()
+		return known && second.configuration.Generation() == 3
+	})
+}
+
+// Guards against limits that a configuration of the size that the platform
+// allows does not pass.
+func TestLargeConfiguration(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	first := newNode(t, authority).run(t)
+	second := newNode(t, authority, first.transport.Address()).run(t)
+	large := accepted(1, "large")
+	var pools strings.Builder
+	pools.WriteString(large.Pools)
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := 0; pools.Len() < platform.MaxValueBytes*9/10; n++ {
+		var digest [32]byte
+		for i := range digest {
+			digest[i] = byte(random.Uint32())
+		}
+		fmt.Fprintf(&pools, "[organisation o%d]\nrate = 1\nburst = 1\nkey.first = %s\n", n, tables.FormatDigest(digest))
+	}
+	large.Pools = pools.String()
+	assert.Assert(t, first.configuration.Offer(large, "test"))
+	waitFor(t, 10*time.Second, "the large configuration is not in force", func() bool { return second.configuration.Generation() == 1 })
+	assert.Equal(t, second.configuration.Accepted().Pools, large.Pools)
+}
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -73,6 +73,7 @@
 func (p *peers) connect(configuration *control.Configuration, listing *control.Listing) {
 	listing.Caller, listing.Peers = p.transport, p.instances.Neighbours
 	listing.OnChange(p.instances.Merge)
+	p.instances.OnContact(listing.Contacted)
 	configuration.OnChange(func(*tables.Snapshot, *control.Accepted) { p.spread.Changed() })
 	p.instances.Register(p.registry)
 	p.spread.Register(p.registry)
