Tell a newer message version whatever its shape; measure idle instances

Cause: a newer version with another number of elements was answered with malformed, so a newer peer could not know to fall back. A transport whose socket fails stopped answering without a word. Change: the decoder reads the version before it checks the shape; the end of the accept loop is logged; BenchmarkIdleInstances. Ruled out: nothing.

--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -88,19 +88,48 @@
 	if len(data) > MaxMessageBytes {
 		return envelope{}, &Error{Kind: KindTooLarge, Message: fmt.Sprintf("message exceeds %d bytes", MaxMessageBytes)}
 	}
+	var parts []cbor.RawMessage
+	if err := decMode.Unmarshal(data, &parts); err != nil {
+		return envelope{}, malformed(err)
+	}
+	if len(parts) == 0 {
+		return envelope{}, malformed(errNoVersion)
+	}
 	var e envelope
-	if err := decMode.Unmarshal(data, &e); err != nil {
-		return envelope{}, &Error{Kind: KindMalformed, Message: "message is not readable", Cause: err}
+	if err := decMode.Unmarshal(parts[0], &e.Version); err != nil {
+		return envelope{}, malformed(err)
 	}
+	// The version comes first: a newer one may have another shape.
 	if e.Version > Version {
 		return envelope{}, &Error{Kind: KindVersion, Message: fmt.Sprintf("message has version %d, this instance reads up to %d", e.Version, Version)}
 	}
-	if e.Version == 0 || e.Type == "" || len(e.Type) > maxTypeBytes {
-		return envelope{}, &Error{Kind: KindMalformed, Message: "message has no version or no type"}
+	if e.Version == 0 || len(parts) != envelopeParts {
+		return envelope{}, malformed(errShape)
+	}
+	if err := decMode.Unmarshal(parts[1], &e.Type); err != nil {
+		return envelope{}, malformed(err)
 	}
+	if e.Type == "" || len(e.Type) > maxTypeBytes {
+		return envelope{}, malformed(errType)
+	}
+	e.Body = parts[2]
 	return e, nil
 }
 
+// envelopeParts is the number of elements of a message of this version.
+const envelopeParts = 3
+
+// Reasons for which a message is malformed.
+var (
+	errNoVersion = errors.New("it has no version")
+	errShape     = errors.New("it is not version, type and body")
+	errType      = fmt.Errorf("its type is empty or longer than %d bytes", maxTypeBytes)
+)
+
+func malformed(cause error) error {
+	return &Error{Kind: KindMalformed, Message: "message is not readable", Cause: cause}
+}
+
 // decodeBody reads a body. Fields that this build does not know are ignored, so
 // that a field can be added without a new version.
 func decodeBody(e envelope, body any) error {
--- a/pkg/peer/codec_test.go
+++ b/pkg/peer/codec_test.go
@@ -34,6 +34,7 @@
 		{"no type", mustEncode(t, []any{1, "", 1}), KindMalformed},
 		{"long type", mustEncode(t, []any{1, strings.Repeat("x", maxTypeBytes+1), 1}), KindMalformed},
 		{"newer version", mustEncode(t, []any{Version + 1, "hello", 1}), KindVersion},
+		{"newer version of another shape", mustEncode(t, []any{Version + 1, 2, 3, 4, 5}), KindVersion},
 		{"trailing bytes", append(mustEncode(t, []any{1, "hello", 1}), 0), KindMalformed},
 		{"indefinite length", []byte{0x9f, 0x01, 0x61, 'a', 0x01, 0xff}, KindMalformed},
 		{"tag", []byte{0x83, 0x01, 0x61, 'a', 0xc1, 0x01}, KindMalformed},
@@ -77,6 +78,7 @@
 		}
 		again, err := decode(mustEncode(t, e))
 		assert.NilError(t, err)
+		assert.Equal(t, again.Version, e.Version)
 		assert.Equal(t, again.Type, e.Type)
 		assert.Assert(t, bytes.Equal(again.Body, e.Body))
 	})
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -97,6 +97,9 @@
 	for {
 		conn, err := t.listener.Accept(t.closing)
 		if err != nil {
+			if t.closing.Err() == nil {
+				t.log.Error("requests of other instances are no longer answered; restart this instance", "cause", err)
+			}
 			return
 		}
 		select {
--- /dev/null
+++ b/test/e2e/idle_bench_test.go
@@ -0,0 +1,47 @@
+package e2e
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+)
+
+// idlePeriod is how long the processes run without traffic.
+const idlePeriod = 30 * time.Second
+
+// BenchmarkIdleInstances measures the work of 8 processes that have no traffic
+// and no changes: reads of the platform and of targets, and exchanges with
+// peers. The CPU time includes the start of the processes. Run with
+//
+//	go test ./test/e2e -run '^$' -bench IdleInstances -benchtime 1x
+func BenchmarkIdleInstances(b *testing.B) {
+	for b.Loop() {
+		f := newFleet(b)
+		authority := certstest.NewAuthority(b)
+		f.target("engine-1", platform.RoleEngine, "engine")
+		var routers []*process
+		var seeds []string
+		for n := range spreadInstances {
+			r := f.peerRouter(peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds})
+			routers, seeds = append(routers, r), append(seeds, r.addresses["peer"])
+		}
+		started := time.Now()
+		<-time.After(idlePeriod)
+		var cpu time.Duration
+		var peak int64
+		for _, r := range routers {
+			r.signal(b, syscall.SIGTERM)
+			<-r.exited
+			cpu += r.cmd.ProcessState.UserTime() + r.cmd.ProcessState.SystemTime()
+			peak = max(peak, r.cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss)
+		}
+		wall := time.Since(started) * spreadInstances
+		b.ReportMetric(100*cpu.Seconds()/wall.Seconds(), "cpu-%")
+		b.ReportMetric(float64(peak)/1024, "peak-MB")
+	}
+	b.ReportMetric(0, "ns/op")
+}
