Assemble claims, quarantine, orders and the burn report in the router

Cause: these parts were built but not served, and crashes seen by different instances did not add up: a poison request sent to two instances in turn took down four engines of four. Change: the server runs them; instances tell each other of crashes; end-to-end tests with separate processes. Ruled out: counting crashes per instance only.

--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -91,7 +92,7 @@
 	vars := new(expvar.Map).Init()
 	vars.Set(VarName, Var{Recorder: r, Instance: "r1", Zone: "a"})
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(vars.String()))
+		fmt.Fprintf(w, "{%q: %s}", MapName, vars)
 	}))
 	defer server.Close()
 	closed := httptest.NewServer(http.NotFoundHandler())
--- a/pkg/burn/fetch.go
+++ b/pkg/burn/fetch.go
@@ -11,8 +11,12 @@
 	"time"
 )
 
-// VarName is the name under which instances publish their document.
-const VarName = "service_level"
+// Names under which instances publish their document: in the map MapName, the
+// variable VarName.
+const (
+	MapName = "lacewingwheel"
+	VarName = "service_level"
+)
 
 const (
 	fetchTimeout     = 3 * time.Second
@@ -20,7 +24,7 @@
 	maxDocumentBytes = 64 << 20
 )
 
-var errNoDocument = errors.New("its variables have no " + VarName)
+var errNoDocument = errors.New("its variables have no " + MapName + "." + VarName)
 
 // Fetch reads the documents of instances by their operator addresses, given as
 // URLs. Instances that do not answer are returned too.
@@ -65,15 +69,15 @@
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	var vars map[string]json.RawMessage
+	var own map[string]json.RawMessage
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxDocumentBytes)).Decode(&vars); err != nil {
 		return nil, err
 	}
-	raw, ok := vars[VarName]
-	if !ok {
+	if err := json.Unmarshal(vars[MapName], &own); err != nil {
 		return nil, errNoDocument
 	}
 	var doc Document
-	if err := json.Unmarshal(raw, &doc); err != nil {
+	if err := json.Unmarshal(own[VarName], &doc); err != nil {
 		return nil, err
 	}
 	return &doc, nil
--- a/pkg/claim/poison.go
+++ b/pkg/claim/poison.go
@@ -31,6 +31,11 @@
 	// OnQuarantine is called for each request that this instance quarantines,
 	// to tell other instances. It may be nil and must be set before use.
 	OnQuarantine func(request Digest, expiry time.Time)
+	// OnCrash is called for each new crash that this instance has seen, so that
+	// crashes seen by different instances add up: a caller that sends its
+	// request again may reach another one. It may be nil and must be set before
+	// use.
+	OnCrash func(crash Crash)
 
 	mu          sync.Mutex
 	suspects    map[Digest]*suspect
@@ -43,6 +48,13 @@
 	expiry  time.Time
 }
 
+// Crash is a target that crashed while it ran a request.
+type Crash struct {
+	Request     Digest
+	Target      string
+	Incarnation string
+}
+
 type crash struct {
 	target, incarnation string
 	at                  time.Time
@@ -55,17 +67,33 @@
 
 // Observe records that a request was running on a target that crashed.
 func (p *Poison) Observe(request Digest, target, incarnation string, now time.Time) {
-	expiry := now.Add(QuarantineTime)
-	if !p.record(request, crash{target: target, incarnation: incarnation, at: now}, expiry) {
-		return
+	seen := Crash{Request: request, Target: target, Incarnation: incarnation}
+	isNew, expiry := p.observe(seen, now)
+	if isNew && p.OnCrash != nil {
+		p.OnCrash(seen)
 	}
-	if p.OnQuarantine != nil {
+	if !expiry.IsZero() && p.OnQuarantine != nil {
 		p.OnQuarantine(request, expiry)
 	}
 }
 
-// record reports whether the request is quarantined by this crash.
-func (p *Poison) record(request Digest, seen crash, expiry time.Time) bool {
+// AddCrash records a crash that another instance has seen.
+func (p *Poison) AddCrash(seen Crash, now time.Time) { p.observe(seen, now) }
+
+// observe reports whether the crash is new, and until when the request is
+// quarantined by it.
+func (p *Poison) observe(seen Crash, now time.Time) (bool, time.Time) {
+	expiry := now.Add(QuarantineTime)
+	isNew, quarantined := p.record(seen.Request, crash{target: seen.Target, incarnation: seen.Incarnation, at: now}, expiry)
+	if !quarantined {
+		return isNew, time.Time{}
+	}
+	return isNew, expiry
+}
+
+// record reports whether the crash is new and whether the request is
+// quarantined by it.
+func (p *Poison) record(request Digest, seen crash, expiry time.Time) (isNew, quarantined bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.suspects[request]
@@ -75,16 +103,16 @@
 		p.suspects[request] = s
 	}
 	if s.has(seen) {
-		return false
+		return false, false
 	}
 	s.crashes = append(s.crashes, seen)
 	s.expiry = seen.at.Add(suspectTime)
 	if len(s.crashes) < crashesToQuarantine {
-		return false
+		return true, false
 	}
 	delete(p.suspects, request)
 	p.quarantine(request, expiry)
-	return true
+	return true, true
 }
 
 func (s *suspect) has(seen crash) bool {
--- a/pkg/peer/messages.go
+++ b/pkg/peer/messages.go
@@ -88,3 +88,14 @@
 
 // PoisonNotice tells a peer to quarantine a digest.
 var PoisonNotice = &Message[PoisonNoticeBody, Empty]{Request: "poison.notice", Response: "poison.notice.answer", Timeout: shortTimeout}
+
+// PoisonCrashBody tells of a target that crashed while it ran a request.
+type PoisonCrashBody struct {
+	Digest      []byte `cbor:"digest"`
+	Target      string `cbor:"target"`
+	Incarnation string `cbor:"incarnation"`
+}
+
+// PoisonCrash tells a peer of a crash, so that crashes seen by different
+// instances add up.
+var PoisonCrash = &Message[PoisonCrashBody, Empty]{Request: "poison.crash", Response: "poison.crash.answer", Timeout: shortTimeout}
--- a/pkg/server/metrics.go
+++ b/pkg/server/metrics.go
@@ -6,11 +6,12 @@
 	"net/http"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/burn"
 	"lacewingwheel.example/lacewingwheel/pkg/gateway"
 )
 
 // metricsName is the name of the router's metrics in /debug/vars.
-const metricsName = "lacewingwheel"
+const metricsName = burn.MapName
 
 // Metrics holds the metrics of one router. They are not published in expvar's
 // global registry, which panics when a second router of the process uses the
@@ -53,6 +54,7 @@
 func (s *Server) publishState() {
 	s.metrics.Publish("generation", expvar.Func(func() any { return s.configuration.Generation() }))
 	s.metrics.Publish("ready", expvar.Func(func() any { return s.ready() }))
+	s.metrics.Publish(burn.VarName, burn.Var{Recorder: s.burn, Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone})
 	s.metrics.Publish("targets", expvar.Func(func() any { return len(s.targets.Set().Targets) }))
 	if s.peers == nil {
 		return
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 
-	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
@@ -43,7 +42,7 @@
 }
 
 // newPeers opens the socket for peers and connects the controllers to it.
-func newPeers(settings *config.Settings, configuration *control.Configuration, listing *control.Listing, log hclog.Logger) (*peers, error) {
+func newPeers(settings *config.Settings, incarnation string, configuration *control.Configuration, listing *control.Listing, log hclog.Logger) (*peers, error) {
 	identity, err := loadIdentity(settings, log)
 	if err != nil {
 		return nil, err
@@ -59,7 +58,7 @@
 	}
 	p.instances = &control.Instances{
 		Self: control.Self{
-			ID: settings.Instance.ID, Zone: settings.Instance.Zone, Address: address, Incarnation: uuid.NewString(),
+			ID: settings.Instance.ID, Zone: settings.Instance.Zone, Address: address, Incarnation: incarnation,
 		},
 		Seeds: settings.Peers.Seeds, Transport: p.transport,
 		Generation: configuration.Generation, Log: log.Named("instances"),
--- /dev/null
+++ b/pkg/server/requests.go
@@ -0,0 +1,53 @@
+package server
+
+import (
+	"net/http"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/gateway"
+)
+
+// callerMux routes everything but the model list through the whole chain. The
+// route table, not the mux, decides which paths exist.
+func (s *Server) callerMux() http.Handler {
+	log := s.log.Named("gateway")
+	key := &gateway.Key{Source: s.configuration, Sessions: s.sessions}
+	mux := http.NewServeMux()
+	mux.Handle("/", gateway.NewChain(log, s.filters(key)...))
+	mux.Handle("GET /v1/models", gateway.NewChain(log, gateway.RequestID{}, key, gateway.Models{}))
+	return mux
+}
+
+// filters returns the chain in order.
+func (s *Server) filters(key *gateway.Key) []gateway.Filter {
+	picker := &gateway.LeastLoaded{Targets: s.targets}
+	return []gateway.Filter{
+		gateway.RequestID{},
+		&gateway.Account{Log: s.log.Named("request"), Recorder: s.recorder()},
+		key,
+		gateway.Route{},
+		&gateway.Idempotency{Claims: s.claims, Log: s.log.Named("idempotency")},
+
+		&gateway.Quarantine{Poison: s.poison},
+		&gateway.Choose{Picker: picker},
+		&gateway.Forward{
+			Picker: picker, Sender: gateway.NewSender(), Budgets: gateway.NewRetryBudgets(),
+			Poison: s.poison, Crashes: &gateway.CrashProbe{Client: engine.NewHTTPClient()},
+		},
+	}
+}
+
+// recorders passes finished requests to several recorders.
+type recorders []gateway.Recorder
+
+// Record implements gateway.Recorder.
+func (r recorders) Record(ex *gateway.Exchange, failure *apierr.Error) {
+	for _, recorder := range r {
+		recorder.Record(ex, failure)
+	}
+}
+
+func (s *Server) recorder() gateway.Recorder {
+	return recorders{s.metrics, &gateway.BurnRecorder{Recorder: s.burn}}
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -4,12 +4,16 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/burn"
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/config"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
@@ -27,8 +31,13 @@
 	listing       *control.Listing
 	targets       *control.Targets
 	peers         *peers // nil without settings for peers
+	orders        *control.Orders
+	claims        *claim.Manager
+	poison        *claim.Poison
 	sessions      *gateway.Sessions
 	metrics       *Metrics
+	burn          *burn.Recorder
+	incarnation   string // made at start, so that others see a restart
 	stopping      atomic.Bool
 
 	caller   *endpoint
@@ -39,15 +48,26 @@
 func New(settings *config.Settings, log hclog.Logger) (*Server, error) {
 	client := httpapi.New(settings.Platform.Address)
 	listing := control.NewListing(client, log.Named("listing"))
+	targetClient := engine.NewHTTPClient()
 	s := &Server{
 		settings:      settings,
 		log:           log,
 		configuration: &control.Configuration{Store: client, Log: log.Named("configuration")},
 		listing:       listing,
-		targets:       &control.Targets{List: listing, Client: engine.NewHTTPClient(), Log: log.Named("targets")},
+		targets:       &control.Targets{List: listing, Client: targetClient, Log: log.Named("targets")},
 		sessions:      gateway.NewSessions(),
+		poison:        claim.NewPoison(),
 		metrics:       NewMetrics(),
+		burn:          burn.NewRecorder(time.Now),
+		incarnation:   uuid.NewString(),
 	}
+	s.claims = claim.NewManager(claim.Options{
+		Store: client, Clock: clock.System{}, Log: log.Named("claims"),
+		Instance: settings.Instance.ID, Incarnation: s.incarnation,
+	})
+	s.orders = control.NewOrders(client, clock.System{}, settings.Instance.ID, s.incarnation)
+	s.orders.Client, s.orders.Log = targetClient, log.Named("orders")
+	s.orders.Configuration, s.orders.Targets = s.configuration, s.targets
 	s.configuration.OnChange(func(snapshot *tables.Snapshot, _ *control.Accepted) {
 		if n := s.sessions.Recheck(snapshot); n > 0 {
 			log.Info("requests of revoked keys cancelled", "count", n)
@@ -68,9 +88,10 @@
 		return err
 	}
 	if wanted {
-		if s.peers, err = newPeers(s.settings, s.configuration, s.listing, s.log); err != nil {
+		if s.peers, err = newPeers(s.settings, s.incarnation, s.configuration, s.listing, s.log); err != nil {
 			return err
 		}
+		s.peers.sharePoison(s.poison)
 	}
 	instance, files := s.settings.Instance, s.settings.TLS
 	s.caller, err = newEndpoint(endpointOptions{
@@ -109,24 +130,6 @@
 	return s.peers.instances.Self.Address
 }
 
-// callerMux routes everything but the model list through the whole chain. The
-// route table, not the mux, decides which paths exist.
-func (s *Server) callerMux() http.Handler {
-	picker := &gateway.LeastLoaded{Targets: s.targets}
-	account := &gateway.Account{Log: s.log.Named("request"), Recorder: s.metrics}
-	key := &gateway.Key{Source: s.configuration, Sessions: s.sessions}
-	mux := http.NewServeMux()
-	mux.Handle("/", gateway.NewChain(s.log.Named("gateway"),
-		gateway.RequestID{}, account, key, gateway.Route{},
-		&gateway.Choose{Picker: picker},
-		&gateway.Forward{Picker: picker, Sender: gateway.NewSender(), Budgets: gateway.NewRetryBudgets()},
-	))
-	mux.Handle("GET /v1/models", gateway.NewChain(s.log.Named("gateway"),
-		gateway.RequestID{}, key, gateway.Models{},
-	))
-	return mux
-}
-
 // Run serves until ctx ends, then stops gracefully. The controllers run until
 // the last request is over, so that a key revoked meanwhile takes effect.
 func (s *Server) Run(ctx context.Context) error {
@@ -151,7 +154,9 @@
 }
 
 func (s *Server) controllers() []func(context.Context) {
-	all := []func(context.Context){s.configuration.Run, s.listing.Run, s.targets.Run}
+	all := []func(context.Context){
+		s.configuration.Run, s.listing.Run, s.targets.Run, s.orders.Run, s.claims.Run,
+	}
 	if s.peers != nil {
 		all = append(all, s.peers.run)
 	}
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 )
@@ -14,6 +15,7 @@
 type ServiceFaults struct {
 	CutAfterReading bool `json:"cut_after_reading"` // runs the request and closes without an answer
 	Refuse          bool `json:"refuse"`            // answers 503 and has not run the request
+	DelayMillis     int  `json:"delay_ms"`          // between running the request and the answer
 }
 
 // Service is a stand-in plain service. It counts how often each body ran.
@@ -79,6 +81,7 @@
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
+	wait(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
 	if faults.CutAfterReading {
 		panic(http.ErrAbortHandler)
 	}
--- a/test/e2e/peers_harness_test.go
+++ b/test/e2e/peers_harness_test.go
@@ -127,6 +127,20 @@
 	waitStatus(t, p, limit, fmt.Sprint("at generation ", generation), func(s server.Status) bool { return s.Generation == generation })
 }
 
+// waitPeers waits until an instance has had contact with as many others.
+func waitPeers(t testing.TB, p *process, peers int) {
+	t.Helper()
+	waitStatus(t, p, 20*time.Second, "the peers are not known", func(s server.Status) bool {
+		contacts := 0
+		for _, other := range s.Peers {
+			if other.Incarnation != "" {
+				contacts++
+			}
+		}
+		return contacts >= peers
+	})
+}
+
 // outage takes the platform down or brings it back.
 func (f *fleet) outage(down bool) {
 	f.t.Helper()
