Refuse a model that the pool does not run

Cause: a route without a model sent requests for any model name to its pool. Change: the route filter refuses them with 404, outcome not_run. Ruled out: refusing also on routes that name a model, where the name may be an alias. Conclusion: a misspelt model is an error and not an answer of another model.

--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -30,6 +30,10 @@
 pool = demo
 organisations = circle
 
+[route other]
+path = /v1/completions
+pool = large
+
 [route open]
 path = /open/
 pool = plain
@@ -44,6 +48,10 @@
 targets = app=engine
 model = demo
 
+[pool large]
+targets = app=engine
+model = large
+
 [pool plain]
 kind = service
 targets = app=plain
@@ -185,6 +193,7 @@
 			r.Header.Set("X-Api-Key", "key-of-other")
 		}, http.StatusUnauthorized, apierr.CodeInvalidKey},
 		{"unknown key on an open route", "/open/x", bearer("lw-unknown"), http.StatusUnauthorized, apierr.CodeInvalidKey},
+		{"other model", "/v1/completions", bearer(secretKey), http.StatusNotFound, apierr.CodeNoRoute},
 		{"no route", "/nowhere", bearer(secretKey), http.StatusNotFound, apierr.CodeNoRoute},
 	}
 	for _, test := range tests {
--- a/pkg/gateway/route.go
+++ b/pkg/gateway/route.go
@@ -119,7 +119,21 @@
 	}
 	ex.Route = pickWeighted(matches)
 	ex.Pool = ex.Snapshot.Pool(ex.Route.Pool)
-	return nil
+	return checkModel(ex)
+}
+
+// checkModel refuses a model that the pool does not run. A route that names a
+// model may lead to a pool with another one: the name is then an alias.
+func checkModel(ex *Exchange) error {
+	anyModel := ex.Pool.Kind != tables.PoolEngine || ex.Pool.Model == ""
+	if anyModel || ex.Route.Model != "" || ex.Call.Model == "" || ex.Call.Model == ex.Pool.Model {
+		return nil
+	}
+	return &apierr.Error{
+		Code: apierr.CodeNoRoute, Status: http.StatusNotFound, Outcome: apierr.NotRun,
+		Message: "no route serves the model of the request",
+		Remedy:  "GET /v1/models lists the models that you may use",
+	}
 }
 
 func hostOnly(host string) string {
