--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -41,7 +41,7 @@
 
 // kindCount is the number of platform kinds that claims are spread over. The
 // object API can only list a whole kind; with this many, a list of one kind
-// stays near 1 MB at 20 claims per second and the default retention.
+// stays under 2 MB at 20 claims per second and the default retention.
 const kindCount = 1024
 
 // kindOf returns the platform kind of a claim, which its key alone decides.
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -42,10 +42,11 @@
 // Manager makes the claims of one instance. The unique names of the object
 // store arbitrate between instances.
 //
-// One object per claim is chosen over one object per group of claims: claims
-// must be kept for the retention, and at 50 claims per second a day of them
-// needs hundreds of objects of the largest size, over which no two claims of an
-// instance meet in one write. docs/measurements.md has the figures.
+// One object per claim is chosen over one object per group of claims. With few
+// groups, conflicts between instances cost writes and time, and a day of claims
+// does not fit. With enough groups, hardly two claims of an instance meet in one
+// write, and each write sends all claims of its group. docs/measurements.md has
+// the figures.
 type Manager struct {
 	options Options
 
--- a/pkg/claim/poison.go
+++ b/pkg/claim/poison.go
@@ -29,7 +29,8 @@
 // Poison finds requests that crash their targets.
 type Poison struct {
 	// OnQuarantine is called for each request that this instance quarantines,
-	// to tell other instances. It may be nil and must be set before use.
+	// to tell other instances. It runs on the request path and must not block.
+	// It may be nil and must be set before use.
 	OnQuarantine func(request Digest, expiry time.Time)
 
 	mu          sync.Mutex
--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -177,6 +177,24 @@
 	r.post(pathLookup, "", "b").want(t, 502, apierr.CodeTargetFailed, apierr.NotRun)
 }
 
+// Guards against a second target for a request that may have run on the first,
+// and against a refusal while another target could take it.
+func TestNonRepeatableMovesOnlyWhenNotRun(t *testing.T) {
+	for name, tc := range map[string]struct {
+		failing http.HandlerFunc
+		status  int
+	}{"cut": {handleCut, 502}, "503": {handleRefuse(503, ""), 503}, "refused": {handleRefuse(503, "1"), 200}} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newTarget(t, "a", tc.failing), newTarget(t, "b", handleOK)
+			r := newRouter(t, standin.NewPlatform(), a.Target, b.Target)
+			r.serve()
+			assert.Equal(t, r.post(pathBook, "k", "b").status, tc.status)
+			assert.Equal(t, a.reads.Load(), int64(1))
+			assert.Equal(t, b.reads.Load() == 1, tc.status == 200)
+		})
+	}
+}
+
 // Guards against retries on the target that failed, and against a crossed
 // answer that reaches the caller on a repeatable route.
 func TestRetryOnAnotherTarget(t *testing.T) {
--- a/pkg/gateway/idempotency_test.go
+++ b/pkg/gateway/idempotency_test.go
@@ -165,6 +165,28 @@
 	assert.Equal(t, again.header.Get(headerReplayed), "true")
 }
 
+// Guards against a run for a caller that left while the claim was made, and
+// against a key that stays blocked after it.
+func TestCallerLeavesBeforeDispatch(t *testing.T) {
+	s := newTarget(t, "s", handleOK)
+	r := newRouter(t, standin.NewPlatform(), s.Target)
+	gone := true
+	r.before = []Filter{filterFunc(func(ex *Exchange, next Handler) error {
+		ctx, cancel := context.WithCancel(ex.Context())
+		defer cancel()
+		if gone {
+			cancel()
+		}
+		ex.Request = ex.Request.WithContext(ctx)
+		return next(ex)
+	})}
+	r.serve()
+	r.post(pathBook, "k", "b").want(t, 504, apierr.CodeDeadline, apierr.NotRun)
+	assert.Equal(t, s.reads.Load(), int64(0))
+	gone = false
+	assert.Equal(t, r.post(pathBook, "k", "b").status, 200)
+}
+
 // Guards against a run that goes on after its key was revoked.
 func TestKeyRevokedDuringRun(t *testing.T) {
 	r, entered, _, _ := blockedRouter(t)
