Cut prompts into digests and index cached pieces per target

Cause: target choice needs to know which target holds a prompt's prefix. Change: pkg/prefix with Chain (salted, chained xxhash digests), Index (pieces per target and incarnation, bounded, fed by routing history and by cache events) and Demand (decayed rate per prefix). Ruled out: cutting by a ratio corrected by reported usage, as instances would then cut the same prompt differently; one list per target, as a lookup would visit every target. Conclusion: an entry counts only for the present incarnation and weights.

--- /dev/null
+++ b/pkg/prefix/prefix_test.go
@@ -0,0 +1,143 @@
+package prefix
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against a cached piece being shared across organisations, models,
+// adapters or weights, and against allocation on the request path.
+func TestChain(t *testing.T) {
+	prompt := bytes.Repeat([]byte("0123456789"), 100)
+	salt := Salt{Organisation: "ab", Model: "c", Adapter: "d", WeightVersion: "e"}
+	digests := Chain(nil, salt, prompt, 300)
+	assert.Equal(t, len(digests), 3)
+	longer := Chain(nil, salt, append(bytes.Clone(prompt), prompt...), 300)
+	assert.DeepEqual(t, longer[:3], digests)
+	for _, other := range []Salt{
+		{"a", "bc", "d", "e"}, {"ab", "x", "d", "e"}, {"ab", "c", "x", "e"}, {"ab", "c", "d", "x"}, {"abc", "", "d", "e"},
+	} {
+		for k, digest := range Chain(nil, other, prompt, 300) {
+			assert.Assert(t, digest != digests[k], "%v shares piece %d", other, k)
+		}
+	}
+	buf := make([]uint64, 0, 8)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { buf = Chain(buf[:0], salt, prompt, 300) }), 0.0)
+}
+
+func engineTarget(id, incarnation, weights string) *target.Target {
+	return &target.Target{ID: id, Incarnation: incarnation, Model: "m", WeightVersion: weights, Live: &target.Live{}}
+}
+
+func pieces(x *Index, digests []uint64, now time.Time) float64 {
+	matches := x.Lookup(nil, digests, now)
+	if len(matches) == 0 {
+		return 0
+	}
+	return matches[0].Pieces
+}
+
+// Guards G1: history of a dead incarnation or of older weights, or older than
+// the engines' caches, must not count.
+func TestRoutedEntriesLapse(t *testing.T) {
+	digests := []uint64{1, 2, 3}
+	for name, test := range map[string]struct {
+		then  *target.Target
+		after time.Duration
+		want  float64
+	}{
+		"present":         {engineTarget("a", "1", "w1"), 0, 3},
+		"new incarnation": {engineTarget("a", "2", "w1"), 0, 0},
+		"new weights":     {engineTarget("a", "1", "w2"), 0, 0},
+		"old":             {engineTarget("a", "1", "w1"), 11 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := NewIndex(DefaultIndexParams())
+			x.Routed(x.Sync(engineTarget("a", "1", "w1")), digests, start)
+			x.Sync(test.then)
+			assert.Equal(t, pieces(x, digests, start.Add(test.after)), test.want)
+		})
+	}
+	x := NewIndex(DefaultIndexParams())
+	slot := x.Sync(engineTarget("a", "1", "w1"))
+	x.Routed(slot, digests, start)
+	x.Forget("a")
+	assert.Equal(t, x.Sync(engineTarget("b", "1", "w1")), slot)
+	assert.Equal(t, pieces(x, digests, start), 0.0)
+}
+
+// Guards against trusting an event stream across a gap, a repeated batch or a
+// restart, and against late evictions cancelling a more recent use.
+func TestCacheEvents(t *testing.T) {
+	x := NewIndex(DefaultIndexParams())
+	slot := x.Sync(engineTarget("a", "1", "w"))
+	late := start.Add(time.Hour)
+	add := func(sequence, digest uint64, evicted bool, incarnation string) {
+		x.Apply("a", engine.EventBatch{Incarnation: incarnation, Events: []engine.CacheEvent{
+			{Sequence: sequence, Digest: digest, Evicted: evicted}}}, late)
+	}
+	add(7, 1, false, "1")
+	add(8, 2, false, "1")
+	assert.Equal(t, pieces(x, []uint64{1, 2}, late), 2.0)
+	add(8, 2, true, "1") // seen before
+	add(9, 3, false, "0")
+	assert.Equal(t, pieces(x, []uint64{1, 2, 3}, late), 2.0)
+	add(9, 2, true, "1")
+	assert.Equal(t, pieces(x, []uint64{1, 2}, late), 1.0)
+	add(11, 5, false, "1") // 10 is lost
+	assert.Equal(t, pieces(x, []uint64{1}, late), 0.0)
+	assert.Equal(t, pieces(x, []uint64{5}, late), 1.0)
+	x.Routed(slot, []uint64{5}, late)
+	add(12, 5, true, "1")
+	assert.Equal(t, pieces(x, []uint64{5}, late), 1.0)
+	x.Sync(engineTarget("a", "2", "w"))
+	assert.Equal(t, pieces(x, []uint64{5}, late), 0.0)
+	assert.Equal(t, x.After("a"), uint64(0))
+}
+
+// Guards the memory bound and the consistency of the entry lists under any
+// order of operations: a lookup never reports a target that was not routed to.
+func TestIndexIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := NewIndex(IndexParams{Lifetime: time.Second, EventLag: time.Second, MaxEntries: 40})
+		routed := make(map[string]bool)
+		now := start
+		for range 100 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.IntRange(0, 50).Draw(t, "target")
+			digest := uint64(rapid.IntRange(0, 9).Draw(t, "digest"))
+			slot := x.Sync(engineTarget(fmt.Sprint(id), "1", "w"))
+			x.Routed(slot, []uint64{digest}, now)
+			routed[fmt.Sprint(digest, "/", slot)] = true
+			matches := x.Lookup(nil, []uint64{digest}, now)
+			assert.Assert(t, len(matches) > 0 && len(matches) <= maxHolders)
+			for _, m := range matches {
+				assert.Assert(t, routed[fmt.Sprint(digest, "/", m.Slot)])
+			}
+		}
+		assert.Assert(t, len(x.entries) <= 40)
+	})
+}
+
+// Guards against a demand estimate that grows without bound, or overflows
+// after hours of traffic.
+func TestDemandIsARate(t *testing.T) {
+	d := NewDemand(10*time.Second, 100)
+	var rates []float64
+	for i := range 400_000 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		rates = d.Add(rates[:0], []uint64{uint64(i % 2), uint64(1000 + i)}, 3, now)
+	}
+	assert.Assert(t, rates[0] > 14 && rates[0] < 16, "%v", rates)
+	assert.Assert(t, len(d.recent)+len(d.older) <= 104)
+}
