Choose targets by cached prefix, queueing and distance

Cause: least-loaded choice computes shared prompts on every target. Change: pkg/choice. Affinity follows the prompt piece by piece: each piece keeps of the remaining targets as many as its share of traffic deserves, by rendezvous hash, so instances agree without talking and the targets of a longer prefix are among those of the shorter. Score is expected computation plus queueing plus zone. Bounded load, slow start, circuit breaker. Ruled out: a choice on the deepest digest alone, which puts every distinct prompt on its own target; 32 holders per piece (the lookup took a quarter of the time); computing the queueing of targets that cannot win.

--- /dev/null
+++ b/pkg/choice/chooser.go
@@ -0,0 +1,259 @@
+package choice
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingwheel.example/lacewingwheel/pkg/prefix"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// Request is what the choice needs to know of a request.
+type Request struct {
+	Digests     []uint64 // of the prompt's whole pieces
+	PieceTokens int
+	Tokens      int // of the prompt
+	Limit       int // requests that a target of the pool runs at once
+}
+
+// Chooser chooses targets and remembers where it sent what. It is safe for
+// concurrent use; the slices are scratch space that is reused under the lock.
+type Chooser struct {
+	params Params
+	zone   string
+	seed   uint64
+	index  *prefix.Index
+
+	mu        sync.Mutex
+	instances float64
+	synced    bool
+	slots     map[string]prefix.Slot
+	states    []state // by slot
+	work      []work  // by slot
+	demand    *prefix.Demand
+	counter   uint64
+
+	set     []ranked
+	rates   []float64
+	prior   []float64 // expected pieces, by candidate
+	matches []prefix.Match
+}
+
+// New returns a chooser for an instance in a zone. The index may also be fed
+// with cache events.
+func New(params Params, instance, zone string, index *prefix.Index) *Chooser {
+	return &Chooser{
+		params: params, zone: zone, seed: xxhash.Sum64String(instance), index: index, instances: 1,
+		slots:  make(map[string]prefix.Slot),
+		demand: prefix.NewDemand(params.Fade, params.MaxDigests),
+	}
+}
+
+// SetInstances tells how many instances share the traffic.
+func (c *Chooser) SetInstances(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.instances = float64(max(1, n))
+}
+
+// Choose returns the target for a request, or nil if none can take it. Targets
+// in exclude are passed over.
+func (c *Chooser) Choose(v *View, r *Request, exclude map[string]bool, now time.Time) *target.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counter++
+	c.grow(len(v.candidates))
+	set := c.eligible(v, r, exclude, now)
+	if len(set) == 0 {
+		return nil
+	}
+	all := len(set)
+	favoured := c.narrow(v, set, r, now)
+	c.applyIndex(v, r, now)
+	best := c.cheapest(v, set[:all], len(favoured), r, now)
+	c.commit(v, best, r, now)
+	return v.targets[best]
+}
+
+func (c *Chooser) grow(n int) {
+	if len(c.prior) >= n {
+		return
+	}
+	c.prior = make([]float64, n)
+	c.set = make([]ranked, n)
+}
+
+// eligible returns the candidates that may get the request. If load and slow
+// start leave none, they are disregarded; an open circuit never is.
+func (c *Chooser) eligible(v *View, r *Request, exclude map[string]bool, now time.Time) []ranked {
+	// The mean is that of the previous choice, which saves a pass.
+	bound := int32(c.params.LoadFactor*float64(v.running+1)/float64(max(1, len(v.candidates)))) + 1
+	set, n, rest, sum := c.set[:len(v.candidates)], 0, 0, 0
+	for i := range v.candidates {
+		cand := &v.candidates[i]
+		w := &c.work[cand.slot]
+		running := int32(cand.live.InFlight.Load()) + w.others
+		sum += int(running)
+		if len(exclude) > 0 && exclude[v.targets[i].ID] {
+			continue
+		}
+		admitted := running <= bound
+		if w.special {
+			s := &c.states[cand.slot]
+			if !s.breaker.allows(now, &c.params) {
+				continue
+			}
+			admitted = admitted && c.admits(cand, s, r, now)
+		}
+		set[n].at = int32(i)
+		if admitted {
+			set[n].at, set[rest].at = set[rest].at, int32(i)
+			rest++
+		}
+		n++
+	}
+	v.running = sum
+	if rest > 0 {
+		return set[:rest]
+	}
+	return set[:n]
+}
+
+// delay is the expected queueing on a target and the zone distance, in
+// nanoseconds.
+func (c *Chooser) delay(cand *candidate, r *Request, now time.Time) float64 {
+	w := &c.work[cand.slot]
+	running := int(cand.live.InFlight.Load()) + int(w.others)
+	wait := float64(max(0, w.busyUntil-now.UnixNano())) + float64(running)*float64(c.params.RunningCost)
+	if over := running + 1 - r.Limit; over > 0 {
+		wait += float64(over) * float64(c.params.ServiceTime) / float64(max(1, r.Limit))
+	}
+	if w.special {
+		wait /= c.ramp(&c.states[cand.slot], now)
+	}
+	return c.params.QueueWeight*wait + float64(cand.zone)
+}
+
+// minRamp is the share that a target gets at the start of slow start.
+const minRamp = 0.05
+
+// ramp is the part of its full share that a target gets.
+func (c *Chooser) ramp(s *state, now time.Time) float64 {
+	if s.freshSince.IsZero() {
+		return 1
+	}
+	ramp := float64(now.Sub(s.freshSince)) / float64(c.params.SlowStart)
+	return min(1, max(ramp, minRamp))
+}
+
+// admits limits the requests in flight on a target in slow start to this
+// instance's part of its ramp. Where that is less than one request, a hash of
+// the second decides which instances may send one.
+func (c *Chooser) admits(cand *candidate, s *state, r *Request, now time.Time) bool {
+	ramp := c.ramp(s, now)
+	if ramp == 1 {
+		return true
+	}
+	allowed := ramp * float64(r.Limit) / c.instances
+	draw := float64(mix(c.seed^cand.hash, uint64(now.Unix()))>>11) / (1 << 53)
+	return float64(cand.live.InFlight.Load())+draw < allowed
+}
+
+// applyIndex raises the expected pieces of targets that the index knows.
+func (c *Chooser) applyIndex(v *View, r *Request, now time.Time) {
+	c.matches = c.index.Lookup(c.matches[:0], r.Digests, now)
+	for _, m := range c.matches {
+		if int(m.Slot) >= len(v.bySlot) {
+			continue
+		}
+		if at := v.bySlot[m.Slot]; at >= 0 {
+			c.prior[at] = max(c.prior[at], m.Pieces)
+		}
+	}
+}
+
+// cheapest returns the candidate with the lowest cost. The first favoured ones
+// of the set are the affinity targets.
+func (c *Chooser) cheapest(v *View, set []ranked, favoured int, r *Request, now time.Time) int32 {
+	best, bestCost, bestTie := int32(-1), 0.0, uint64(0)
+	tieSeed := c.seed + c.counter
+	perToken := float64(c.params.PrefillPerToken)
+	whole, piece := float64(r.Tokens)*perToken, float64(r.PieceTokens)*perToken
+	for i := range set {
+		at := set[i].at
+		missed := max(0, whole-c.prior[at]*piece)
+		if i < favoured {
+			missed *= 1 - c.params.Affinity
+		}
+		// Most targets hold less than the best one and are passed over here.
+		if best >= 0 && missed > bestCost {
+			continue
+		}
+		cost := missed + c.delay(&v.candidates[at], r, now)
+		if best >= 0 && cost > bestCost {
+			continue
+		}
+		// Instances break ties differently, or all would send to one target.
+		tie := mix(tieSeed, v.candidates[at].hash)
+		if best < 0 || cost < bestCost || tie > bestTie {
+			best, bestCost, bestTie = at, cost, tie
+		}
+	}
+	return best
+}
+
+// missed is the expected time to compute what is not cached, in nanoseconds.
+func (c *Chooser) missed(at int32, r *Request) float64 {
+	tokens := float64(r.Tokens) - c.prior[at]*float64(r.PieceTokens)
+	return max(0, tokens) * float64(c.params.PrefillPerToken)
+}
+
+// commit notes the request on its target.
+func (c *Chooser) commit(v *View, at int32, r *Request, now time.Time) {
+	cand := &v.candidates[at]
+	s, w := &c.states[cand.slot], &c.work[cand.slot]
+	if w.special {
+		s.breaker.sent(now)
+		w.special = s.breaker.openFor > 0 || c.ramp(s, now) < 1
+	}
+	added := c.missed(at, r) * (1 + c.params.Echo*(c.instances-1))
+	w.busyUntil = max(w.busyUntil, now.UnixNano()) + int64(added)
+	c.index.Routed(cand.slot, r.Digests, now)
+}
+
+// Result says how a request ended on its target.
+type Result int
+
+// Results.
+const (
+	Succeeded Result = iota
+	Failed
+	Unclear // ended for a reason that says nothing about the target
+)
+
+// Report tells how a request ended on its target.
+func (c *Chooser) Report(t *target.Target, result Result, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slot, ok := c.slots[t.ID]
+	if !ok || c.states[slot].incarnation != t.Incarnation {
+		return
+	}
+	s := &c.states[slot]
+	switch result {
+	case Succeeded:
+		if s.breaker.succeeded(now) {
+			s.freshSince = now
+		}
+	case Failed:
+		jitter := float64(mix(c.seed, xxhash.Sum64String(t.ID))>>11) / (1 << 53)
+		if s.breaker.failed(now, &c.params, jitter) {
+			c.index.Distrust(slot)
+			c.work[slot].special = true
+		}
+	default:
+		s.breaker.release()
+	}
+}
--- /dev/null
+++ b/pkg/choice/params.go
@@ -0,0 +1,81 @@
+// Package choice decides which target gets a request. It weighs the computation
+// that a cached prefix saves against queueing and zone distance. It does no
+// I/O; the caller passes the time in.
+//
+// Instances do not talk about placement. They agree because the affinity of a
+// prefix is a rendezvous hash of its digests and the target ids, which is the
+// same everywhere; only the number of targets that a hot prefix spreads over
+// comes from local estimates, and the smaller set is always part of the larger.
+package choice
+
+import "time"
+
+// Params are the weights and limits of the choice.
+type Params struct {
+	// PrefillPerToken is the time an engine takes per prompt token it has not cached.
+	PrefillPerToken time.Duration
+	// ServiceTime is the mean time that a request occupies a place in a batch.
+	ServiceTime time.Duration
+	// RunningCost is the delay that each running request adds to a new one.
+	RunningCost time.Duration
+	// ZoneCost is the delay of a target in another zone.
+	ZoneCost time.Duration
+	// QueueWeight multiplies expected queueing. Above 1 favours tail latency,
+	// below 1 saved computation.
+	QueueWeight float64
+	// Affinity is the part of the expected computation that a stable placement
+	// is worth, because later requests then find it cached.
+	Affinity float64
+	// AffinityTrust is the confidence in a piece that other instances are
+	// expected to have sent to the affinity targets.
+	AffinityTrust float64
+	// Spread is the number of targets that a prefix gets for each target's
+	// worth of traffic it receives.
+	Spread float64
+	// LoadFactor bounds the requests on a target that still gets new prefixes,
+	// in multiples of the mean.
+	LoadFactor float64
+	// Echo is the part of this instance's own new work that each other instance
+	// is assumed to send to the same target before the next load report.
+	Echo float64
+	// Fade is the time constant of the demand estimate.
+	Fade time.Duration
+	// Lifetime is how long engines are expected to keep an unused piece.
+	Lifetime time.Duration
+	// MaxDigests bounds the memory of the demand estimate.
+	MaxDigests int
+	// SlowStart is the time over which a target with an empty cache, or one
+	// that failed, is brought to its full share.
+	SlowStart time.Duration
+	// Failures opens the circuit of a target when as many come in sequence.
+	Failures int
+	// OpenFor is the first time a circuit stays open. It doubles with each
+	// failed probe up to MaxOpen.
+	OpenFor, MaxOpen time.Duration
+	// ProbeTimeout frees the place of a probe whose result was never reported.
+	ProbeTimeout time.Duration
+}
+
+// DefaultParams are the values found with the replay (docs/measurements.md).
+func DefaultParams() Params {
+	return Params{
+		PrefillPerToken: 100 * time.Microsecond,
+		ServiceTime:     2 * time.Second,
+		RunningCost:     2 * time.Millisecond,
+		ZoneCost:        time.Millisecond,
+		QueueWeight:     1,
+		Affinity:        0.3,
+		AffinityTrust:   0.9,
+		Spread:          1,
+		LoadFactor:      2,
+		Echo:            0,
+		Fade:            15 * time.Second,
+		Lifetime:        10 * time.Second,
+		MaxDigests:      1 << 16,
+		SlowStart:       10 * time.Second,
+		Failures:        3,
+		OpenFor:         2 * time.Second,
+		MaxOpen:         30 * time.Second,
+		ProbeTimeout:    30 * time.Second,
+	}
+}
--- a/pkg/prefix/index.go
+++ b/pkg/prefix/index.go
@@ -37,7 +37,7 @@
 
 // maxHolders bounds the targets remembered per piece, so that a lookup of a
 // piece that every target holds stays short. The least recent is dropped.
-const maxHolders = 32
+const maxHolders = 16
 
 const none = int32(-1)
 
