Pick targets by cached prefix in the gateway

Cause: the daemon picks the least loaded target and ignores caches. Change: PrefixPicker implements Picker on pkg/prefix and pkg/choice. Choose tells a picker that implements ResultObserver how a request ended, because the circuit breaker needs successes and Picker alone reports none. Ruled out: counting a caller's disconnect as a failure of the target; a view per request (allocates per target), views now last as long as the set. Conclusion: ready for the server to use in place of LeastLoaded.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -13,6 +13,13 @@
 	Pick(ex *Exchange, exclude map[string]bool) *target.Target
 }
 
+// ResultObserver is a Picker that learns from how requests end.
+type ResultObserver interface {
+	// Done is called once per request that got a target. ex.Target is the last
+	// target that the request was sent to.
+	Done(ex *Exchange, err error)
+}
+
 // Choose picks the first target.
 type Choose struct {
 	Picker Picker
@@ -27,7 +34,11 @@
 	if ex.Target == nil {
 		return errNoTarget()
 	}
-	return next(ex)
+	err := next(ex)
+	if observer, ok := f.Picker.(ResultObserver); ok {
+		observer.Done(ex, err)
+	}
+	return err
 }
 
 func errNoTarget() error {
--- /dev/null
+++ b/pkg/gateway/prefixpicker.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
+	"lacewingwheel.example/lacewingwheel/pkg/prefix"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// PrefixPicker picks the target that should answer first, given what it is
+// expected to have cached and to have queued.
+type PrefixPicker struct {
+	Targets TargetSource
+	Chooser *choice.Chooser
+
+	mu    sync.Mutex
+	set   *target.Set
+	views map[*tables.Pool]*choice.View
+	// digests holds slices that are reused between requests.
+	digests sync.Pool
+}
+
+// Pick implements Picker. Targets in exclude have failed the request; the last
+// of them, which is still set in ex, is reported to the circuit breaker here,
+// unless no other target is left: the request then ends and Done reports it.
+func (p *PrefixPicker) Pick(ex *Exchange, exclude map[string]bool) *target.Target {
+	buf, _ := p.digests.Get().(*[]uint64)
+	if buf == nil {
+		buf = new([]uint64)
+	}
+	defer p.digests.Put(buf)
+	request := choiceRequest(ex, buf)
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	picked := p.Chooser.Choose(p.view(ex.Pool, now), &request, exclude, now)
+	if picked != nil && ex.Target != nil && exclude[ex.Target.ID] {
+		p.Chooser.Report(ex.Target, choice.Failed, now)
+	}
+	return picked
+}
+
+// Done implements ResultObserver.
+func (p *PrefixPicker) Done(ex *Exchange, err error) {
+	p.Chooser.Report(ex.Target, resultOf(ex, err), time.Now())
+}
+
+func resultOf(ex *Exchange, err error) choice.Result {
+	var failure *apierr.Error
+	switch {
+	case err == nil:
+		return choice.Succeeded
+	case errors.Is(context.Cause(ex.Context()), context.Canceled):
+		return choice.Unclear // the caller has gone
+	case errors.As(err, &failure) && failure.Code == apierr.CodeTargetFailed:
+		return choice.Failed
+	}
+	return choice.Unclear
+}
+
+// choiceRequest cuts the prompt. The digests are valid until buf is reused.
+func choiceRequest(ex *Exchange, buf *[]uint64) choice.Request {
+	pool := ex.Pool
+	request := choice.Request{Limit: pool.TargetLimit}
+	if pool.Kind != tables.PoolEngine {
+		return request
+	}
+	salt := prefix.Salt{
+		Organisation: ex.OrganisationName(), Model: pool.Model,
+		Adapter: pool.Adapter, WeightVersion: pool.WeightVersion,
+	}
+	if salt.Model == "" {
+		salt.Model = ex.Call.Model
+	}
+	*buf = prefix.Chain((*buf)[:0], salt, ex.Call.Prompt, prefix.PieceBytes(pool.PieceTokens, pool.BytesPerToken))
+	request.Digests = *buf
+	request.PieceTokens = pool.PieceTokens
+	request.Tokens = int(float64(len(ex.Call.Prompt)) / max(pool.BytesPerToken, 1e-3))
+	return request
+}
+
+// view returns the targets of a pool. Views last until the set of targets
+// changes. A pool of an older snapshot has another address, and its view goes
+// with the next change of the set.
+func (p *PrefixPicker) view(pool *tables.Pool, now time.Time) *choice.View {
+	if set := p.Targets.Set(); set != p.set || p.views == nil {
+		p.Chooser.Sync(set, now)
+		p.set, p.views = set, make(map[*tables.Pool]*choice.View)
+	}
+	view := p.views[pool]
+	if view == nil {
+		view = p.Chooser.NewView(p.set, func(t *target.Target) bool { return Usable(t, pool) })
+		p.views[pool] = view
+	}
+	return view
+}
--- /dev/null
+++ b/pkg/gateway/prefixpicker_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
+	"lacewingwheel.example/lacewingwheel/pkg/prefix"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+type fixedTargets struct{ set *target.Set }
+
+func (f *fixedTargets) Set() *target.Set { return f.set }
+
+func testTargets(n int) *fixedTargets {
+	var targets []*target.Target
+	for i := range n {
+		targets = append(targets, &target.Target{
+			ID: fmt.Sprint("engine-", i), Model: "m", Incarnation: "1", Reachable: true, Live: &target.Live{},
+		})
+	}
+	return &fixedTargets{set: target.NewSet(targets)}
+}
+
+func testPicker(targets TargetSource) *PrefixPicker {
+	index := prefix.NewIndex(prefix.DefaultIndexParams())
+	return &PrefixPicker{Targets: targets, Chooser: choice.New(choice.DefaultParams(), "router-1", "a", index)}
+}
+
+var testPool = &tables.Pool{Name: "p", Kind: tables.PoolEngine, Model: "m", PieceTokens: 1000, BytesPerToken: 4, TargetLimit: 2, QueueLimit: 2}
+
+func testExchange(organisation, prompt string) *Exchange {
+	return &Exchange{
+		Request: httptest.NewRequest("POST", "/", nil), Pool: testPool,
+		Organisation: &tables.Organisation{Name: organisation, Weight: 1},
+		Call:         Call{Model: "m", Prompt: bytes.Repeat([]byte(prompt), 12000/len(prompt))},
+		Cost:         1000, Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// Guards against a prompt whose prefix is cached going elsewhere, and against
+// a pick of a target that the pool cannot use or that has failed the request.
+func TestPrefixPicker(t *testing.T) {
+	targets := testTargets(8)
+	p := testPicker(targets)
+	first := p.Pick(testExchange("a", "x"), nil)
+	assert.Equal(t, p.Pick(testExchange("a", "x"), nil), first)
+	other := p.Pick(testExchange("a", "x"), map[string]bool{first.ID: true})
+	assert.Assert(t, other != nil && other != first)
+
+	var changed []*target.Target
+	for _, old := range targets.set.Targets {
+		next := *old
+		next.Leaving = old.ID == first.ID
+		changed = append(changed, &next)
+	}
+	targets.set = target.NewSet(changed)
+	for range 20 {
+		assert.Assert(t, p.Pick(testExchange("a", "x"), nil).ID != first.ID)
+	}
+}
+
+// Guards against a failing target that keeps getting requests, and against a
+// caller that disconnects being taken for a failure of its target.
+func TestPickerLearnsFromResults(t *testing.T) {
+	p := testPicker(testTargets(1))
+	choose := &Choose{Picker: p}
+	failed := &apierr.Error{Code: apierr.CodeTargetFailed}
+	for range 10 {
+		ex := testExchange("a", "x")
+		ctx, cancel := context.WithCancel(ex.Context())
+		cancel()
+		ex.Request = ex.Request.WithContext(ctx)
+		assert.Equal(t, choose.Handle(ex, func(*Exchange) error { return failed }), error(failed))
+	}
+	for range choice.DefaultParams().Failures {
+		err := choose.Handle(testExchange("a", "x"), func(*Exchange) error { return failed })
+		assert.Equal(t, err, error(failed))
+	}
+	err := choose.Handle(testExchange("a", "x"), func(*Exchange) error { return nil })
+	assert.Equal(t, apierr.From(err).Code, apierr.CodeNoTarget)
+}
