--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -42,6 +42,7 @@
 	CodeNoTarget           Code = "no_target"
 	CodeTargetFailed       Code = "target_failed"
 	CodeHeldBack           Code = "held_back"
+	CodeCallerGone         Code = "caller_gone"
 	CodeNotReady           Code = "not_ready"
 	CodeStopping           Code = "stopping"
 	CodeInternal           Code = "internal"
