Replay traces of prompts over the target choice

Cause: the weights of the choice cannot be set without figures. Change: pkg/replay (trace format, seeded generator, engine model, baselines) and the command replay. The load estimate now starts anew from each report.

--- a/pkg/choice/params.go
+++ b/pkg/choice/params.go
@@ -59,7 +59,7 @@
 // DefaultParams are the values found with the replay (docs/measurements.md).
 func DefaultParams() Params {
 	return Params{
-		PrefillPerToken: 100 * time.Microsecond,
+		PrefillPerToken: 50 * time.Microsecond,
 		ServiceTime:     2 * time.Second,
 		RunningCost:     2 * time.Millisecond,
 		ZoneCost:        time.Millisecond,
--- a/pkg/choice/view.go
+++ b/pkg/choice/view.go
@@ -81,11 +81,11 @@
 		*s, *w = state{freshSince: now}, work{special: true}
 	}
 	s.incarnation, s.listed = t.Incarnation, true
-	if !known || s.load != t.Load {
+	{
 		s.load = t.Load
 		w.others = max(0, int32(t.Load.Running+t.Load.Waiting)-int32(t.Live.InFlight.Load()))
 		reported := time.Duration(t.Load.QueuedTokens) * c.params.PrefillPerToken
-		w.busyUntil = max(w.busyUntil, now.Add(reported).UnixNano())
+		w.busyUntil = now.Add(reported).UnixNano()
 	}
 }
 
--- /dev/null
+++ b/pkg/cli/replay.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
+	"lacewingwheel.example/lacewingwheel/pkg/replay"
+)
+
+type replayOptions struct {
+	shape, policy, trace, writeTrace string
+	seed                             uint64
+}
+
+func newReplay() *cobra.Command {
+	var options replayOptions
+	cmd := &cobra.Command{
+		Use:   "replay",
+		Short: "Replay a trace of prompts over the target choice and compare it with baselines",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return runReplay(cmd, &options) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&options.shape, "shape", "coop", "deployment: coop or pumpvakt")
+	flags.Uint64Var(&options.seed, "seed", 1, "seed of the generated trace")
+	flags.StringVar(&options.policy, "policy", "", "replay only this policy")
+	flags.StringVar(&options.trace, "trace", "", "replay this trace in place of a generated one")
+	flags.StringVar(&options.writeTrace, "write-trace", "", "write the generated trace to this file and replay nothing")
+	cmd.MarkFlagsMutuallyExclusive("trace", "write-trace")
+	cmd.MarkFlagsMutuallyExclusive("trace", "shape")
+	cmd.MarkFlagsMutuallyExclusive("trace", "seed")
+	return cmd
+}
+
+func runReplay(cmd *cobra.Command, options *replayOptions) error {
+	if options.policy != "" && !slices.Contains(replay.Policies(), options.policy) {
+		return &ExitError{Code: ExitInvalid, Err: fmt.Errorf(
+			"policy %q is unknown; use one of %s", options.policy, strings.Join(replay.Policies(), ", "))}
+	}
+	trace, err := loadTrace(options)
+	if err != nil {
+		return err
+	}
+	if options.writeTrace != "" {
+		if err := writeTrace(trace, options.writeTrace); err != nil {
+			return &ExitError{Code: ExitFailed, Err: err}
+		}
+		return nil
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "shape %s, seed %d, %d records, %d instances\n\n",
+		trace.Shape, trace.Seed, len(trace.Records), replay.Routers)
+	return replay.Print(cmd.OutOrStdout(), replay.Run(trace, choice.DefaultParams(), options.policy))
+}
+
+func loadTrace(options *replayOptions) (*replay.Trace, error) {
+	if options.trace == "" {
+		shape, ok := replay.Shapes[options.shape]
+		if !ok {
+			return nil, &ExitError{Code: ExitInvalid, Err: fmt.Errorf("shape %q is unknown; use coop or pumpvakt", options.shape)}
+		}
+		return replay.Generate(shape, options.seed), nil
+	}
+	file, err := os.Open(options.trace)
+	if err != nil {
+		return nil, &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%w; name a file made with --write-trace", err)}
+	}
+	defer file.Close()
+	trace, err := replay.Read(file)
+	if err != nil {
+		return nil, &ExitError{Code: ExitInvalid, Err: err}
+	}
+	return trace, nil
+}
+
+func writeTrace(trace *replay.Trace, path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := trace.Write(file); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -55,6 +55,6 @@
 	}
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newServe(), newLocal(), newVersion())
+	root.AddCommand(newServe(), newLocal(), newReplay(), newVersion())
 	return root
 }
--- /dev/null
+++ b/pkg/replay/policy.go
@@ -0,0 +1,171 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
+	"lacewingwheel.example/lacewingwheel/pkg/prefix"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// policy is the target choice of one router instance.
+type policy interface {
+	sync(set *target.Set, now time.Time)
+	pick(j *job, exclude map[string]bool, now time.Time) *target.Target
+	report(t *target.Target, ok bool, now time.Time)
+}
+
+// policies makes each policy for a router.
+var policies = []struct {
+	name string
+	make func(s *simulation, router int) policy
+}{
+	{"random", func(s *simulation, _ int) policy {
+		return &baseline{choose: func(usable []*target.Target, _ *job) *target.Target { return usable[s.rng.IntN(len(usable))] }}
+	}},
+	{"round-robin", func(_ *simulation, router int) policy {
+		next := router
+		return &baseline{choose: func(usable []*target.Target, _ *job) *target.Target {
+			next++
+			return usable[next%len(usable)]
+		}}
+	}},
+	{"least-loaded", func(s *simulation, _ int) policy {
+		return &baseline{choose: func(usable []*target.Target, _ *job) *target.Target { return s.leastLoaded(usable) }}
+	}},
+	{"hash", func(*simulation, int) policy {
+		return &baseline{choose: func(usable []*target.Target, j *job) *target.Target { return highestHash(usable, j) }}
+	}},
+	{"oracle", func(s *simulation, _ int) policy {
+		return &baseline{choose: func(usable []*target.Target, j *job) *target.Target { return s.bestCached(usable, j) }}
+	}},
+	{"choice", newChoice},
+}
+
+// baseline is a policy without memory.
+type baseline struct {
+	set    *target.Set
+	usable []*target.Target
+	choose func(usable []*target.Target, j *job) *target.Target
+}
+
+func (b *baseline) sync(set *target.Set, _ time.Time) { b.set = set }
+
+func (b *baseline) pick(j *job, exclude map[string]bool, _ time.Time) *target.Target {
+	b.usable = b.usable[:0]
+	for _, t := range b.set.Targets {
+		if t.Reachable && !exclude[t.ID] {
+			b.usable = append(b.usable, t)
+		}
+	}
+	if len(b.usable) == 0 {
+		return nil
+	}
+	return b.choose(b.usable, j)
+}
+
+func (b *baseline) report(*target.Target, bool, time.Time) {}
+
+// leastLoaded takes the higher of the reported and the own requests, as the
+// report lags; ties are drawn.
+func (s *simulation) leastLoaded(usable []*target.Target) *target.Target {
+	var best *target.Target
+	var bestLoad int64
+	ties := 0
+	for _, t := range usable {
+		load := int64(t.Load.Running+t.Load.Waiting) + t.Live.InFlight.Load()
+		if best == nil || load < bestLoad {
+			best, bestLoad, ties = t, load, 1
+			continue
+		}
+		if load == bestLoad {
+			if ties++; s.rng.IntN(ties) == 0 {
+				best = t
+			}
+		}
+	}
+	return best
+}
+
+// hashPieces are the leading pieces that hash affinity looks at. They cover
+// system prompt, task and the start of the document.
+const hashPieces = 7
+
+func highestHash(usable []*target.Target, j *job) *target.Target {
+	var best *target.Target
+	var bestRank uint64
+	var key [8]byte
+	for _, t := range usable {
+		digest := j.digests[min(hashPieces, len(j.digests))-1]
+		for i := range key {
+			key[i] = byte(digest >> (8 * i))
+		}
+		d := xxhash.NewWithSeed(0)
+		_, _ = d.Write(key[:])
+		_, _ = d.WriteString(t.ID)
+		if rank := d.Sum64(); best == nil || rank > bestRank {
+			best, bestRank = t, rank
+		}
+	}
+	return best
+}
+
+// bestCached knows each cache and each prefill queue exactly, without lag, and
+// takes the target with the earliest first token.
+func (s *simulation) bestCached(usable []*target.Target, j *job) *target.Target {
+	var best *target.Target
+	bestCost := int64(0)
+	for _, t := range usable {
+		e := s.engineOf(t)
+		missed := j.tokens - e.cache.match(j.digests)*pieceTokens
+		cost := e.work(s.now) + int64(missed)*prefillPerToken
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+// chosen drives the packages that the daemon uses.
+type chosen struct {
+	chooser *choice.Chooser
+	view    *choice.View
+}
+
+func newChoice(s *simulation, router int) policy {
+	c := choice.New(s.params, routerName(router), s.zoneOf(router), prefix.NewIndex(prefix.DefaultIndexParams()))
+	c.SetInstances(Routers)
+	return &chosen{chooser: c}
+}
+
+func (c *chosen) sync(set *target.Set, now time.Time) {
+	c.chooser.Sync(set, now)
+	c.view = c.chooser.NewView(set, func(t *target.Target) bool { return t.Reachable })
+}
+
+func (c *chosen) pick(j *job, exclude map[string]bool, now time.Time) *target.Target {
+	request := choice.Request{Digests: j.digests, PieceTokens: pieceTokens, Tokens: j.tokens, Limit: batchLimit}
+	return c.chooser.Choose(c.view, &request, exclude, now)
+}
+
+func (c *chosen) report(t *target.Target, ok bool, now time.Time) {
+	result := choice.Failed
+	if ok {
+		result = choice.Succeeded
+	}
+	c.chooser.Report(t, result, now)
+}
+
+func newRNG(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 3)) }
+
+// Policies returns the names of the policies.
+func Policies() []string {
+	var names []string
+	for _, p := range policies {
+		names = append(names, p.name)
+	}
+	return names
+}
--- /dev/null
+++ b/pkg/replay/replay.go
@@ -0,0 +1,357 @@
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lacewingwheel.example/lacewingwheel/pkg/admission"
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+const (
+	// deadline is that of the route: a request is served if its first token
+	// comes in this time.
+	deadline    = 10 * time.Second
+	queueLimit  = 256
+	maxAttempts = 4
+)
+
+// Result are the figures of one policy.
+type Result struct {
+	Policy      string
+	HitRate     float64 // part of the prompt tokens found in the cache
+	P50, P99    time.Duration
+	Recomputed  int64   // prompt tokens computed although some engine had them cached
+	WorstServed float64 // lowest ratio of an organisation's part of the served tokens to its part of those within rate
+	Refused     int     // requests within their organisation's rate
+	Late        int     // first token after the deadline, or never
+
+	promptTokens, hitTokens int64
+	latencies               *hdrhistogram.Histogram
+}
+
+// job is a request under way.
+type job struct {
+	record   *Record
+	digests  []uint64
+	tokens   int
+	inRate   bool
+	router   *router
+	target   *target.Target
+	ticket   *admission.Ticket
+	arrived  int64
+	attempts int
+	exclude  map[string]bool
+	answered bool
+}
+
+func (j *job) cost() int64 { return int64(j.tokens + j.record.OutputTokens) }
+
+// router is one instance with its own history and counters.
+type router struct {
+	number int
+	policy policy
+	queue  *admission.Queue
+	live   []*target.Live
+}
+
+type event struct {
+	at  int64
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// simulation replays one trace with one policy.
+type simulation struct {
+	shape   Shape
+	params  choice.Params
+	rng     *rand.Rand
+	now     int64 // Unix time in microseconds
+	seq     int
+	events  eventHeap
+	engines []*engine
+	byID    map[string]*engine
+	routers []*router
+	holders map[uint64]int
+	reports []report // the last one is not known to the routers yet
+	result  Result
+	inRate  map[string]int64 // tokens
+	served  map[string]int64 // tokens
+}
+
+// report is the state of an engine as read.
+type report struct {
+	load        target.Load
+	incarnation int
+	up          bool
+}
+
+// Run replays a trace with each policy, or with the named one.
+func Run(t *Trace, params choice.Params, only string) []Result {
+	shape := Shapes[t.Shape]
+	params.ZoneCost = shape.ZoneCost
+	jobs := prepare(t)
+	var results []Result
+	for _, p := range policies {
+		if only != "" && p.name != only {
+			continue
+		}
+		s := &simulation{
+			shape: shape, params: params, rng: newRNG(t.Seed), holders: make(map[uint64]int), byID: make(map[string]*engine),
+			inRate: make(map[string]int64), served: make(map[string]int64),
+			result: Result{Policy: p.name, latencies: hdrhistogram.New(1, 600*second, 3)},
+		}
+		for i := range shape.Engines {
+			e := &engine{up: true, cache: newLRU(s.holders)}
+			s.engines = append(s.engines, e)
+			s.byID[engineName(i)] = e
+		}
+		for i := range Routers {
+			r := &router{number: i, policy: p.make(s, i), queue: admission.NewQueue()}
+			for range shape.Engines {
+				r.live = append(r.live, &target.Live{})
+			}
+			s.routers = append(s.routers, r)
+		}
+		s.run(jobs)
+		results = append(results, s.summary())
+	}
+	return results
+}
+
+// prepare cuts the prompts and finds out which requests are within the rate of
+// their organisation, by a token bucket over all instances.
+func prepare(t *Trace) []job {
+	type bucket struct {
+		tokens float64
+		at     int64
+	}
+	buckets, orgs := make(map[string]*bucket), make(map[string]Organisation)
+	for _, org := range t.Organisations {
+		buckets[org.Name], orgs[org.Name] = &bucket{tokens: org.Burst}, org
+	}
+	jobs := make([]job, len(t.Records))
+	for i := range t.Records {
+		record := &t.Records[i]
+		j := job{record: record, digests: record.digests(), tokens: record.promptTokens(), arrived: record.AtMS * 1000}
+		if b := buckets[record.Organisation]; b != nil {
+			org := orgs[record.Organisation]
+			b.tokens = min(org.Burst, b.tokens+float64(record.AtMS-b.at)/1000*org.Rate)
+			b.at = record.AtMS
+			if j.inRate = b.tokens >= float64(j.cost()); j.inRate {
+				b.tokens -= float64(j.cost())
+			}
+		}
+		jobs[i] = j
+	}
+	return jobs
+}
+
+func (s *simulation) at(at int64, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: at, seq: s.seq, run: run})
+}
+
+func (s *simulation) clock() time.Time { return time.UnixMicro(s.now) }
+
+// idleGap is the pause of the trace over which loads are not read.
+const idleGap = 60 * second
+
+func (s *simulation) run(jobs []job) {
+	nextReport := int64(0)
+	for i := 0; i < len(jobs) || len(s.events) > 0; {
+		arrival := i < len(jobs) && (len(s.events) == 0 || jobs[i].arrived <= s.events[0].at)
+		next := int64(0)
+		if arrival {
+			next = jobs[i].arrived
+		} else {
+			next = s.events[0].at
+		}
+		if next-nextReport > idleGap {
+			nextReport = next - 2*reportInterval
+		}
+		if nextReport <= next {
+			s.now = nextReport
+			s.readLoads()
+			nextReport += reportInterval
+			continue
+		}
+		s.now = next
+		if !arrival {
+			heap.Pop(&s.events).(event).run()
+			continue
+		}
+		j := jobs[i]
+		i++
+		if j.record.DownMS > 0 {
+			s.crash(s.engines[j.record.Engine], j.record.DownMS*1000)
+			continue
+		}
+		s.arrive(&j)
+	}
+}
+
+// readLoads gives the routers the state of the engines one interval ago.
+func (s *simulation) readLoads() {
+	known := s.reports
+	s.reports = make([]report, len(s.engines))
+	for i, e := range s.engines {
+		s.reports[i] = report{load: e.load(s.now), incarnation: e.incarnation, up: e.up}
+	}
+	if known == nil {
+		known = s.reports
+	}
+	for _, r := range s.routers {
+		usable := 0
+		var targets []*target.Target
+		for i, read := range known {
+			targets = append(targets, &target.Target{
+				ID: engineName(i), Zone: s.zoneOf(i), Incarnation: fmt.Sprint(read.incarnation),
+				Reachable: read.up, Load: read.load, Live: r.live[i],
+			})
+			if read.up {
+				usable++
+			}
+		}
+		r.policy.sync(target.NewSet(targets), s.clock())
+		r.queue.Configure(usable*batchLimit, queueLimit, s.clock())
+	}
+}
+
+func (s *simulation) zoneOf(number int) string { return fmt.Sprint("zone-", number%s.shape.Zones) }
+
+func engineName(number int) string { return fmt.Sprint("engine-", number) }
+
+func routerName(number int) string { return fmt.Sprint("router-", number) }
+
+func (s *simulation) engineOf(t *target.Target) *engine { return s.byID[t.ID] }
+
+func (s *simulation) arrive(j *job) {
+	if j.inRate {
+		s.inRate[j.record.Organisation] += j.cost()
+	}
+	j.router = s.routers[j.record.Router]
+	request := admission.Request{
+		Organisation: j.record.Organisation, Weight: 1, Tokens: j.cost(), Deadline: s.clock().Add(deadline),
+		Notify: func(outcome admission.Outcome) { s.at(s.now, func() { s.decided(j, outcome) }) },
+	}
+	ticket, outcome, _ := j.router.queue.Offer(request, s.clock())
+	j.ticket = ticket
+	if outcome != admission.Waiting {
+		s.decided(j, outcome)
+	}
+}
+
+func (s *simulation) decided(j *job, outcome admission.Outcome) {
+	if outcome == admission.Admitted {
+		s.dispatch(j)
+		return
+	}
+	if j.inRate {
+		s.result.Refused++
+	}
+}
+
+func (s *simulation) dispatch(j *job) {
+	j.attempts++
+	j.target = j.router.policy.pick(j, j.exclude, s.clock())
+	if j.target == nil {
+		s.result.Late++
+		j.router.queue.Release(j.ticket, 0, s.clock())
+		return
+	}
+	j.target.Live.InFlight.Add(1)
+	e := s.engineOf(j.target)
+	if !e.up {
+		s.at(s.now+connectFailure, func() { s.retry(j) })
+		return
+	}
+	s.submit(e, j)
+}
+
+func (s *simulation) retry(j *job) {
+	j.target.Live.InFlight.Add(-1)
+	j.router.policy.report(j.target, false, s.clock())
+	if j.attempts >= maxAttempts {
+		s.result.Late++
+		j.router.queue.Release(j.ticket, 0, s.clock())
+		return
+	}
+	if j.exclude == nil {
+		j.exclude = make(map[string]bool)
+	}
+	j.exclude[j.target.ID] = true
+	s.dispatch(j)
+}
+
+func (s *simulation) firstToken(j *job) {
+	j.answered = true
+	latency := s.now - j.arrived
+	if j.target.Zone != s.zoneOf(j.router.number) {
+		latency += 2 * s.shape.ZoneCost.Microseconds()
+	}
+	_ = s.result.latencies.RecordValue(latency)
+	if latency > deadline.Microseconds() {
+		s.result.Late++
+		return
+	}
+	s.served[j.record.Organisation] += j.cost()
+}
+
+func (s *simulation) finish(j *job, ok bool) {
+	j.target.Live.InFlight.Add(-1)
+	j.router.policy.report(j.target, ok, s.clock())
+	j.router.queue.Release(j.ticket, -1, s.clock())
+}
+
+func (s *simulation) summary() Result {
+	r := s.result
+	r.HitRate = float64(r.hitTokens) / float64(max(1, r.promptTokens))
+	r.P50 = time.Duration(r.latencies.ValueAtQuantile(50)) * time.Microsecond
+	r.P99 = time.Duration(r.latencies.ValueAtQuantile(99)) * time.Microsecond
+	var served, inRate int64
+	for org, tokens := range s.inRate {
+		inRate += tokens
+		served += s.served[org]
+	}
+	r.WorstServed = 1
+	for org, tokens := range s.inRate {
+		share := float64(s.served[org]) / float64(max(1, served))
+		r.WorstServed = min(r.WorstServed, share*float64(inRate)/float64(tokens))
+	}
+	r.latencies = nil
+	return r
+}
+
+// Print writes results as a Markdown table.
+func Print(w io.Writer, results []Result) error {
+	table := tabwriter.NewWriter(w, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(table, "| policy\t| hit rate\t| p50 TTFT ms\t| p99 TTFT ms\t| recomputed Mtokens\t| worst-served\t| refused in rate\t| late\t|")
+	fmt.Fprintln(table, "| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t| ---\t|")
+	for _, r := range results {
+		fmt.Fprintf(table, "| %s\t| %.4f\t| %.1f\t| %.1f\t| %.2f\t| %.3f\t| %d\t| %d\t|\n", r.Policy, r.HitRate,
+			r.P50.Seconds()*1e3, r.P99.Seconds()*1e3, float64(r.Recomputed)/1e6, r.WorstServed, r.Refused, r.Late)
+	}
+	return table.Flush()
+}
