Place prompts by their first piece of little demand and follow load calmly

Cause: with reports followed at once, all instances sent what spills to the same idle target, and nested target sets differed between instances because each estimates demand from an eighth of the traffic. Change: the first piece that is not hot selects the target among (nearly) all; hot is by traffic and length of the prefix. Load reports are smoothed and own requests without a first token (target.Live.Pending) are counted at once. Targets that a prompt spills to are ordered by hash.

--- a/pkg/choice/affinity.go
+++ b/pkg/choice/affinity.go
@@ -19,32 +19,75 @@
 	return x ^ x>>31
 }
 
-// narrow follows the prompt from its first piece. Each piece keeps of the
-// remaining targets as many as its demand deserves, the highest by rendezvous
-// hash, so the targets of a longer prefix are among those of the shorter one,
-// and a piece not seen before ends at one target that all instances agree on.
-// It returns the remaining targets and sets in c.prior the pieces that each
-// target is expected to hold because other instances place the same way.
-func (c *Chooser) narrow(v *View, set []ranked, r *Request, now time.Time) []ranked {
+// narrow moves the affinity targets of a prompt to the front of the set and
+// returns how many they are. It sets in c.prior the pieces that each target is
+// expected to hold because other instances place prompts the same way.
+//
+// A piece is hot if it and all before it have more traffic than a prefix of
+// their length needs to be spread. The first piece that is not, the cold one,
+// selects one target by rendezvous hash, so a document of little demand and a
+// conversation about a hot document each stay on one target. All instances
+// agree on it unless they estimate the demand for a piece on different sides
+// of the threshold.
+func (c *Chooser) narrow(v *View, set []ranked, r *Request, now time.Time) int {
 	c.rates = c.demand.Add(c.rates[:0], r.Digests, 1, now)
 	own := 1 / c.params.Fade.Seconds() // this request's part of the rates
 	// The constant keeps a share small until some traffic has been seen.
-	total := c.demand.Total(now) + minShareRequests*own
-	expected := 0.0
-	for k, digest := range r.Digests {
-		rate := c.rates[k] - own
-		keep := max(1, int(math.Ceil(c.params.Spread*rate/total*float64(len(v.candidates)))))
-		if 4*keep <= 3*len(set) {
-			above := rankBy(set, v, digest, keep)
-			selectTop(set[:max(above, keep)], keep)
-			c.setPrior(set[keep:], expected)
-			set = set[:keep]
+	perTarget := (c.demand.Total(now) + minShareRequests*own) / (c.params.Spread * float64(len(v.candidates)))
+	perPiece := perTarget * c.params.Depth / max(1, c.meanPieces)
+	cold := 0
+	for k := range c.rates {
+		c.rates[k] = max(0, c.rates[k]-own)
+		if c.rates[k] > perPiece*float64(k+1) && cold == k {
+			cold++
 		}
-		arrivals := rate * c.instances * c.params.Lifetime.Seconds() / float64(len(set))
-		expected = max(expected, float64(k+1)*c.params.AffinityTrust*(1-math.Exp(-arrivals)))
 	}
-	c.setPrior(set, expected)
-	return set
+	all, size := len(set), len(set)
+	if cold > 0 {
+		size = c.hotTargets(c.rates[cold-1]/perTarget, all)
+		c.spill = r.Digests[cold-1]
+	}
+	if size < all {
+		rankTop(set, v, r.Digests[cold-1], size)
+		c.setPrior(set[size:], c.expected(0, cold, all))
+	}
+	expected := c.expected(0, cold, size)
+	if cold < len(r.Digests) {
+		c.spill = r.Digests[cold]
+		rankTop(set[:size], v, r.Digests[cold], 1)
+		c.setPrior(set[1:size], expected)
+		size = 1
+		expected = max(expected, c.expected(cold, len(r.Digests), 1))
+	}
+	c.setPrior(set[:size], expected)
+	return size
+}
+
+// hotTargets is the number of targets among which the continuations of a piece
+// are placed, if the piece deserves the given number by its traffic.
+func (c *Chooser) hotTargets(deserved float64, all int) int {
+	size := max(1, int(math.Ceil(c.params.Slack*deserved)))
+	if 4*size > 3*all {
+		return all
+	}
+	return size
+}
+
+// expected is the number of pieces that a target should hold if it is one of
+// size targets that the pieces from one to another are sent to.
+func (c *Chooser) expected(from, to, size int) float64 {
+	best := 0.0
+	perTarget := c.instances * c.params.Lifetime.Seconds() / float64(size)
+	for k := from; k < to; k++ {
+		best = max(best, float64(k+1)*c.params.AffinityTrust*(1-math.Exp(-c.rates[k]*perTarget)))
+	}
+	return best
+}
+
+// rankTop moves the n targets that rank highest for a digest to the front.
+func rankTop(set []ranked, v *View, digest uint64, n int) {
+	above := rankBy(set, v, digest, n)
+	selectTop(set[:max(above, n)], n)
 }
 
 // minShareRequests is the number of requests after which a prefix's share of
--- a/pkg/choice/chooser.go
+++ b/pkg/choice/chooser.go
@@ -26,14 +26,17 @@
 	seed   uint64
 	index  *prefix.Index
 
-	mu        sync.Mutex
-	instances float64
-	synced    bool
-	slots     map[string]prefix.Slot
-	states    []state // by slot
-	work      []work  // by slot
-	demand    *prefix.Demand
-	counter   uint64
+	mu         sync.Mutex
+	instances  float64
+	synced     bool
+	slots      map[string]prefix.Slot
+	states     []state // by slot
+	work       []work  // by slot
+	demand     *prefix.Demand
+	counter    uint64
+	meanPieces float64
+	meanWork   float64 // expected computation of a request, nanoseconds
+	spill      uint64  // digest that orders the targets a prompt spills to
 
 	set     []ranked
 	rates   []float64
@@ -69,10 +72,9 @@
 	if len(set) == 0 {
 		return nil
 	}
-	all := len(set)
 	favoured := c.narrow(v, set, r, now)
 	c.applyIndex(v, r, now)
-	best := c.cheapest(v, set[:all], len(favoured), r, now)
+	best := c.cheapest(v, set, favoured, r, now)
 	c.commit(v, best, r, now)
 	return v.targets[best]
 }
@@ -127,6 +129,9 @@
 	w := &c.work[cand.slot]
 	running := int(cand.live.InFlight.Load()) + int(w.others)
 	wait := float64(max(0, w.busyUntil-now.UnixNano())) + float64(running)*float64(c.params.RunningCost)
+	if pending := cand.live.Pending.Load(); pending > 0 {
+		wait += float64(pending) * c.params.PendingWeight * c.meanWork
+	}
 	if over := running + 1 - r.Limit; over > 0 {
 		wait += float64(over) * float64(c.params.ServiceTime) / float64(max(1, r.Limit))
 	}
@@ -192,6 +197,10 @@
 			continue
 		}
 		cost := missed + c.delay(&v.candidates[at], r, now)
+		if i >= favoured {
+			u := float64(mix(c.spill, v.candidates[at].hash)>>11) / (1 << 53)
+			cost += c.params.Scatter * missed * (1 - u)
+		}
 		if best >= 0 && cost > bestCost {
 			continue
 		}
@@ -210,6 +219,9 @@
 	return max(0, tokens) * float64(c.params.PrefillPerToken)
 }
 
+// meanSmoothing is the weight of the latest request in the means.
+const meanSmoothing = 0.02
+
 // commit notes the request on its target.
 func (c *Chooser) commit(v *View, at int32, r *Request, now time.Time) {
 	cand := &v.candidates[at]
@@ -218,11 +230,21 @@
 		s.breaker.sent(now)
 		w.special = s.breaker.openFor > 0 || c.ramp(s, now) < 1
 	}
-	added := c.missed(at, r) * (1 + c.params.Echo*(c.instances-1))
-	w.busyUntil = max(w.busyUntil, now.UnixNano()) + int64(added)
+	if r.Tokens > 0 {
+		c.learn(float64(len(r.Digests)), c.missed(at, r))
+	}
 	c.index.Routed(cand.slot, r.Digests, now)
 }
 
+func (c *Chooser) learn(pieces, work float64) {
+	if c.meanPieces == 0 {
+		c.meanPieces, c.meanWork = pieces, work
+		return
+	}
+	c.meanPieces += meanSmoothing * (pieces - c.meanPieces)
+	c.meanWork += meanSmoothing * (work - c.meanWork)
+}
+
 // Result says how a request ended on its target.
 type Result int
 
--- a/pkg/choice/params.go
+++ b/pkg/choice/params.go
@@ -26,18 +26,35 @@
 	// Affinity is the part of the expected computation that a stable placement
 	// is worth, because later requests then find it cached.
 	Affinity float64
+	// Scatter is the part of the expected computation by which targets other
+	// than the affinity targets are told apart, in the same order on each instance.
+	// Without it all prompts that spill go to the target reported as idle.
+	Scatter float64
 	// AffinityTrust is the confidence in a piece that other instances are
 	// expected to have sent to the affinity targets.
 	AffinityTrust float64
 	// Spread is the number of targets that a prefix gets for each target's
 	// worth of traffic it receives.
 	Spread float64
+	// Depth is the number of targets' worth of traffic from which a prefix of
+	// the mean length is spread over several targets. It is proportional to the
+	// length of the prefix, because each further target computes it again.
+	Depth float64
+	// Slack is the number of targets over which the continuations of a spread
+	// prefix are placed, for each target that the prefix deserves. Instances
+	// estimate demand from their own traffic and so differ; with few targets
+	// more, a different estimate moves more of the continuations.
+	Slack float64
 	// LoadFactor bounds the requests on a target that still gets new prefixes,
 	// in multiples of the mean.
 	LoadFactor float64
-	// Echo is the part of this instance's own new work that each other instance
-	// is assumed to send to the same target before the next load report.
-	Echo float64
+	// PendingWeight multiplies the queueing that is inferred from own requests
+	// that wait for their first token. It is known without lag, unlike reports.
+	PendingWeight float64
+	// ReportSmoothing is the weight of a new load report against earlier ones.
+	// Reports are a second old and all instances act on them, so following each
+	// at once makes load swing between targets.
+	ReportSmoothing float64
 	// Fade is the time constant of the demand estimate.
 	Fade time.Duration
 	// Lifetime is how long engines are expected to keep an unused piece.
@@ -61,16 +78,20 @@
 	return Params{
 		PrefillPerToken: 50 * time.Microsecond,
 		ServiceTime:     2 * time.Second,
-		RunningCost:     2 * time.Millisecond,
+		RunningCost:     3 * time.Millisecond,
 		ZoneCost:        time.Millisecond,
-		QueueWeight:     1,
-		Affinity:        0.3,
-		AffinityTrust:   0.9,
-		Spread:          1,
-		LoadFactor:      2,
-		Echo:            0,
-		Fade:            15 * time.Second,
-		Lifetime:        10 * time.Second,
+		QueueWeight:     0.5,
+		Affinity:        0.8,
+		Scatter:         1,
+		AffinityTrust:   1,
+		Spread:          1.25,
+		Depth:           2,
+		Slack:           15,
+		LoadFactor:      4,
+		PendingWeight:   2,
+		ReportSmoothing: 0.1,
+		Fade:            40 * time.Second,
+		Lifetime:        15 * time.Second,
 		MaxDigests:      1 << 16,
 		SlowStart:       10 * time.Second,
 		Failures:        3,
--- a/pkg/choice/view.go
+++ b/pkg/choice/view.go
@@ -14,14 +14,14 @@
 	incarnation string
 	breaker     breaker
 	freshSince  time.Time // start of slow start; zero if there is none
-	load        target.Load
-	listed      bool // scratch of Sync
+	queued      float64   // reported tokens, smoothed
+	listed      bool      // scratch of Sync
 }
 
 // work is the part of a target's state that every choice reads for every
 // target, kept apart and small so that it stays in the processor's cache.
 type work struct {
-	busyUntil int64 // when the prefill work known of should be done, unix nanoseconds
+	busyUntil int64 // when the reported prefill work should be done, unix nanoseconds
 	others    int32 // requests of other instances at the last report
 	special   bool  // the circuit is not closed, or the target is in slow start
 }
@@ -63,7 +63,7 @@
 			delete(c.slots, id)
 		}
 	}
-	c.synced = true
+	c.synced = c.synced || len(set.Targets) > 0
 }
 
 func (c *Chooser) sync(t *target.Target, now time.Time) {
@@ -81,12 +81,9 @@
 		*s, *w = state{freshSince: now}, work{special: true}
 	}
 	s.incarnation, s.listed = t.Incarnation, true
-	{
-		s.load = t.Load
-		w.others = max(0, int32(t.Load.Running+t.Load.Waiting)-int32(t.Live.InFlight.Load()))
-		reported := time.Duration(t.Load.QueuedTokens) * c.params.PrefillPerToken
-		w.busyUntil = now.Add(reported).UnixNano()
-	}
+	w.others = max(0, int32(t.Load.Running+t.Load.Waiting)-int32(t.Live.InFlight.Load()))
+	s.queued += c.params.ReportSmoothing * (float64(t.Load.QueuedTokens) - s.queued)
+	w.busyUntil = now.UnixNano() + int64(s.queued*float64(c.params.PrefillPerToken))
 }
 
 // NewView selects the targets of a pool from a set that was passed to Sync.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -42,6 +42,26 @@
 	Stream bool
 	// Position is that of the last event that the caller received.
 	Position uint64
+
+	// pending is set while an attempt waits for its first token.
+	pending *target.Live
+}
+
+// awaitFirstToken counts a stream as pending on its target. Other calls are not
+// counted: their first byte comes only when all tokens have been generated.
+func (ex *Exchange) awaitFirstToken() {
+	if ex.Call.Stream && ex.Pool.Kind == tables.PoolEngine {
+		ex.pending = ex.Target.Live
+		ex.pending.Pending.Add(1)
+	}
+}
+
+// firstTokenCame ends the count of awaitFirstToken, if it has not ended.
+func (ex *Exchange) firstTokenCame() {
+	if ex.pending != nil {
+		ex.pending.Pending.Add(-1)
+		ex.pending = nil
+	}
 }
 
 // Call is what the router reads of a generation request.
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -50,6 +50,8 @@
 // attempt sends the request once and keeps count of the work in flight.
 func (f *Forward) attempt(ex *Exchange) *attemptError {
 	defer reserve(ex.Target, ex.Cost)()
+	ex.awaitFirstToken()
+	defer ex.firstTokenCame()
 	if ex.Pool.Kind == tables.PoolService {
 		return f.Sender.service(ex)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -66,6 +66,7 @@
 }
 
 func startStream(ex *Exchange) {
+	ex.firstTokenCame()
 	if ex.Writer.Started() {
 		return
 	}
--- a/pkg/replay/replay.go
+++ b/pkg/replay/replay.go
@@ -29,7 +29,7 @@
 	HitRate     float64 // part of the prompt tokens found in the cache
 	P50, P99    time.Duration
 	Recomputed  int64   // prompt tokens computed although some engine had them cached
-	WorstServed float64 // lowest ratio of an organisation's part of the served tokens to its part of those within rate
+	WorstServed float64 // of any organisation, the part of the tokens within its rate that was served in time
 	Refused     int     // requests within their organisation's rate
 	Late        int     // first token after the deadline, or never
 
@@ -96,8 +96,8 @@
 	holders map[uint64]int
 	reports []report // the last one is not known to the routers yet
 	result  Result
-	inRate  map[string]int64 // tokens
-	served  map[string]int64 // tokens
+	inRate  map[string]int64 // tokens of requests within rate
+	served  map[string]int64 // those of them with a first token in time
 }
 
 // report is the state of an engine as read.
@@ -282,6 +282,7 @@
 		return
 	}
 	j.target.Live.InFlight.Add(1)
+	j.target.Live.Pending.Add(1)
 	e := s.engineOf(j.target)
 	if !e.up {
 		s.at(s.now+connectFailure, func() { s.retry(j) })
@@ -291,6 +292,7 @@
 }
 
 func (s *simulation) retry(j *job) {
+	j.target.Live.Pending.Add(-1)
 	j.target.Live.InFlight.Add(-1)
 	j.router.policy.report(j.target, false, s.clock())
 	if j.attempts >= maxAttempts {
@@ -307,6 +309,7 @@
 
 func (s *simulation) firstToken(j *job) {
 	j.answered = true
+	j.target.Live.Pending.Add(-1)
 	latency := s.now - j.arrived
 	if j.target.Zone != s.zoneOf(j.router.number) {
 		latency += 2 * s.shape.ZoneCost.Microseconds()
@@ -316,7 +319,9 @@
 		s.result.Late++
 		return
 	}
-	s.served[j.record.Organisation] += j.cost()
+	if j.inRate {
+		s.served[j.record.Organisation] += j.cost()
+	}
 }
 
 func (s *simulation) finish(j *job, ok bool) {
@@ -330,15 +335,9 @@
 	r.HitRate = float64(r.hitTokens) / float64(max(1, r.promptTokens))
 	r.P50 = time.Duration(r.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(r.latencies.ValueAtQuantile(99)) * time.Microsecond
-	var served, inRate int64
-	for org, tokens := range s.inRate {
-		inRate += tokens
-		served += s.served[org]
-	}
 	r.WorstServed = 1
 	for org, tokens := range s.inRate {
-		share := float64(s.served[org]) / float64(max(1, served))
-		r.WorstServed = min(r.WorstServed, share*float64(inRate)/float64(tokens))
+		r.WorstServed = min(r.WorstServed, float64(s.served[org])/float64(tokens))
 	}
 	r.latencies = nil
 	return r
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -114,7 +114,7 @@
 	loudFactor               = 4
 	peakHour                 = 19 // local time
 	timeZone                 = "Europe/Stockholm"
-	windowSeconds            = 60
+	windowSeconds            = 180
 )
 
 // organisationShares are the parts of the traffic: a few organisations are large.
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -37,6 +37,7 @@
 type Live struct {
 	InFlight       atomic.Int64 // requests
 	InFlightTokens atomic.Int64 // tokens reserved for them
+	Pending        atomic.Int64 // requests sent whose first token has not come
 }
 
 // Matches reports whether the target has all labels of a selector.
