--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -78,6 +78,8 @@
 // send sends the request once and keeps count of the work in flight.
 func (f *Forward) send(ex *Exchange) *attemptError {
 	defer reserve(ex.Target, ex.Cost)()
+	ex.awaitFirstToken()
+	defer ex.firstTokenCame()
 	if ex.Pool.Kind == tables.PoolService {
 		return f.Sender.service(ex)
 	}
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -124,3 +124,14 @@
 	}
 	return n
 }
+
+// serving returns the number of peers that answer and are not leaving.
+func (p *peers) serving() int {
+	n := 0
+	for _, other := range p.instances.Set().Peers {
+		if other.Incarnation != "" && other.FailedSince.IsZero() && !other.Leaving {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/server/requests.go
+++ b/pkg/server/requests.go
@@ -4,8 +4,10 @@
 	"net/http"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/choice"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/gateway"
+	"lacewingwheel.example/lacewingwheel/pkg/prefix"
 )
 
 // callerMux routes everything but the model list through the whole chain. The
@@ -21,7 +23,7 @@
 
 // filters returns the chain in order.
 func (s *Server) filters(key *gateway.Key) []gateway.Filter {
-	picker := &gateway.LeastLoaded{Targets: s.targets}
+	picker := s.picker()
 	return []gateway.Filter{
 		gateway.RequestID{},
 		&gateway.Account{Log: s.log.Named("request"), Recorder: s.recorder()},
@@ -30,6 +32,7 @@
 		&gateway.Idempotency{Claims: s.claims, Log: s.log.Named("idempotency")},
 
 		&gateway.Quarantine{Poison: s.poison},
+		gateway.NewAdmission(s.targets, s.instanceCount),
 		&gateway.Choose{Picker: picker},
 		&gateway.Forward{
 			Picker: picker, Sender: gateway.NewSender(), Budgets: gateway.NewRetryBudgets(),
@@ -38,6 +41,26 @@
 	}
 }
 
+// picker returns the target choice with an index of this instance's own routing
+// history.
+func (s *Server) picker() gateway.Picker {
+	instance := s.settings.Instance
+	index := prefix.NewIndex(prefix.DefaultIndexParams())
+	return &gateway.PrefixPicker{
+		Targets: s.targets, Instances: s.instanceCount,
+		Chooser: choice.New(choice.DefaultParams(), instance.ID, instance.Zone, index),
+	}
+}
+
+// instanceCount returns how many instances share the traffic, as far as this
+// one has had contact with them.
+func (s *Server) instanceCount() int {
+	if s.peers == nil {
+		return 1
+	}
+	return 1 + s.peers.serving()
+}
+
 // recorders passes finished requests to several recorders.
 type recorders []gateway.Recorder
 
