Bound the search for abandoned claims and test lost outcomes

Cause: after many lost answers each instance would have read up to 1,024 objects every two seconds, while the platform was already in trouble. Faults that change during a race, lost outcomes and frozen targets were not tested. Change: at most 32 objects are looked for at once. Tests of the three cases. Conclusion: what remains unclear after lost answers is settled without adding to an outage.

--- a/pkg/claim/manager_test.go
+++ b/pkg/claim/manager_test.go
@@ -172,6 +172,41 @@
 	assert.Equal(t, f.stored("k").State, StateDone)
 }
 
+// Guards against a second run, or a wait without end, after an outcome that
+// could not be stored.
+func TestLostOutcome(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.manager("a"), f.manager("b")
+	v := a.Claim(bg, f.request("k", "body"))
+	f.platform.SetFaults(standin.PlatformFaults{Down: true})
+	assert.Assert(t, platform.IsKind(v.Claim.Complete(bg, &Response{Status: 200}), platform.KindUnavailable))
+	f.platform.SetFaults(standin.PlatformFaults{})
+	assert.Equal(t, a.Claim(bg, f.request("k", "body")).Decision, OutcomeUnknown)
+	assert.Equal(t, b.Claim(bg, f.request("k", "body")).Decision, InProgress)
+	f.clock.Advance(30*time.Second + runningGrace)
+	assert.Equal(t, b.Claim(bg, f.request("k", "body")).Decision, OutcomeUnknown)
+}
+
+// Guards against a refused release that blocks its key: nothing ran under it.
+func TestLostRelease(t *testing.T) {
+	f := newFixture(t)
+	a, b := f.manager("a"), f.manager("b")
+	v := a.Claim(bg, f.request("k", "body"))
+	f.platform.SetFaults(standin.PlatformFaults{Down: true})
+	assert.Assert(t, v.Claim.Release(bg) != nil)
+	f.platform.SetFaults(standin.PlatformFaults{})
+	assert.Equal(t, a.Claim(bg, f.request("k", "body")).Decision, Unavailable)
+	a.RemoveAbandoned(bg)
+	assert.Equal(t, b.Claim(bg, f.request("k", "body")).Decision, Run)
+}
+
+// Guards against a controller that outlives its instance.
+func TestRunEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(bg)
+	cancel()
+	newFixture(t).manager("a").Run(ctx)
+}
+
 // Guards against a run while it is unclear whether the claim was made, and
 // against a key that stays blocked once that is clear.
 func TestCreateUnclear(t *testing.T) {
@@ -311,6 +346,42 @@
 			assert.Equal(t, runs, tc.want)
 		})
 	}
+	t.Run("faults that come and go", func(t *testing.T) {
+		f := newFixture(t)
+		request := f.request("k", "body")
+		ended, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for i := 0; ; i++ {
+				select {
+				case <-ended:
+					f.platform.SetFaults(standin.PlatformFaults{})
+					return
+				default:
+					f.platform.SetFaults(standin.PlatformFaults{Down: i%3 == 0, LoseAnswers: i % 4})
+				}
+			}
+		}()
+		var managers []*Manager
+		var mu sync.Mutex
+		runs := race(f, func(m *Manager, run func()) {
+			if m.Claim(bg, request).Decision == Run {
+				run()
+			}
+			mu.Lock()
+			managers = append(managers, m)
+			mu.Unlock()
+		})
+		close(ended)
+		<-stopped
+		assert.Assert(t, runs <= 1, "%d runs", runs)
+		for _, m := range managers {
+			m.RemoveAbandoned(bg)
+		}
+		last := f.manager("last").Claim(bg, request).Decision
+		assert.Equal(t, last == Run, runs == 0, "%d runs, then decision %d", runs, last)
+		t.Logf("%d runs", runs)
+	})
 	t.Run("check then run", func(t *testing.T) {
 		f := newFixture(t)
 		f.platform.SetFaults(standin.PlatformFaults{DelayMillis: 3})
--- a/pkg/claim/poison.go
+++ b/pkg/claim/poison.go
@@ -26,7 +26,9 @@
 	removeExpiredInterval = time.Minute
 )
 
-// Poison finds requests that crash their targets.
+// Poison finds requests that crash their targets. It counts the crashes that
+// this instance has seen: crashes that two instances have seen one each of do
+// not add up.
 type Poison struct {
 	// OnQuarantine is called for each request that this instance quarantines,
 	// to tell other instances. It runs on the request path and must not block.
--- a/pkg/claim/removal.go
+++ b/pkg/claim/removal.go
@@ -24,6 +24,9 @@
 	abandonedTime = 2 * time.Minute
 	// abandonedInterval is the time between two looks.
 	abandonedInterval = 2 * time.Second
+	// abandonedBatch bounds the objects looked for at once. Lost answers come in
+	// numbers when the platform is in trouble, which reads must not add to.
+	abandonedBatch = 32
 	// maxAbandoned bounds the memory for refused requests. Beyond it their
 	// objects stay until they expire, which blocks their keys and is safe.
 	maxAbandoned = 1024
@@ -112,7 +115,8 @@
 	return removed, nil
 }
 
-// RemoveAbandoned removes the objects of refused requests that exist by now.
+// RemoveAbandoned looks for the objects of some refused requests and removes
+// those that exist by now.
 func (m *Manager) RemoveAbandoned(ctx context.Context) {
 	for nonce, entry := range m.abandonedEntries() {
 		if !m.settleAbandoned(ctx, nonce, entry) {
@@ -127,8 +131,11 @@
 func (m *Manager) abandonedEntries() map[string]abandoned {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	entries := make(map[string]abandoned, len(m.refused))
-	for nonce, entry := range m.refused {
+	entries := make(map[string]abandoned, abandonedBatch)
+	for nonce, entry := range m.refused { // in random order
+		if len(entries) == abandonedBatch {
+			break
+		}
 		entries[nonce] = entry
 	}
 	return entries
--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -126,20 +126,25 @@
 		outcome apierr.Outcome
 		runs    bool // the same request sent again runs
 		again   apierr.Code
+		stall   time.Duration
 	}{
-		{"connection refused", nil, 502, apierr.NotRun, true, ""},
-		{"closed before the header", handleCut, 502, apierr.Unknown, false, apierr.CodeOutcomeUnknown},
-		{"503 with X-Not-Run", handleRefuse(503, "1"), 502, apierr.NotRun, true, ""},
-		{"429 with X-Not-Run", handleRefuse(429, "1"), 502, apierr.NotRun, true, ""},
-		{"503 without X-Not-Run", handleRefuse(503, ""), 503, apierr.Unknown, false, ""},
-		{"503 with X-Not-Run: 0", handleRefuse(503, "0"), 503, apierr.Unknown, false, ""},
-		{"500 with X-Not-Run", handleRefuse(500, "1"), 500, apierr.Unknown, false, ""},
-		{"cut in mid-answer", handleCutInAnswer, 200, "", false, apierr.CodeOutcomeUnknown},
-		{"another request id", handleCrossed, 502, apierr.Unknown, false, apierr.CodeOutcomeUnknown},
+		{"connection refused", nil, 502, apierr.NotRun, true, "", 0},
+		{"closed before the header", handleCut, 502, apierr.Unknown, false, apierr.CodeOutcomeUnknown, 0},
+		{"503 with X-Not-Run", handleRefuse(503, "1"), 502, apierr.NotRun, true, "", 0},
+		{"429 with X-Not-Run", handleRefuse(429, "1"), 502, apierr.NotRun, true, "", 0},
+		{"503 without X-Not-Run", handleRefuse(503, ""), 503, apierr.Unknown, false, "", 0},
+		{"503 with X-Not-Run: 0", handleRefuse(503, "0"), 503, apierr.Unknown, false, "", 0},
+		{"500 with X-Not-Run", handleRefuse(500, "1"), 500, apierr.Unknown, false, "", 0},
+		{"cut in mid-answer", handleCutInAnswer, 200, "", false, apierr.CodeOutcomeUnknown, 0},
+		{"another request id", handleCrossed, 502, apierr.Unknown, false, apierr.CodeOutcomeUnknown, 0},
+		{"frozen", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 502, apierr.Unknown, false, apierr.CodeOutcomeUnknown, 50 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newTarget(t, "s", tc.handle)
 			r := newRouter(t, standin.NewPlatform(), s.Target)
+			if tc.stall > 0 {
+				r.tables.Pools[0].StallTimeout = tc.stall
+			}
 			if tc.handle == nil {
 				r.set = target.NewSet([]*target.Target{refusingTarget(t, "s")})
 			}
