Tell duplicates of a restarted instance's request that its outcome is unknown

Cause: a duplicate was told in_progress until the deadline although the instance that ran the first copy had restarted. Change: the claims learn from peers that an incarnation has ended. Ruled out: a list without the instance as proof, because the list lags. Conclusion: no second run in either case; only the answer is better.

--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -135,3 +135,17 @@
 	}
 	return n
 }
+
+// incarnationEnded reports whether another incarnation of an instance has
+// answered since, so that a request of the old one cannot still be running.
+func (s *Server) incarnationEnded(instance, incarnation string) bool {
+	if s.peers == nil {
+		return false
+	}
+	for _, other := range s.peers.instances.Set().Peers {
+		if other.ID == instance && other.Incarnation != "" {
+			return other.Incarnation != incarnation
+		}
+	}
+	return false
+}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -63,7 +63,7 @@
 	}
 	s.claims = claim.NewManager(claim.Options{
 		Store: client, Clock: clock.System{}, Log: log.Named("claims"),
-		Instance: settings.Instance.ID, Incarnation: s.incarnation,
+		Instance: settings.Instance.ID, Incarnation: s.incarnation, Gone: s.incarnationEnded,
 	})
 	s.orders = control.NewOrders(client, clock.System{}, settings.Instance.ID, s.incarnation)
 	s.orders.Client, s.orders.Log = targetClient, log.Named("orders")
