--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -247,3 +247,23 @@
 	resp := f.do(t, "/v1/chat/completions", wholeCall, bearer(secretKey))
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 }
+
+// Guards G1: the same prompt of two organisations must not share cached pieces
+// on an engine.
+func TestCacheSaltSeparatesOrganisations(t *testing.T) {
+	f := newKeyFixture(t)
+	routes := strings.Replace(keyRoutes, "organisations = circle\n", "", 1)
+	pools := fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other"))
+	parsed, err := tables.Parse(tables.Source{Routes: []byte(routes), Pools: []byte(pools)})
+	assert.NilError(t, err)
+	f.snapshot.Store(tables.NewSnapshot(2, parsed))
+	salts := make(map[string]bool)
+	for _, key := range []string{secretKey, "key-of-other", secretKey} {
+		f.do(t, "/v1/chat/completions", wholeCall, bearer(key))
+	}
+	for _, received := range f.engine.ReceivedRequests() {
+		salts[received.Header.Get(engine.HeaderCacheSalt)] = true
+	}
+	assert.Equal(t, len(f.engine.ReceivedRequests()), 3)
+	assert.Equal(t, len(salts), 2)
+}
