Wait for a silent engine that is alive, and do not repeat events

Cause: a whole answer of an engine has no byte until all tokens are generated, so the stall timeout of 10 s failed every long one. Events without a position were repeated after a resume. A service with request ids of its own could not be routed to. The test of a leaving target set the age of the list to before any target was listed, so that it depended on timing. Change: the engine's own state decides whether to wait on; a stream with an event without position does not resume; every byte counts as progress; check_request_id; the stand-in list can be frozen. Ruled out: no stall timeout for whole answers; a dead engine would then hold them until the deadline. Conclusion: only a target that shows no life is given up.

--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -46,6 +46,9 @@
 	Stream bool
 	// Position is that of the last event that the caller received.
 	Position uint64
+	// unnumbered is true once the caller has an event without a position. The
+	// stream then cannot resume: it would repeat that event.
+	unnumbered bool
 	// weights is the weight version that gave the events so far.
 	weights string
 
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -105,7 +105,7 @@
 	if !ex.Route.Repeatable && !failure.notRun {
 		return false
 	}
-	return !ex.Writer.Started() || ex.Stream
+	return !ex.Writer.Started() || ex.Stream && !ex.unnumbered
 }
 
 // retryWait returns the wait after a number of attempts. It is spread over half
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -79,7 +79,7 @@
 		}
 	}
 	pool := func(name string, kind tables.PoolKind) tables.Pool {
-		return tables.Pool{Name: name, Kind: kind, RetryBudget: 0.2, StallTimeout: 10 * time.Second}
+		return tables.Pool{Name: name, Kind: kind, RetryBudget: 0.2, StallTimeout: 10 * time.Second, CheckRequestID: true}
 	}
 	return &tables.Tables{
 		Routes: []tables.Route{
--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,14 +74,35 @@
 	engine   *standin.Engine
 	server   *httptest.Server
 	recorder *burn.Recorder
+	mu       sync.Mutex // guards set
 	set      *target.Set
+	sender   *Sender
 	address  string
 	log      bytes.Buffer
 }
 
 func (f *keyFixture) Snapshot() *tables.Snapshot { return f.snapshot.Load() }
 
-func (f *keyFixture) Set() *target.Set { return f.set }
+func (f *keyFixture) Set() *target.Set {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.set
+}
+
+// setIncarnation publishes a set in which a target has restarted.
+func (f *keyFixture) setIncarnation(id, incarnation string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var targets []*target.Target
+	for _, t := range f.set.Targets {
+		next := *t
+		if next.ID == id {
+			next.Incarnation = incarnation
+		}
+		targets = append(targets, &next)
+	}
+	f.set = target.NewSet(targets)
+}
 
 // addTarget adds a target that the one stand-in engine answers for. Call it
 // before the first request.
@@ -112,6 +134,7 @@
 	f.snapshot.Store(parseSnapshot(t, 1, fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other"))))
 	targetServer := httptest.NewServer(f.engine.Handler())
 	t.Cleanup(targetServer.Close)
+	f.sender = NewSender()
 	f.address = targetServer.Listener.Addr().String()
 	f.set = target.NewSet(nil)
 	f.addTarget("engine-1", "engine", platform.RoleEngine)
@@ -121,7 +144,7 @@
 	f.server = httptest.NewServer(NewChain(log, RequestID{},
 		&Account{Log: log, Recorder: &BurnRecorder{Recorder: f.recorder}},
 		&Key{Source: f, Sessions: f.sessions}, Route{}, &Choose{Picker: picker},
-		&Forward{Picker: picker, Sender: NewSender(), Budgets: NewRetryBudgets()}))
+		&Forward{Picker: picker, Sender: f.sender, Budgets: NewRetryBudgets()}))
 	t.Cleanup(f.server.Close)
 	return f
 }
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -40,6 +40,9 @@
 
 // Sender sends requests to targets.
 type Sender struct {
+	// Targets tells whether a silent engine is alive. It may be nil.
+	Targets TargetSource
+
 	repeatable *http.Transport
 	// once has no idle connections: the transport resends a request by itself
 	// when a reused connection breaks before the first byte of the answer.
@@ -90,7 +93,7 @@
 
 // send makes one attempt up to the response header.
 func (s *Sender) send(ex *Exchange) (*sent, *attemptError) {
-	watch := newStallWatch(ex.Context(), ex.Pool.StallTimeout)
+	watch := newStallWatch(ex.Context(), ex.Pool.StallTimeout, s.patience(ex))
 	var connected atomic.Bool
 	ctx := httptrace.WithClientTrace(watch.ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -119,10 +122,25 @@
 	return answer, nil
 }
 
+// patience returns what decides, each time a target has been silent for the
+// stall timeout, whether to wait on. An engine sends a whole answer only when
+// all tokens are generated, which may take minutes, so it is waited for as long
+// as its own state shows it alive. Everything else must show progress.
+func (s *Sender) patience(ex *Exchange) func() bool {
+	if s.Targets == nil || ex.Pool.Kind != tables.PoolEngine || ex.Call.Stream {
+		return func() bool { return false }
+	}
+	sentTo := ex.Target
+	return func() bool {
+		now := s.Targets.Set().ByID[sentTo.ID]
+		return now != nil && now.Reachable && now.Incarnation == sentTo.Incarnation
+	}
+}
+
 // checkHeader refuses answers that belong to another request and answers by
 // which the target says that it did not run the request.
 func checkHeader(ex *Exchange, resp *http.Response) *attemptError {
-	if echoed := resp.Header.Get(engine.HeaderRequestID); echoed != ex.ID && (echoed != "" || ex.Pool.Kind == tables.PoolEngine) {
+	if crossed(ex, resp.Header.Get(engine.HeaderRequestID)) {
 		return &attemptError{cause: errCrossed}
 	}
 	if failure := checkWeights(ex, resp); failure != nil {
@@ -135,6 +153,15 @@
 	return nil
 }
 
+// crossed reports whether a response belongs to another request. An engine must
+// return the id; a service may leave it out.
+func crossed(ex *Exchange, echoed string) bool {
+	if ex.Pool.Kind == tables.PoolEngine {
+		return echoed != ex.ID
+	}
+	return ex.Pool.CheckRequestID && echoed != "" && echoed != ex.ID
+}
+
 // errWeights means that a target has loaded other weights since its state was read.
 var errWeights = errors.New("the target runs another weight version")
 
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -14,10 +14,21 @@
 	timeout time.Duration
 }
 
-func newStallWatch(parent context.Context, timeout time.Duration) *stallWatch {
+// newStallWatch starts a wait. When it is over, waitOn decides whether another
+// one follows.
+func newStallWatch(parent context.Context, timeout time.Duration, waitOn func() bool) *stallWatch {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &stallWatch{ctx: ctx, cancel: cancel, timeout: timeout}
-	w.timer = time.AfterFunc(timeout, func() { cancel(errStalled) })
+	started := make(chan struct{})
+	w.timer = time.AfterFunc(timeout, func() {
+		<-started
+		if waitOn() {
+			w.progress()
+			return
+		}
+		cancel(errStalled)
+	})
+	close(started)
 	return w
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -23,7 +24,7 @@
 		return s.relayStatus(ex, answer)
 	}
 	noteUsage(ex, answer.resp.Header)
-	reader := engine.NewEventReader(answer.resp.Body)
+	reader := engine.NewEventReader(progressReader{answer.resp.Body, answer.watch})
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -36,6 +37,22 @@
 	}
 }
 
+// progressReader counts every byte as progress, also those of comments that
+// keep a connection alive while a request waits in the engine's queue.
+type progressReader struct {
+	io.Reader
+	watch *stallWatch
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(data []byte) (int, error) {
+	n, err := r.Reader.Read(data)
+	if n > 0 {
+		r.watch.progress()
+	}
+	return n, err
+}
+
 // deliver sends one event to the caller. It reports whether the stream is complete.
 func deliver(ex *Exchange, watch *stallWatch, event engine.StreamEvent) (bool, *attemptError) {
 	if event.Position > 0 {
@@ -54,12 +71,14 @@
 	}
 	ex.Writer.Flush()
 	watch.progress()
-	if event.Position > 0 {
-		ex.Position = event.Position
-	}
 	if event.Done() {
 		return true, nil
 	}
+	if event.Position > 0 {
+		ex.Position = event.Position
+	} else {
+		ex.unnumbered = true
+	}
 	ex.Usage.OutputTokens++
 	return false, nil
 }
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -136,3 +136,52 @@
 	defer cancel()
 	assert.NilError(t, f.server.Config.Shutdown(ctx), "the request did not end")
 }
+
+// Guards against an engine that is cut off while it generates a long answer
+// that is not streamed, and against one that is waited for after it died.
+func TestSilentEngine(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		t.Run(fmt.Sprint("alive ", alive), func(t *testing.T) {
+			f := newKeyFixture(t)
+			f.sender.Targets = f
+			pools := strings.Replace(fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other")),
+				"model = demo\n", "model = demo\nstall_timeout = 20ms\n", 1)
+			f.snapshot.Store(parseSnapshot(t, 2, pools))
+			f.set.ByID["engine-1"].Incarnation = "1"
+			f.engine.SetFaults(standin.EngineFaults{DelayMillis: 200})
+			f.engine.OnReceive = func(int) {
+				if !alive {
+					f.setIncarnation("engine-1", "2")
+				}
+			}
+			resp := f.do(t, "/v1/chat/completions", wholeCall, bearer(secretKey))
+			want := http.StatusOK
+			if !alive {
+				want = http.StatusBadGateway
+			}
+			assert.Equal(t, resp.StatusCode, want)
+		})
+	}
+}
+
+// Guards against events that the caller gets twice, because the engine gives
+// them no position to resume from.
+func TestStreamWithoutPositionsIsNotRepeated(t *testing.T) {
+	f := newKeyFixture(t)
+	f.addEngine("engine-2")
+	f.engine.SetFaults(standin.EngineFaults{CutAfterEvents: 3, OmitPositions: true})
+	resp := f.do(t, "/v1/chat/completions", streamCall(10), bearer(secretKey))
+	reader := engine.NewEventReader(resp.Body)
+	tokens := 0
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			break
+		}
+		if strings.Contains(string(event.Data), "chunk") {
+			tokens++
+		}
+	}
+	assert.Equal(t, tokens, 3)
+	assert.Equal(t, len(f.engine.ReceivedRequests()), 1)
+}
--- a/pkg/server/requests.go
+++ b/pkg/server/requests.go
@@ -35,12 +35,18 @@
 		gateway.NewAdmission(s.targets, s.instanceCount),
 		&gateway.Choose{Picker: picker},
 		&gateway.Forward{
-			Picker: picker, Sender: gateway.NewSender(), Budgets: gateway.NewRetryBudgets(),
+			Picker: picker, Sender: s.sender(), Budgets: gateway.NewRetryBudgets(),
 			Poison: s.poison, Crashes: &gateway.CrashProbe{Client: engine.NewHTTPClient()},
 		},
 	}
 }
 
+func (s *Server) sender() *gateway.Sender {
+	sender := gateway.NewSender()
+	sender.Targets = s.targets
+	return sender
+}
+
 // picker returns the target choice with an index of this instance's own routing
 // history.
 func (s *Server) picker() gateway.Picker {
--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -44,6 +44,7 @@
 	CutAfterEvents   int    `json:"cut_after_events"`   // closes the connection after n events of a stream
 	CutBeforeAnswer  bool   `json:"cut_before_answer"`  // closes after reading the request
 	SkipEvent        uint64 `json:"skip_event"`         // leaves out the event at this position
+	OmitPositions    bool   `json:"omit_positions"`     // sends events without their position
 	WrongRequestID   bool   `json:"wrong_request_id"`   // echoes another request's id
 	Refuse           bool   `json:"refuse"`             // answers 503 and has not run the request
 	Freeze           bool   `json:"freeze"`             // accepts requests and sends nothing
--- a/pkg/standin/generate.go
+++ b/pkg/standin/generate.go
@@ -154,7 +154,11 @@
 		}
 		if position != faults.SkipEvent {
 			data, _ := json.Marshal(tokenChunk(r, call.Model, Token(body, position)))
-			if engine.WriteEvent(w, engine.StreamEvent{Position: position, Data: data}) != nil {
+			event := engine.StreamEvent{Position: position, Data: data}
+			if faults.OmitPositions {
+				event.Position = 0
+			}
+			if engine.WriteEvent(w, event) != nil {
 				return
 			}
 			_ = controller.Flush()
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -22,6 +22,7 @@
 	DelayMillis int  `json:"delay_ms"`     // added to every call
 	LoseAnswers int  `json:"lose_answers"` // the next n writes take effect and get no answer
 	ListLagMs   int  `json:"list_lag_ms"`  // age of the instance list
+	FreezeList  bool `json:"freeze_list"`  // the instance list stays as it is
 }
 
 // Platform is the stand-in platform: the object API and the instance list over
@@ -33,6 +34,7 @@
 	faults    PlatformFaults
 	instances map[string]platform.Instance
 	history   []listing
+	frozenAt  time.Time
 
 	calls  atomic.Int64
 	writes atomic.Int64
@@ -64,6 +66,9 @@
 func (p *Platform) SetFaults(f PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if f.FreezeList && !p.faults.FreezeList {
+		p.frozenAt = time.Now()
+	}
 	p.faults = f
 }
 
@@ -97,6 +102,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := time.Now().Add(-time.Duration(p.faults.ListLagMs) * time.Millisecond)
+	if p.faults.FreezeList {
+		limit = p.frozenAt
+	}
 	rows := []platform.Instance{}
 	for _, entry := range p.history {
 		if entry.at.After(limit) {
--- a/pkg/tables/types.go
+++ b/pkg/tables/types.go
@@ -75,8 +75,11 @@
 	TargetLimit   int           // requests running on one target
 	RetryBudget   float64       // retries per request, as a moving average
 	StallTimeout  time.Duration // longest wait for the next byte of a target
-	Fencing       bool          // targets refuse orders with an old fencing token
-	LoadLimit     int           // targets that may load weights at the same time
+	// CheckRequestID drops responses with another request id than was sent. It
+	// is off for services that put ids of their own into that header.
+	CheckRequestID bool
+	Fencing        bool // targets refuse orders with an old fencing token
+	LoadLimit      int  // targets that may load weights at the same time
 }
 
 // Organisation has keys, a rate and a burst.
--- a/test/e2e/guarantees_test.go
+++ b/test/e2e/guarantees_test.go
@@ -202,7 +202,7 @@
 	leaving := f.target("engine-1", platform.RoleEngine, "engine")
 	f.target("engine-2", platform.RoleEngine, "engine")
 	router := f.router("r1", 2)
-	f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/faults", standin.PlatformFaults{ListLagMs: 600_000})
+	f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/faults", standin.PlatformFaults{FreezeList: true})
 	f.admin(http.MethodPut, leaving.addresses["address"], "/admin/faults", standin.EngineFaults{Leaving: true})
 	const limit = 5 * time.Second
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
