--- /dev/null
+++ b/pkg/control/quotarecord.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// KindQuotaShare is the kind of the objects that say who holds a quota share.
+// The name of each object is the number of the share.
+const KindQuotaShare = "quota-share"
+
+// ShareRecord says who holds a quota share.
+type ShareRecord struct {
+	Shares      int           `json:"shares"` // into how many the limits are divided
+	Holder      string        `json:"holder"` // instance id; empty after a hand-back
+	Incarnation string        `json:"incarnation"`
+	Address     string        `json:"address"`  // where the holder answers other instances
+	Fence       uint64        `json:"fence"`    // rises with each new holder
+	Lease       time.Duration `json:"lease_ns"` // length of the lease
+	// HeldFrom is the holder's boot-time clock from before it sent the record.
+	// It means nothing to any other process.
+	HeldFrom time.Duration `json:"held_from_ns"`
+	// Stopped is the instance that handed the share back because it stops.
+	Stopped string `json:"stopped,omitempty"`
+	// Tokens are those that the last holder handed back, per organisation.
+	Tokens map[string]float64 `json:"tokens,omitempty"`
+}
+
+// DecodeShareRecord reads a share record.
+func DecodeShareRecord(value []byte) (*ShareRecord, error) {
+	var r ShareRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("quota share: %w", err)
+	}
+	if r.Lease <= 0 || r.Shares <= 0 {
+		return nil, fmt.Errorf("quota share: lease or number of shares is missing")
+	}
+	return &r, nil
+}
+
+// Encode is the inverse of DecodeShareRecord.
+func (r *ShareRecord) Encode() ([]byte, error) { return json.Marshal(r) }
