--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,3 +117,8 @@
 	a.advance(now)
 	return a.balance
 }
+
+// Organisations returns the names of all organisations in order.
+func (l *Ledger) Organisations() []string {
+	return slices.Sorted(maps.Keys(*l.accounts.Load()))
+}
--- a/pkg/quota/reservation.go
+++ b/pkg/quota/reservation.go
@@ -27,8 +27,9 @@
 
 // PeerReturn is a return and the address to send it to.
 type PeerReturn struct {
-	Address string
-	Return  Return
+	Address  string
+	Return   Return
+	Answered bool // the lender granted what is returned
 }
 
 // roundingError is the relative error of sums of a few floating-point balances.
@@ -136,7 +137,7 @@
 			amount = r.Cost // more than was asked for: the grant never came
 		}
 		if amount > 0 {
-			returns = append(returns, PeerReturn{b.lender, Return{b.id, r.Organisation, amount}})
+			returns = append(returns, PeerReturn{b.lender, Return{b.id, r.Organisation, amount}, b.answered})
 		}
 	}
 	r.local, r.loans, r.Cost, r.waiting = 0, nil, 0, false
