Measure the quota scheme against a fixed split and one owner

Cause: refusals inside the rate and the cost of the scheme had to be known. A move is charged only for the tokens that moved, no longer for the room it reserved. An instance that restarts in an outage can borrow from the addresses that the server gives it. Ruled out: going on after the end of the lease in an outage.

--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -83,6 +83,9 @@
 	Log    hclog.Logger
 	Self   Self
 	Lease  time.Duration // DefaultQuotaLease if zero
+	// Fallback lists the addresses of other instances until the records were
+	// read, so that an instance that restarts in an outage can serve from loans.
+	Fallback func() []string
 
 	mu       sync.Mutex
 	views    []shareView
@@ -120,6 +123,9 @@
 	if h := c.holders.Load(); h != nil {
 		return *h
 	}
+	if c.Fallback != nil {
+		return c.Fallback()
+	}
 	return nil
 }
 
--- a/pkg/control/quotalease_test.go
+++ b/pkg/control/quotalease_test.go
@@ -241,6 +241,21 @@
 	assert.Equal(t, f.total(), leaseBurst)
 }
 
+// Guards against an instance that restarts in an outage and knows nobody to
+// borrow from.
+func TestHoldersFallBackUntilRecordsAreRead(t *testing.T) {
+	f := newLeaseFleet(2)
+	f.rounds(5)
+	f.store.fault = func() string { return "down" }
+	f.start(1)
+	f.nodes[1].Fallback = func() []string { return []string{"seed"} }
+	f.rounds(1)
+	assert.DeepEqual(t, f.nodes[1].Holders(), []string{"seed"})
+	f.store.fault = func() string { return "" }
+	f.rounds(1)
+	assert.DeepEqual(t, f.nodes[1].Holders(), []string{"a0"})
+}
+
 // Guards against shares of two sizes that are held at the same time.
 func TestOtherShareCountWaitsUntilAllAreFree(t *testing.T) {
 	f := newLeaseFleet(2)
--- /dev/null
+++ b/pkg/gateway/limit_measure_test.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/quota"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+const (
+	measureSeed      = 20261204
+	measureInstances = 8
+	measureLease     = 6 * time.Minute
+	measureEnd       = 42 * time.Minute
+	measureStep      = 10 * time.Millisecond
+	measureLoss      = 0.005 // of messages between instances
+	outagePhase      = 7     // of the phases below: the leases have ended
+	messageOverhead  = 6     // bytes of [version, type, body] around the body
+)
+
+// phases are the minutes at which these begin: warm-up, steady, kills and pauses, steady,
+// herd restart, rolling restart, outage within the lease, outage over it, recovery.
+var phases = [...]float64{0, 2, 7, 20, 22, 25, 28, 31.5, 38}
+
+var schemes = [...]string{"shares", "fixed split", "one owner"}
+var errUnreachable = &platform.Error{Kind: platform.KindUnavailable, Call: "call", Cause: context.DeadlineExceeded}
+
+type measureNode struct {
+	limit        *Limit
+	ledger       *quota.Ledger
+	lease        *control.QuotaLease
+	level        *control.QuotaLevel
+	down, paused bool
+	fixed, owned *quota.Ledger // baselines: an equal part; all, for the organisations that it owns
+}
+
+// measureFleet is the platform, the network and the instances.
+type measureFleet struct {
+	*standin.Store
+	clock           *clock.Fake
+	trace, network  *rand.Rand
+	nodes           [measureInstances]*measureNode
+	orgs            []tables.Organisation
+	limits          []quota.Limit
+	queue           [measureEnd / measureStep][]func()
+	outage          bool
+	starts, reads   int
+	messages, bytes int
+	ideal           *quota.Ledger
+	tallies         [len(schemes)][5]tally // by scheme and organisation
+	offered         [5]int
+}
+
+// tally is what one scheme did for one organisation.
+type tally struct {
+	spent, overshoot float64 // spent: less what was refilled since
+	last             time.Duration
+	refused          [len(phases)]int // inside the rate, by phase
+	tokens, ideal    [len(phases)]float64
+}
+
+// List fails in an outage, and then no write is tried either.
+func (f *measureFleet) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	f.reads++
+	if f.outage {
+		return nil, 0, errUnreachable
+	}
+	return f.Store.List(ctx, kind)
+}
+
+func (f *measureFleet) Instances(context.Context) ([]platform.Instance, error) {
+	f.reads++
+	var rows []platform.Instance
+	for i := range f.nodes {
+		rows = append(rows, platform.Instance{ID: fmt.Sprint(i), Role: platform.RoleRouter})
+	}
+	return rows, nil
+}
+
+func (f *measureFleet) Probe(_ context.Context, address string) (string, bool) {
+	if n := f.nodes[address[0]-'0']; n.down || n.paused {
+		return "", n.down
+	}
+	return f.nodes[address[0]-'0'].lease.Self.Incarnation, false
+}
+
+// deliver counts a message and reports whether it arrives.
+func (f *measureFleet) deliver(n *measureNode, message any) bool {
+	data, err := cbor.Marshal(message)
+	f.messages++
+	f.bytes += len(data) + messageOverhead
+	return err == nil && !n.down && !n.paused && f.network.Float64() >= measureLoss
+}
+
+func (f *measureFleet) Request(_ context.Context, address string, request quota.Request) (quota.Grant, error) {
+	n := f.nodes[address[0]-'0']
+	if !f.deliver(n, request) {
+		return quota.Grant{}, errUnreachable
+	}
+	if grant := n.ledger.Answer(request, f.clock.Elapsed()); f.deliver(n, grant) {
+		return grant, nil
+	}
+	return quota.Grant{}, errUnreachable
+}
+
+func (f *measureFleet) Return(_ context.Context, address string, ret quota.Return) error {
+	if n := f.nodes[address[0]-'0']; f.deliver(n, ret) {
+		n.ledger.AcceptReturn(ret, f.clock.Elapsed())
+	}
+	return nil
+}
+
+func (f *measureFleet) bucket(shares int) *quota.Ledger {
+	l := quota.NewLedger()
+	l.Configure(1, shares, f.limits, f.clock.Elapsed())
+	l.Hold(quota.Lease{Fence: 1, Until: math.MaxInt64}, nil, f.clock.Elapsed())
+	return l
+}
+
+func (f *measureFleet) start(i int) {
+	f.starts++
+	n := &measureNode{ledger: quota.NewLedger(), fixed: f.bucket(measureInstances), owned: f.bucket(1)}
+	n.ledger.Configure(1, 16, f.limits, f.clock.Elapsed())
+	n.lease = &control.QuotaLease{Store: f, List: f, Prober: f, Ledger: n.ledger, Clock: f.clock, Log: hclog.NewNullLogger(),
+		Self: control.Self{ID: fmt.Sprint(i), Incarnation: fmt.Sprint(f.starts), Address: fmt.Sprint(i)}, Lease: measureLease}
+	n.limit = NewLimit(n.ledger, f.clock, n.lease, f)
+	n.limit.start = func(run func()) { run() }
+	n.level = &control.QuotaLevel{Ledger: n.ledger, Clock: f.clock, Holders: n.lease, Transfer: f}
+	f.nodes[i] = n
+	_ = n.lease.Reconcile(context.Background())
+}
+
+func (f *measureFleet) after(wait time.Duration, run func()) {
+	slot := int((f.clock.Elapsed() + max(wait, measureStep)) / measureStep)
+	if slot < len(f.queue) {
+		f.queue[slot] = append(f.queue[slot], run)
+	}
+}
+
+func (f *measureFleet) every(i int, interval time.Duration, run func(*measureNode)) {
+	f.after(time.Duration(f.network.Int64N(int64(interval)))+interval/2, func() {
+		if n := f.nodes[i]; !n.down && !n.paused {
+			run(n)
+		}
+		f.every(i, interval, run)
+	})
+}
+
+func (f *measureFleet) arrivals(o int, perSecond float64) {
+	f.after(time.Duration(f.trace.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		if o > 0 || int(f.clock.Elapsed().Minutes())%2 == 0 { // org0 stops for a minute, so that its burst fills up
+			f.arrive(o)
+		}
+		f.arrivals(o, perSecond)
+	})
+}
+
+// arrive sends one request under all schemes.
+func (f *measureFleet) arrive(o int) {
+	org, now := f.orgs[o], f.clock.Elapsed()
+	// Uneven and changing: the busiest instance gets over a third.
+	i := (int(math.Pow(f.trace.Float64(), 2.5)*measureInstances) + o*3 + int(now/(4*time.Minute))) % measureInstances
+	cost := 100 + f.trace.IntN(900)
+	used := math.Ceil(float64(cost) * (0.3 + 0.7*f.trace.Float64()))
+	length := time.Duration((0.5 + 8*f.trace.Float64()) * float64(time.Second))
+	for skipped := 0; f.nodes[i].down && skipped < measureInstances; skipped++ {
+		i = (i + 1) % measureInstances // the load balancer goes round
+	}
+	n := f.nodes[i]
+	if n.down || n.paused {
+		return // no answer under any scheme
+	}
+	f.offered[o]++
+	reserve := func(l *quota.Ledger) bool {
+		r := l.Reserve(org.Name, float64(cost), now)
+		ok := r.Commit(now)
+		if !ok {
+			r.Abort(now)
+		}
+		f.after(length, func() { r.Settle(float64(cost)-used, f.clock.Elapsed()) })
+		return ok
+	}
+	inside, owner := reserve(f.ideal), f.nodes[o]
+	r, _ := n.limit.Reserve(context.Background(), &org, int64(cost))
+	f.after(length, func() {
+		if r != nil && !n.down {
+			n.limit.Settle(r, int64(cost)-int64(used))
+		}
+	})
+	admitted := []bool{r != nil, reserve(n.fixed), !owner.down && !owner.paused && reserve(owner.owned)}
+	for s, ok := range admitted {
+		f.tallies[s][o].note(org, now, used, ok, inside)
+	}
+}
+
+// note counts a request. The largest excess of spent over the burst is that
+// of any window over burst plus rate times its length.
+func (t *tally) note(org tables.Organisation, now time.Duration, used float64, ok, inside bool) {
+	phase := sort.SearchFloat64s(phases[:], now.Minutes()) - 1
+	if inside {
+		t.ideal[phase] += used
+	}
+	if inside && !ok {
+		t.refused[phase]++
+	}
+	if ok {
+		t.tokens[phase] += used
+		t.spent = max(0, t.spent-org.Rate*(now-t.last).Seconds()) + used
+		t.last = now
+		t.overshoot = max(t.overshoot, t.spent-org.Burst)
+	}
+}
+
+// Guards against an overshoot in one run with all faults, and measures refusals
+// inside the rate and the traffic that the scheme causes.
+func TestMeasureQuota(t *testing.T) {
+	f := &measureFleet{Store: standin.NewStore(), clock: clock.NewFake(time.Unix(0, 0)),
+		trace: rand.New(rand.NewPCG(measureSeed, 1)), network: rand.New(rand.NewPCG(measureSeed, 2))}
+	load := []float64{6, 0.9, 0.7, 0.8, 0.6} // of the rate, by tokens used
+	for i, rate := range []float64{2000, 1000, 1000, 500, 250} {
+		name := fmt.Sprint("org", i)
+		f.orgs = append(f.orgs, tables.Organisation{Name: name, Rate: rate, Burst: 20 * rate})
+		f.limits = append(f.limits, quota.Limit{Organisation: name, Rate: rate, Burst: 20 * rate})
+	}
+	f.ideal = f.bucket(1)
+	span := func(from, length time.Duration, begin, end func()) {
+		f.after(from, begin)
+		f.after(from+length, end)
+	}
+	restart := func(i int, when, down time.Duration) {
+		span(when, down, func() { f.nodes[i].down = true }, func() { f.start(i) })
+	}
+	for i := range measureInstances {
+		f.start(i)
+		f.every(i, 5*time.Second, func(n *measureNode) { _ = n.lease.Reconcile(context.Background()) })
+		f.every(i, 250*time.Millisecond, func(n *measureNode) {
+			if holders := n.lease.Holders(); len(holders) > 0 {
+				n.level.Round(context.Background(), holders[f.network.IntN(len(holders))])
+			}
+		})
+		restart(i, 22*time.Minute, 5*time.Second)
+		planned := 25*time.Minute + time.Duration(i)*20*time.Second
+		f.after(planned, func() { _ = f.nodes[i].lease.HandBack(context.Background()) })
+		restart(i, planned, 5*time.Second)
+	}
+	restart(1, 7*time.Minute, 30*time.Second)
+	restart(4, 8*time.Minute, 2*time.Second)
+	span(9*time.Minute, 30*time.Second, func() { f.nodes[2].paused = true }, func() { f.nodes[2].paused = false })
+	span(10*time.Minute, 10*time.Minute, func() { f.nodes[3].paused = true }, func() { f.nodes[3].paused = false })
+	span(28*time.Minute, 10*time.Minute, func() { f.outage = true }, func() { f.outage = false })
+	for o, org := range f.orgs {
+		f.arrivals(o, org.Rate*load[o]/(550*0.65)) // mean cost and part of it used
+	}
+	for slot := range f.queue {
+		for k := 0; k < len(f.queue[slot]); k++ {
+			f.queue[slot][k]()
+		}
+		f.clock.Advance(measureStep)
+	}
+	// The report; each write that took effect is one revision of the store.
+	_, writes, _ := f.Store.List(context.Background(), control.KindQuotaShare)
+	seconds := measureEnd.Seconds()
+	t.Logf("seed %d, %d instances, lease %v, phases %v, end %v", measureSeed, measureInstances, measureLease, phases, measureEnd)
+	t.Logf("platform: %.2f calls/s, %.3f writes/s; instances: %.0f messages/s, %.0f bytes/s in the fleet, %.0f for each",
+		float64(uint64(f.reads)+writes)/seconds, float64(writes)/seconds, float64(f.messages)/seconds, float64(f.bytes)/seconds, float64(f.bytes)/seconds/measureInstances)
+	for k, scheme := range schemes {
+		worst, worstPart := "", -1.0
+		for o, org := range f.orgs {
+			s := &f.tallies[k][o]
+			total, ratios := -s.refused[outagePhase], [len(phases)]float64{}
+			for p, n := range s.refused {
+				total += n
+				ratios[p] = s.tokens[p] / s.ideal[p]
+			}
+			t.Logf("%-11s %s offered %5d, refused inside rate %v, tokens against ideal %.2f, overshoot %g",
+				scheme, org.Name, f.offered[o], s.refused, ratios, s.overshoot)
+			if part := float64(total) / float64(f.offered[o]); o > 0 && part > worstPart {
+				worst, worstPart = org.Name, part
+			}
+			if scheme == "shares" && s.overshoot > 1e-6 {
+				t.Errorf("%s spent %g tokens more than burst and rate allow", org.Name, s.overshoot)
+			}
+		}
+		t.Logf("%-11s worst organisation that keeps to its rate, without the outage over the lease: %s, %.2f%% refused", scheme, worst, 100*worstPart)
+	}
+}
--- a/pkg/quota/transfer.go
+++ b/pkg/quota/transfer.go
@@ -172,8 +172,10 @@
 	if a.move != id || a.expected == 0 {
 		return
 	}
-	room := a.expected
+	moved := max(0, min(amount, a.expected))
+	// Of the reserved room only the moved tokens were on their way.
+	a.expected = moved
 	a.history.note(a.headroom())
 	a.expected = 0
-	a.balance += max(0, min(amount, room, a.headroom()))
+	a.balance += max(0, min(moved, a.headroom()))
 }
