Let shares that were never held start full

Cause: in a new deployment the first requests would have been refused until the buckets filled. A hanging platform or peer could have held up a hand-back. Change: the creator of a share record starts with the share's whole burst. A record that is deleted under a holder counts as held until its lease is over, and its share starts empty. Reconciling and probing have timeouts. Ruled out: a full start for new organisations (one that was removed and added again would get a second burst).

--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -42,6 +42,10 @@
 	// probeGoneAfter is the time after which an instance that was gone, but that
 	// the lagging instance list still shows, is probed again.
 	probeGoneAfter = 30 * time.Second
+	// reconcileTimeout and probeTimeout keep a platform or a peer that hangs from
+	// holding up a hand-back.
+	reconcileTimeout = 10 * time.Second
+	probeTimeout     = time.Second
 	// probeRanks is the number of candidates that probe a share's holder.
 	probeRanks = 2
 )
@@ -112,6 +116,8 @@
 	seen      time.Duration
 	free      bool
 	freeSince time.Duration
+	// heldUntil is when the last known holder stops, if its record was deleted.
+	heldUntil time.Duration
 	// returning is the record by which this process hands the share back. The
 	// tokens in it are out of the ledger, so the share is never used again under
 	// the same fence.
@@ -150,6 +156,8 @@
 	if shares == 0 || c.stopping {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, reconcileTimeout)
+	defer cancel()
 	c.readInstances(ctx)
 	objects, _, err := c.Store.List(ctx, KindQuotaShare)
 	if err != nil {
@@ -190,7 +198,7 @@
 	if c.Clock.Elapsed()-g.at < probeGoneAfter {
 		return true
 	}
-	if incarnation, _ := c.Prober.Probe(ctx, g.address); incarnation != "" {
+	if incarnation, _ := c.probe(ctx, g.address); incarnation != "" {
 		delete(c.gone, id)
 		return false
 	}
@@ -198,6 +206,12 @@
 	return true
 }
 
+func (c *QuotaLease) probe(ctx context.Context, address string) (incarnation string, refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return c.Prober.Probe(ctx, address)
+}
+
 // observeAll notes all records. It reports whether a share of another size is
 // still held: shares of two sizes could sum to more than the burst.
 func (c *QuotaLease) observeAll(objects []platform.Object, shares int) (blocked bool) {
@@ -239,6 +253,9 @@
 	}
 	v.known = true
 	wasMine := c.mine(v.record)
+	if record == nil && v.record != nil {
+		v.heldUntil = v.leaseOver()
+	}
 	v.version, v.record = version, record
 	v.seen, v.free = now, false
 	if record != nil && record.Stopped != "" {
@@ -257,6 +274,11 @@
 	}
 }
 
+// leaseOver is when the holder of the record seen has stopped by any clock.
+func (v *shareView) leaseOver() time.Duration {
+	return v.seen + v.record.Lease + max(minLeaseGuard, v.record.Lease/leaseGuardPart)
+}
+
 func (c *QuotaLease) mine(r *ShareRecord) bool {
 	return r != nil && r.Holder == c.Self.ID && r.Incarnation == c.Self.Incarnation
 }
@@ -340,6 +362,9 @@
 		Shares: len(c.views), Holder: c.Self.ID, Incarnation: c.Self.Incarnation, Address: c.Self.Address,
 		Fence: 1, Lease: c.lease(), HeldFrom: c.Clock.Elapsed(),
 	}
+	if v.record == nil && v.heldUntil == 0 {
+		record.Tokens = c.Ledger.Full() // nobody has ever spent from it
+	}
 	if v.record != nil {
 		record.Fence = v.record.Fence + 1
 		if v.record.Holder == "" && v.record.Shares == len(c.views) {
@@ -358,11 +383,13 @@
 	}
 	now := c.Clock.Elapsed()
 	switch r := v.record; {
-	case r == nil || r.Holder == "":
+	case r == nil:
+		v.free = now >= v.heldUntil
+	case r.Holder == "":
 		v.free = true
 	case r.Address == c.Self.Address && r.Incarnation != c.Self.Incarnation:
 		v.free = true // the holder's address is ours now
-	case now >= v.seen+r.Lease+max(minLeaseGuard, r.Lease/leaseGuardPart):
+	case now >= v.leaseOver():
 		v.free = true
 		c.noteGone(r.Holder, r.Address)
 		// A holder that comes back from the same outage renews first and keeps
@@ -371,7 +398,7 @@
 	case rank >= 0 && rank < probeRanks:
 		gone, done := probed[r.Address+r.Incarnation]
 		if !done {
-			answered, refused := c.Prober.Probe(ctx, r.Address)
+			answered, refused := c.probe(ctx, r.Address)
 			gone = refused || (answered != "" && answered != r.Incarnation)
 			probed[r.Address+r.Incarnation] = gone
 		}
--- a/pkg/control/quotalease_test.go
+++ b/pkg/control/quotalease_test.go
@@ -256,6 +256,27 @@
 	assert.DeepEqual(t, f.nodes[1].Holders(), []string{"a0"})
 }
 
+// Guards against a deployment whose first requests are refused, and against a
+// second burst after an operator deletes the records.
+func TestOnlyTheFirstHolderStartsFull(t *testing.T) {
+	f := newLeaseFleet(2)
+	f.rounds(2)
+	assert.Equal(t, f.total(), leaseBurst)
+	f.nodes[0].paused = true
+	for i := range leaseShares {
+		object, err := f.store.Get(context.Background(), KindQuotaShare, fmt.Sprint(i))
+		assert.NilError(t, err)
+		assert.NilError(t, f.store.Delete(context.Background(), KindQuotaShare, object.Name, object.Version))
+	}
+	f.rounds(10)
+	assert.Equal(t, f.nodes[1].held(), 0)
+	for f.nodes[1].held() == 0 {
+		f.rounds(1)
+	}
+	assert.Equal(t, f.nodes[0].held(), 0)
+	assert.Equal(t, f.nodes[1].balance(), 0.0)
+}
+
 // Guards against shares of two sizes that are held at the same time.
 func TestOtherShareCountWaitsUntilAllAreFree(t *testing.T) {
 	f := newLeaseFleet(2)
--- a/pkg/control/quotarecord.go
+++ b/pkg/control/quotarecord.go
@@ -23,7 +23,8 @@
 	HeldFrom time.Duration `json:"held_from_ns"`
 	// Stopped is the instance that handed the share back because it stops.
 	Stopped string `json:"stopped,omitempty"`
-	// Tokens are those that the last holder handed back, per organisation.
+	// Tokens are those with which the holder starts, per organisation: what the
+	// last one handed back, or the whole burst of a share that was never held.
 	Tokens map[string]float64 `json:"tokens,omitempty"`
 }
 
--- a/pkg/quota/ledger.go
+++ b/pkg/quota/ledger.go
@@ -118,6 +118,17 @@
 	return a.balance
 }
 
+// Full returns one share's part of each organisation's burst.
+func (l *Ledger) Full() map[string]float64 {
+	tokens := make(map[string]float64)
+	for name, a := range *l.accounts.Load() {
+		a.mu.Lock()
+		tokens[name] = a.burst
+		a.mu.Unlock()
+	}
+	return tokens
+}
+
 // Organisations returns the names of all organisations in order.
 func (l *Ledger) Organisations() []string {
 	return slices.Sorted(maps.Keys(*l.accounts.Load()))
