--- a/pkg/server/operator.go
+++ b/pkg/server/operator.go
@@ -25,6 +25,8 @@
 		return "no configuration yet: check that the platform or a peer answers"
 	case !s.targets.Ready():
 		return "targets not read yet: check that the platform or a peer gives the instance list"
+	case !s.quota.lease.Ready():
+		return "quota shares not asked for yet: wait"
 	}
 	return ""
 }
--- a/pkg/server/requests.go
+++ b/pkg/server/requests.go
@@ -32,6 +32,7 @@
 		&gateway.Idempotency{Claims: s.claims, Log: s.log.Named("idempotency")},
 
 		&gateway.Quarantine{Poison: s.poison},
+		s.quota.limit,
 		gateway.NewAdmission(s.targets, s.instanceCount),
 		&gateway.Choose{Picker: picker},
 		&gateway.Forward{
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -18,6 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/gateway"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
@@ -27,11 +28,13 @@
 	settings *config.Settings
 	log      hclog.Logger
 
+	store         platform.Store
 	configuration *control.Configuration
 	listing       *control.Listing
 	targets       *control.Targets
 	peers         *peers // nil without settings for peers
 	orders        *control.Orders
+	quota         *quotaParts
 	claims        *claim.Manager
 	poison        *claim.Poison
 	sessions      *gateway.Sessions
@@ -52,6 +55,7 @@
 	s := &Server{
 		settings:      settings,
 		log:           log,
+		store:         client,
 		configuration: &control.Configuration{Store: client, Log: log.Named("configuration")},
 		listing:       listing,
 		targets:       &control.Targets{List: listing, Client: targetClient, Log: log.Named("targets")},
@@ -94,16 +98,17 @@
 		s.peers.sharePoison(s.poison)
 	}
 	instance, files := s.settings.Instance, s.settings.TLS
-	s.caller, err = newEndpoint(endpointOptions{
-		setting: "caller", address: instance.CallerListen, certFile: files.CallerCert, keyFile: files.CallerKey,
-		handler: s.leaveConnections(s.callerMux()), log: s.log,
+	s.operator, err = newEndpoint(endpointOptions{
+		setting: "operator", address: instance.OperatorListen, certFile: files.OperatorCert, keyFile: files.OperatorKey,
+		handler: s.operatorMux(), log: s.log,
 	})
 	if err != nil {
 		return err
 	}
-	s.operator, err = newEndpoint(endpointOptions{
-		setting: "operator", address: instance.OperatorListen, certFile: files.OperatorCert, keyFile: files.OperatorKey,
-		handler: s.operatorMux(), log: s.log,
+	s.quota = s.newQuota()
+	s.caller, err = newEndpoint(endpointOptions{
+		setting: "caller", address: instance.CallerListen, certFile: files.CallerCert, keyFile: files.CallerKey,
+		handler: s.leaveConnections(s.callerMux()), log: s.log,
 	})
 	return err
 }
@@ -146,6 +151,7 @@
 	select {
 	case <-ctx.Done():
 		err = s.stop(failed)
+		s.quota.handBack(s.log)
 	case err = <-failed:
 	}
 	stopBackground()
@@ -156,6 +162,7 @@
 func (s *Server) controllers() []func(context.Context) {
 	all := []func(context.Context){
 		s.configuration.Run, s.listing.Run, s.targets.Run, s.orders.Run, s.claims.Run,
+		s.quota.lease.Run, s.quota.level.Run,
 	}
 	if s.peers != nil {
 		all = append(all, s.peers.run)
--- a/pkg/server/server_test.go
+++ b/pkg/server/server_test.go
@@ -77,6 +77,9 @@
 	if settings.Server.DrainTimeout == 0 {
 		settings.Server.DrainTimeout = 10 * time.Second
 	}
+	if settings.Instance.ID == "" {
+		settings.Instance.ID = "r1"
+	}
 	settings.Instance.CallerListen, settings.Instance.OperatorListen = anyPort, anyPort
 	s, err := New(settings, hclog.NewNullLogger())
 	assert.NilError(t, err)
@@ -134,10 +137,12 @@
 // Guards against metrics that make a second server of the process panic, or that
 // count for both; and against /debug/vars that is not JSON.
 func TestMetricsOfTwoServers(t *testing.T) {
-	p, address := newPlatform(t)
-	put(t, p, 1, "demo")
 	var counts []float64
 	for n := range 2 {
+		// Each has a platform of its own: without peers, the second one could
+		// not borrow tokens from the first, which holds all quota shares.
+		p, address := newPlatform(t)
+		put(t, p, 1, "demo")
 		r := runServer(t, &config.Settings{Platform: config.Platform{Address: address}})
 		r.waitReady(t, http.StatusOK)
 		for range n + 1 {
--- a/pkg/server/status.go
+++ b/pkg/server/status.go
@@ -13,7 +13,7 @@
 type Status struct {
 	Instance    string             `json:"instance"`
 	Zone        string             `json:"zone"`
-	Incarnation string             `json:"incarnation,omitempty"`
+	Incarnation string             `json:"incarnation"`
 	Ready       bool               `json:"ready"`
 	NotReady    string             `json:"not_ready,omitempty"` // reason
 	Stopping    bool               `json:"stopping"`
@@ -58,7 +58,7 @@
 
 func (s *Server) status() Status {
 	status := Status{
-		Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone,
+		Instance: s.settings.Instance.ID, Zone: s.settings.Instance.Zone, Incarnation: s.incarnation,
 		Ready: s.ready(), NotReady: s.notReadyReason(), Stopping: s.stopping.Load(),
 		Generation: s.configuration.Generation(),
 		Targets:    s.targetStatus(), Peers: s.peerStatus(),
@@ -73,9 +73,6 @@
 	if age, known := s.listing.Age(); known {
 		status.ListAge = age.Round(time.Millisecond).String()
 	}
-	if s.peers != nil {
-		status.Incarnation = s.peers.instances.Self.Incarnation
-	}
 	return status
 }
 
--- a/test/e2e/peers_test.go
+++ b/test/e2e/peers_test.go
@@ -35,6 +35,8 @@
 	f.target("engine-1", platform.RoleEngine, "engine")
 	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
 	r2 := f.peerRouter(peerOptions{id: "r2", authority: authority, platform: closedPort(t), seeds: []string{r1.addresses["peer"]}})
+	// Only r1 can hold quota shares, from which r2 borrows.
+	waitReady(t, r1)
 	waitReady(t, r2)
 	body := chatBody("hello", 5)
 	readStream(t, body, f.post(r2, "/v1/chat/completions", body).Body, 5)
@@ -122,6 +124,12 @@
 		o := peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds}
 		r := f.peerRouter(o)
 		o.listen = r.addresses["peer"]
+		if n == 0 {
+			// The survivor holds the quota shares. Those of killed instances
+			// cannot be taken over without the platform, so that an instance
+			// that restarts into an outage serves from the survivor's tokens.
+			waitReady(t, r)
+		}
 		seeds = append(seeds[:len(seeds):len(seeds)], o.listen)
 		options, routers = append(options, o), append(routers, r)
 	}
