--- a/pkg/gateway/prefixpicker_test.go
+++ b/pkg/gateway/prefixpicker_test.go
@@ -89,3 +89,19 @@
 	err := choose.Handle(testExchange("a", "x"), func(*Exchange) error { return nil })
 	assert.Equal(t, apierr.From(err).Code, apierr.CodeNoTarget)
 }
+
+// Guards against pending requests that are counted for ever, twice, or for
+// calls whose first byte comes only at the end.
+func TestPendingIsCountedUntilFirstToken(t *testing.T) {
+	ex := testExchange("a", "x")
+	ex.Target = testTargets(1).set.Targets[0]
+	live := ex.Target.Live
+	ex.awaitFirstToken()
+	assert.Equal(t, live.Pending.Load(), int64(0))
+	ex.Call.Stream = true
+	ex.awaitFirstToken()
+	assert.Equal(t, live.Pending.Load(), int64(1))
+	ex.firstTokenCame()
+	ex.firstTokenCame()
+	assert.Equal(t, live.Pending.Load(), int64(0))
+}
--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -74,14 +74,15 @@
 
 func (b *baseline) report(*target.Target, bool, time.Time) {}
 
-// leastLoaded takes the higher of the reported and the own requests, as the
-// report lags; ties are drawn.
+// leastLoaded counts own requests, as gateway.LeastLoaded does; ties are drawn.
+// Counting reported requests as well makes it worse, because all instances then
+// send to the target that was idle in the last report.
 func (s *simulation) leastLoaded(usable []*target.Target) *target.Target {
 	var best *target.Target
 	var bestLoad int64
 	ties := 0
 	for _, t := range usable {
-		load := int64(t.Load.Running+t.Load.Waiting) + t.Live.InFlight.Load()
+		load := t.Live.InFlight.Load()
 		if best == nil || load < bestLoad {
 			best, bestLoad, ties = t, load, 1
 			continue
