Keep affinity while a target has little to do

Cause: with few requests in flight, two requests on one target were above the bound on the mean load, and a prompt left its target although it was idle. Change: the bound is at least a quarter of the target's limit. Ruled out: nothing.

--- a/pkg/choice/chooser.go
+++ b/pkg/choice/chooser.go
@@ -87,11 +87,17 @@
 	c.set = make([]ranked, n)
 }
 
+// lightLoad is the part of its limit, as a divisor, up to which a target is not
+// passed over for load. Without it a few requests on one of many idle targets
+// would count as far above the mean.
+const lightLoad = 4
+
 // eligible returns the candidates that may get the request. If load and slow
 // start leave none, they are disregarded; an open circuit never is.
 func (c *Chooser) eligible(v *View, r *Request, exclude map[string]bool, now time.Time) []ranked {
 	// The mean is that of the previous choice, which saves a pass.
-	bound := int32(c.params.LoadFactor*float64(v.running+1)/float64(max(1, len(v.candidates)))) + 1
+	bound := int32(c.params.LoadFactor * float64(v.running+1) / float64(max(1, len(v.candidates))))
+	bound = max(bound, int32(r.Limit/lightLoad))
 	set, n, rest, sum := c.set[:len(v.candidates)], 0, 0, 0
 	for i := range v.candidates {
 		cand := &v.candidates[i]
