Name the replay's policy and bursting organisation by usual terms

Cause: two names were figurative. Change: renames only. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/pkg/choice/choice_test.go
+++ b/pkg/choice/choice_test.go
@@ -133,7 +133,7 @@
 	set = target.NewSet(append([]*target.Target{&restarted}, set.Targets[1:]...))
 	r.Sync(set, start)
 	r.view = r.NewView(set, all)
-	rush := func(now time.Time) int64 {
+	sendMany := func(now time.Time) int64 {
 		restarted.Live.InFlight.Store(0)
 		for i := range 100 {
 			if got := r.send([]uint64{uint64(i)}, now); got == &restarted {
@@ -142,10 +142,10 @@
 		}
 		return restarted.Live.InFlight.Load()
 	}
-	assert.Assert(t, rush(start.Add(100*time.Millisecond)) <= 1)
-	half := rush(start.Add(5 * time.Second))
+	assert.Assert(t, sendMany(start.Add(100*time.Millisecond)) <= 1)
+	half := sendMany(start.Add(5 * time.Second))
 	assert.Assert(t, half >= 1 && half <= 4, "%d", half)
-	assert.Assert(t, rush(start.Add(11*time.Second)) > 8)
+	assert.Assert(t, sendMany(start.Add(11*time.Second)) > 8)
 }
 
 // Guards against traffic to a failing target, a herd of probes, and a circuit
--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -44,8 +44,8 @@
 	{"oracle", func(s *simulation, _ int) policy {
 		return &baseline{choose: func(usable []*target.Target, j *job) *target.Target { return s.bestCached(usable, j) }}
 	}},
-	{"choice", func(s *simulation, router int) policy { return newChosen(s, router, false) }},
-	{"choice+events", func(s *simulation, router int) policy { return newChosen(s, router, true) }},
+	{"choice", func(s *simulation, router int) policy { return newChooserPolicy(s, router, false) }},
+	{"choice+events", func(s *simulation, router int) policy { return newChooserPolicy(s, router, true) }},
 }
 
 // baseline is a policy without memory.
@@ -135,39 +135,39 @@
 	return best
 }
 
-// chosen drives the packages that the daemon uses.
-type chosen struct {
+// chooserPolicy drives the packages that the daemon uses.
+type chooserPolicy struct {
 	chooser *choice.Chooser
 	index   *prefix.Index
 	events  bool // feeds cache events to the index
 	view    *choice.View
 }
 
-func newChosen(s *simulation, router int, events bool) policy {
+func newChooserPolicy(s *simulation, router int, events bool) policy {
 	index := prefix.NewIndex(prefix.DefaultIndexParams())
 	c := choice.New(s.params, routerName(router), s.zoneOf(router), index)
 	c.SetInstances(Routers)
-	return &chosen{chooser: c, index: index, events: events}
+	return &chooserPolicy{chooser: c, index: index, events: events}
 }
 
 // apply feeds the cache events of an engine.
-func (c *chosen) apply(id string, batch protocol.EventBatch, now time.Time) {
+func (c *chooserPolicy) apply(id string, batch protocol.EventBatch, now time.Time) {
 	if c.events {
 		c.index.Apply(id, batch, now)
 	}
 }
 
-func (c *chosen) sync(set *target.Set, now time.Time) {
+func (c *chooserPolicy) sync(set *target.Set, now time.Time) {
 	c.chooser.Sync(set, now)
 	c.view = c.chooser.NewView(set, func(t *target.Target) bool { return t.Reachable })
 }
 
-func (c *chosen) pick(j *job, exclude map[string]bool, now time.Time) *target.Target {
+func (c *chooserPolicy) pick(j *job, exclude map[string]bool, now time.Time) *target.Target {
 	request := choice.Request{Digests: j.digests, PieceTokens: pieceTokens, Tokens: j.tokens, Limit: batchLimit}
 	return c.chooser.Choose(c.view, &request, exclude, now)
 }
 
-func (c *chosen) report(t *target.Target, ok bool, now time.Time) {
+func (c *chooserPolicy) report(t *target.Target, ok bool, now time.Time) {
 	result := choice.Failed
 	if ok {
 		result = choice.Succeeded
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -86,8 +86,8 @@
 	assert.Assert(t, requests["28/18"] > requests["28/17"] && requests["29/17"] > requests["29/18"], "%v", requests)
 	assert.Equal(t, top("28/18"), top("29/17"))
 	assert.Assert(t, top("28/18") != top("28/17"))
-	loud, quiet := trace.Organisations[loudOrganisation], trace.Organisations[3]
-	assert.Assert(t, tokens[loud.Name]/loud.Rate > 2.5*tokens[quiet.Name]/quiet.Rate, "%v", tokens)
+	bursting, quiet := trace.Organisations[burstingOrganisation], trace.Organisations[3]
+	assert.Assert(t, tokens[bursting.Name]/bursting.Rate > 2.5*tokens[quiet.Name]/quiet.Rate, "%v", tokens)
 }
 
 // Guards the improvement over the baselines that docs/measurements.md reports.
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -110,8 +110,8 @@
 	pieceTokens = 1000
 
 	documentsPerOrganisation = 60
-	loudOrganisation         = 1 // sends loudFactor times its rate in the middle of each window
-	loudFactor               = 4
+	burstingOrganisation     = 1 // sends burstFactor times its rate in the middle of each window
+	burstFactor              = 4
 	peakHour                 = 19 // local time
 	timeZone                 = "Europe/Stockholm"
 	windowSeconds            = 180
@@ -166,10 +166,10 @@
 		for at := g.gap(rate); at < windowSeconds; at += g.gap(rate) {
 			g.session(start, at, org, local)
 		}
-		if org != loudOrganisation {
+		if org != burstingOrganisation {
 			continue
 		}
-		excess := rate * (loudFactor - 1)
+		excess := rate * (burstFactor - 1)
 		for at := windowSeconds/3 + g.gap(excess); at < 2*windowSeconds/3; at += g.gap(excess) {
 			g.session(start, at, org, local)
 		}
