--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -32,10 +32,11 @@
 	Body  []byte
 	Call  Call
 
-	Cost   int64 // tokens reserved
-	Target *target.Target
-	Usage  Usage
-	Timing Timing
+	Cost           int64 // tokens reserved
+	promptEstimate int64 // the part of Cost that is for the prompt
+	Target         *target.Target
+	Usage          Usage
+	Timing         Timing
 
 	// Attempts counts how often the request was sent to a target.
 	Attempts int
--- a/pkg/gateway/limit.go
+++ b/pkg/gateway/limit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -42,6 +41,7 @@
 	holders  Holders
 	transfer Transferer
 	hints    hints
+	ratios   tokenRatios
 	sending  chan struct{}
 	start    func(func()) // runs a function in the background; tests run it at once
 }
@@ -63,7 +63,7 @@
 	if ex.Organisation == nil || ex.Route.Access == tables.AccessOpen || ex.Pool.Kind != tables.PoolEngine {
 		return next(ex)
 	}
-	cost := requestCost(ex)
+	cost := f.requestCost(ex)
 	if float64(cost) > ex.Organisation.Burst {
 		return errCostExceedsBurst(ex, cost)
 	}
@@ -73,24 +73,34 @@
 	}
 	ex.Cost = cost
 	err := next(ex)
-	f.Settle(reservation, unusedTokens(ex, err))
+	f.settleUsage(ex, reservation, err)
 	return err
 }
 
-// promptTokens estimates the tokens of the prompt.
-func promptTokens(ex *Exchange) int64 {
-	return int64(math.Ceil(float64(len(ex.Call.Prompt)) / ex.Pool.BytesPerToken))
+// settleUsage gives back what was not used, or charges what was used beyond the
+// estimate to the tokens to come.
+func (f *Limit) settleUsage(ex *Exchange, r *quota.Reservation, err error) {
+	if err == nil {
+		f.ratios.observe(ex.Pool, len(ex.Call.Prompt), ex.Usage.PromptTokens)
+	}
+	unused := unusedTokens(ex, err)
+	f.Settle(r, max(0, unused))
+	if unused < 0 {
+		f.ledger.Charge(ex.Organisation.Name, float64(-unused), f.clock.Elapsed())
+	}
 }
 
-func requestCost(ex *Exchange) int64 {
+func (f *Limit) requestCost(ex *Exchange) int64 {
 	output := ex.Call.MaxTokens
 	if output == 0 {
 		output = ex.Pool.DefaultTokens
 	}
-	return promptTokens(ex) + int64(output)
+	ex.promptEstimate = f.ratios.estimate(ex.Pool, len(ex.Call.Prompt))
+	return ex.promptEstimate + int64(output)
 }
 
-// unusedTokens returns what may be given back. After a failure whose outcome is
+// unusedTokens returns what may be given back, or a negative number if more was
+// used than reserved. After a failure whose outcome is
 // unknown, the target may have generated more than it reported, so nothing is.
 func unusedTokens(ex *Exchange, err error) int64 {
 	if err != nil {
@@ -104,9 +114,9 @@
 	}
 	prompt := int64(ex.Usage.PromptTokens)
 	if prompt == 0 {
-		prompt = promptTokens(ex)
+		prompt = ex.promptEstimate
 	}
-	return max(0, ex.Cost-prompt-int64(ex.Usage.OutputTokens))
+	return ex.Cost - prompt - int64(ex.Usage.OutputTokens)
 }
 
 // Reserve takes the cost from the own balance and, if that is too small, from
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -96,7 +96,7 @@
 		{name: "prompt not reported", maxTokens: 100, usage: Usage{OutputTokens: 10}, want: 111},
 		{name: "no usage", maxTokens: 100, want: 201},
 		{name: "default maximum", want: 151},
-		{name: "more than reserved", maxTokens: 100, usage: Usage{PromptTokens: 900, OutputTokens: 10}, want: 201},
+		{name: "more than reserved", maxTokens: 100, usage: Usage{PromptTokens: 900, OutputTokens: 10}, want: 500},
 		{name: "not run", maxTokens: 100, err: notRun, want: 0},
 		{name: "unknown outcome", maxTokens: 100, err: errors.New("broken"), usage: Usage{PromptTokens: 90, OutputTokens: 1}, want: 201},
 		{name: "service", maxTokens: 100, change: func(ex *Exchange) { ex.Pool.Kind = tables.PoolService }},
@@ -227,3 +227,36 @@
 		f.Settle(r, 10)
 	}
 }
+
+// Guards against prompts whose tokens are underestimated all the time: what was
+// used beyond the estimate must be paid by the refills, and the estimate must
+// follow what targets report, within bounds.
+func TestUnderestimatedPrompts(t *testing.T) {
+	f, peers := newTestLimit(500, 0)
+	ex := limitExchange(100)
+	assert.NilError(t, f.Handle(ex, func(ex *Exchange) error {
+		ex.Usage = Usage{PromptTokens: 900, OutputTokens: 10}
+		return nil
+	}))
+	assert.Equal(t, f.left(), 0.0)
+	// 910 were used and 500 were there. A share refills from LoanHold on.
+	const owed = 410.0
+	repaid := time.Duration(owed/(limitRate/2)*float64(time.Second)) + quota.LoanHold
+	peers.clock.Advance(repaid)
+	assert.Equal(t, f.left(), 0.0)
+	peers.clock.Advance(10 * time.Second)
+	assert.Equal(t, f.left(), 10*limitRate/2)
+
+	pool := &tables.Pool{Name: "p", BytesPerToken: 4}
+	var ratios tokenRatios
+	assert.Equal(t, ratios.estimate(pool, 4000), int64(1000))
+	for range 200 {
+		ratios.observe(pool, 4000, 2000)
+	}
+	estimate := ratios.estimate(pool, 4000)
+	assert.Assert(t, estimate > 1990 && estimate <= 2001, "%d", estimate)
+	for range 200 {
+		ratios.observe(pool, 4000, 1_000_000)
+	}
+	assert.Equal(t, ratios.estimate(pool, 4000), int64(maxRatioFactor*1000))
+}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -15,6 +15,7 @@
 	balance  float64
 	lent     float64 // open loans, and parts of own reservations that wait for loans
 	expected float64 // capacity kept free for the move that is on its way
+	debt     float64 // used beyond what was reserved; the next refills pay it
 	move     TransferID
 	last     time.Duration
 	history  history
@@ -71,7 +72,9 @@
 		}
 		gained += a.rate * seconds(max(a.last, share.from), min(now, share.lease.Until))
 	}
-	a.balance += max(0, min(gained, a.headroom()))
+	paid := min(gained, a.debt)
+	a.debt -= paid
+	a.balance += max(0, min(gained-paid, a.headroom()))
 	a.last = now
 }
 
--- a/pkg/quota/reservation.go
+++ b/pkg/quota/reservation.go
@@ -159,6 +159,20 @@
 	a.giveBack(r.position, amount)
 }
 
+// Charge takes tokens that were used beyond a reservation. What the balance
+// lacks is taken from the next refills, so that estimates that are too low do
+// not raise the rate in the long run.
+func (l *Ledger) Charge(organisation string, amount float64, now time.Duration) {
+	a := l.account(organisation)
+	if a == nil || amount <= 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now)
+	a.debt = min(a.debt+amount-a.spend(amount), a.burst)
+}
+
 // Abort gives everything back, including loans whose grant never came.
 func (r *Reservation) Abort(now time.Duration) []PeerReturn {
 	return r.Settle(r.Cost, now)
