Let a pool weigh queueing against saved computation

Cause: the two deployments weigh hit rate and tail time differently, and the weight was a constant. Ruled out: weights of 2 and 4; recomputation then fills the queues.

--- a/pkg/choice/chooser.go
+++ b/pkg/choice/chooser.go
@@ -16,6 +16,8 @@
 	PieceTokens int
 	Tokens      int // of the prompt
 	Limit       int // requests that a target of the pool runs at once
+	// QueueWeight replaces that of the parameters if it is not zero.
+	QueueWeight float64
 }
 
 // Chooser chooses targets and remembers where it sent what. It is safe for
@@ -144,7 +146,11 @@
 	if w.special {
 		wait /= c.ramp(&c.states[cand.slot], now)
 	}
-	return c.params.QueueWeight*wait + float64(cand.zone)
+	weight := r.QueueWeight
+	if weight == 0 {
+		weight = c.params.QueueWeight
+	}
+	return weight*wait + float64(cand.zone)
 }
 
 // minRamp is the share that a target gets at the start of slow start.
--- a/pkg/cli/replay.go
+++ b/pkg/cli/replay.go
@@ -15,6 +15,7 @@
 type replayOptions struct {
 	shape, policy, trace, writeTrace string
 	seed                             uint64
+	queueWeight                      float64
 }
 
 func newReplay() *cobra.Command {
@@ -29,6 +30,7 @@
 	flags.StringVar(&options.shape, "shape", "coop", "deployment: coop or pumpvakt")
 	flags.Uint64Var(&options.seed, "seed", 1, "seed of the generated trace")
 	flags.StringVar(&options.policy, "policy", "", "replay only this policy")
+	flags.Float64Var(&options.queueWeight, "queue-weight", choice.DefaultParams().QueueWeight, "weight of queueing against saved computation, as in a pool's queue_weight")
 	flags.StringVar(&options.trace, "trace", "", "replay this trace in place of a generated one")
 	flags.StringVar(&options.writeTrace, "write-trace", "", "write the generated trace to this file and replay nothing")
 	cmd.MarkFlagsMutuallyExclusive("trace", "write-trace")
@@ -54,7 +56,9 @@
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "shape %s, seed %d, %d records, %d instances\n\n",
 		trace.Shape, trace.Seed, len(trace.Records), replay.Routers)
-	return replay.Print(cmd.OutOrStdout(), replay.Run(trace, choice.DefaultParams(), options.policy))
+	params := choice.DefaultParams()
+	params.QueueWeight = options.queueWeight
+	return replay.Print(cmd.OutOrStdout(), replay.Run(trace, params, options.policy))
 }
 
 func loadTrace(options *replayOptions) (*replay.Trace, error) {
--- a/pkg/tables/fields.go
+++ b/pkg/tables/fields.go
@@ -45,6 +45,7 @@
 	defaultQueueLimit    = 256
 	defaultTargetLimit   = 64
 	defaultRetryBudget   = 0.2
+	defaultQueueWeight   = 0.5
 	defaultLoadLimit     = 2
 	defaultStallTimeout  = 10 * time.Second
 	defaultGood          = 0.99
@@ -97,6 +98,7 @@
 		inifile.Int(keyDefaultTokens, &p.DefaultTokens, inifile.Range[int]{Default: defaultOutputTokens, Min: 1, Max: maxTokens}),
 		inifile.Int("queue_limit", &p.QueueLimit, inifile.Range[int]{Default: defaultQueueLimit, Max: maxCount}),
 		inifile.Int("target_limit", &p.TargetLimit, inifile.Range[int]{Default: defaultTargetLimit, Min: 1, Max: maxCount}),
+		inifile.Float("queue_weight", &p.QueueWeight, inifile.Range[float64]{Default: defaultQueueWeight, Min: 0.1, Max: 2}),
 		inifile.Float("retry_budget", &p.RetryBudget, inifile.Range[float64]{Default: defaultRetryBudget, Max: 1}),
 		inifile.Duration(keyStallTimeout, &p.StallTimeout, inifile.Range[time.Duration]{Default: defaultStallTimeout, Min: time.Millisecond, Max: maxDeadline}),
 		inifile.Bool("check_request_id", &p.CheckRequestID, true),
--- a/pkg/tables/types.go
+++ b/pkg/tables/types.go
@@ -68,13 +68,16 @@
 	Model         string
 	WeightVersion string
 	Adapter       string
-	PieceTokens   int           // size of a cached prefix piece
-	BytesPerToken float64       // estimate until targets report usage
-	DefaultTokens int           // output tokens assumed when a request states no maximum
-	QueueLimit    int           // requests waiting for a target
-	TargetLimit   int           // requests running on one target
-	RetryBudget   float64       // retries per request, as a moving average
-	StallTimeout  time.Duration // longest wait for the next byte of a target
+	PieceTokens   int     // size of a cached prefix piece
+	BytesPerToken float64 // estimate until targets report usage
+	DefaultTokens int     // output tokens assumed when a request states no maximum
+	QueueLimit    int     // requests waiting for a target
+	TargetLimit   int     // requests running on one target
+	// QueueWeight weighs expected queueing on a target against computation that
+	// a cached prefix saves.
+	QueueWeight  float64
+	RetryBudget  float64       // retries per request, as a moving average
+	StallTimeout time.Duration // longest wait for the next byte of a target
 	// CheckRequestID drops responses with another request id than was sent. It
 	// is off for services that put ids of their own into that header.
 	CheckRequestID bool
