End waiting tokens and moves with the lease that covered them

Cause: the property test with 150,000 histories found an overshoot of 22 tokens: a process paused while its reservation waited for loans lost its lease, held shares again later, and then gave the waiting tokens back to its balance, although another instance had spent from the share meanwhile. A move on its way could do the same. Change: the own part of a waiting reservation and an expected move end after LoanLifetime or with the lease, whichever is first; a later abort or grant credits nothing. Ruled out: giving the tokens back if the share is held again (others may have used it in between). Conclusion: everything that is outside a balance now has an end in time.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -16,6 +16,7 @@
 	lent     float64 // open loans, and parts of own reservations that wait for loans
 	expected float64 // capacity kept free for the move that is on its way
 	move     TransferID
+	moveEnd  time.Duration // a move that comes later is dropped
 	last     time.Duration
 	history  history
 	loans    loans
--- a/pkg/quota/reservation.go
+++ b/pkg/quota/reservation.go
@@ -10,6 +10,7 @@
 	account      *account
 	local        float64
 	waiting      bool // local counts as lent until Commit or Abort
+	waitingUntil time.Duration
 	position     uint64
 	until        time.Duration // end of the earliest lease or loan in it
 	loans        []borrowed
@@ -45,7 +46,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advance(now)
+	now = a.advance(now)
 	r.local = min(cost, a.balance)
 	if r.local > 0 {
 		r.until = a.validUntil()
@@ -54,6 +55,10 @@
 	if r.waiting {
 		a.balance -= r.local
 		a.lent += r.local
+		// Like a loan: after LoanHold another instance may use the capacity that
+		// the tokens came from.
+		r.waitingUntil = min(r.until, now+LoanLifetime)
+		r.until = r.waitingUntil
 		return r
 	}
 	a.spend(r.local)
@@ -113,7 +118,9 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advance(now)
+	if a.advance(now) >= r.until {
+		return false // the caller's now is older than another's
+	}
 	a.history.note(a.headroom())
 	a.lent = max(0, a.lent-r.local)
 	r.position = a.history.position
@@ -151,7 +158,11 @@
 	a := r.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advance(now)
+	now = a.advance(now)
+	if r.waiting && now >= r.waitingUntil {
+		a.lent = max(0, a.lent-amount)
+		return
+	}
 	if r.waiting {
 		a.unlend(amount)
 		return
--- a/pkg/quota/transfer.go
+++ b/pkg/quota/transfer.go
@@ -147,7 +147,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advance(now)
+	now = a.advance(now)
 	// Half of the room suffices to become as full as an equal peer, and leaves
 	// the other half to the own refill while the move is on its way.
 	capacity, room := a.capacity(), a.headroom()/2
@@ -155,6 +155,7 @@
 		return Request{}, false
 	}
 	a.move, a.expected = id, room
+	a.moveEnd = min(a.validUntil(), now+LoanLifetime)
 	return Request{ID: id, Organisation: organisation, Amount: room, Move: true, Balance: a.balance, Capacity: capacity}, true
 }
 
@@ -168,10 +169,13 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advance(now)
+	now = a.advance(now)
 	if a.move != id || a.expected == 0 {
 		return
 	}
+	if now >= a.moveEnd {
+		amount = 0 // another instance may have the room by now
+	}
 	moved := max(0, min(amount, a.expected))
 	// Of the reserved room only the moved tokens were on their way.
 	a.expected = moved
