--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -17,6 +17,7 @@
 	expected float64 // capacity kept free for the move that is on its way
 	debt     float64 // used beyond what was reserved; the next refills pay it
 	move     TransferID
+	moveEnd  time.Duration // a move that comes later is dropped
 	last     time.Duration
 	history  history
 	loans    loans
