Read the load of targets from their responses

Cause: the load of a target was known only from the read of its state, so an instance that reads fewer states would know older loads.

Change: engines report X-Load-Running, X-Load-Waiting and X-Load-Queued-Tokens in responses; the gateway records them in target.Live with the time of observation, and Target.NewestLoad returns the newest. The three headers are not passed to callers.

Measured: TestLoadFromResponses passes under the race detector.

Ruled out: three separate atomic counters, because a reader could see numbers of two reports; one pointer swap keeps them together.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -16,17 +17,20 @@
 
 // Headers of requests to targets and of their responses.
 const (
-	HeaderRequestID   = "X-Request-Id"      // sent, and echoed by the target
-	HeaderPriority    = "X-Priority"        // higher runs first
-	HeaderCacheSalt   = "X-Cache-Salt"      // separates the caches of organisations
-	HeaderResumeAfter = "X-Resume-After"    // last event position that was delivered
-	HeaderIncarnation = "X-Incarnation"     // in responses: changes with each start
-	HeaderNotRun      = "X-Not-Run"         // in 429 and 503 responses: "1" if the request has not run
-	HeaderCached      = "X-Cached-Tokens"   // in responses: prompt tokens found in the cache
-	HeaderPrompt      = "X-Prompt-Tokens"   // in responses: prompt tokens
-	HeaderWeights     = "X-Weight-Version"  // in responses
-	EndMarker         = "[DONE]"            // data of the last event of a complete stream
-	EventStream       = "text/event-stream" // content type of a stream
+	HeaderRequestID   = "X-Request-Id"         // sent, and echoed by the target
+	HeaderPriority    = "X-Priority"           // higher runs first
+	HeaderCacheSalt   = "X-Cache-Salt"         // separates the caches of organisations
+	HeaderResumeAfter = "X-Resume-After"       // last event position that was delivered
+	HeaderIncarnation = "X-Incarnation"        // in responses: changes with each start
+	HeaderNotRun      = "X-Not-Run"            // in 429 and 503 responses: "1" if the request has not run
+	HeaderCached      = "X-Cached-Tokens"      // in responses: prompt tokens found in the cache
+	HeaderPrompt      = "X-Prompt-Tokens"      // in responses: prompt tokens
+	HeaderWeights     = "X-Weight-Version"     // in responses
+	HeaderRunning     = "X-Load-Running"       // in responses: requests that the target works on
+	HeaderWaiting     = "X-Load-Waiting"       // in responses: requests that wait there
+	HeaderQueued      = "X-Load-Queued-Tokens" // in responses: tokens of those that wait
+	EndMarker         = "[DONE]"               // data of the last event of a complete stream
+	EventStream       = "text/event-stream"    // content type of a stream
 )
 
 // State is what an engine says about itself.
@@ -40,6 +44,30 @@
 	Load          target.Load `json:"load"`
 }
 
+// SetLoad writes a load into the header of a response.
+func SetLoad(h http.Header, load target.Load) {
+	h.Set(HeaderRunning, strconv.Itoa(load.Running))
+	h.Set(HeaderWaiting, strconv.Itoa(load.Waiting))
+	h.Set(HeaderQueued, strconv.Itoa(load.QueuedTokens))
+}
+
+// LoadOf reads the load from the header of a response. It reports false unless
+// all three numbers are there and sound.
+func LoadOf(h http.Header) (target.Load, bool) {
+	var load target.Load
+	for _, field := range []struct {
+		name  string
+		value *int
+	}{{HeaderRunning, &load.Running}, {HeaderWaiting, &load.Waiting}, {HeaderQueued, &load.QueuedTokens}} {
+		value, err := strconv.Atoi(h.Get(field.name))
+		if err != nil || value < 0 {
+			return target.Load{}, false
+		}
+		*field.value = value
+	}
+	return load, true
+}
+
 // OrderAction names what an order asks for.
 type OrderAction string
 
--- /dev/null
+++ b/pkg/gateway/load_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// Guards against a load that stays as old as the last read of the state, against
+// an older report that replaces a newer one, and against telling callers.
+func TestLoadFromResponses(t *testing.T) {
+	server := httptest.NewServer(standin.NewEngine(standin.DefaultEngineOptions("m")).Handler())
+	t.Cleanup(server.Close)
+	e := &target.Target{
+		ID: "e", Role: platform.RoleEngine, Address: server.Listener.Addr().String(), Reachable: true, Model: "m", Live: &target.Live{},
+	}
+	r := newRouter(t, standin.NewPlatform(), e)
+	r.serve()
+	before := time.Now()
+	got := r.post(pathGenerate, testKey, generateBody)
+	assert.Equal(t, got.status, http.StatusOK)
+	load, observed := e.NewestLoad()
+	assert.Equal(t, load, target.Load{Running: 1})
+	assert.Assert(t, observed.After(before))
+	assert.Equal(t, got.header.Get(engine.HeaderRunning), "")
+
+	e.Live.ReportLoad(target.Load{Running: 9}, before)
+	load, _ = e.NewestLoad()
+	assert.Equal(t, load.Running, 1)
+	header := http.Header{}
+	engine.SetLoad(header, target.Load{Running: 2, Waiting: 3, QueuedTokens: 4})
+	load, ok := engine.LoadOf(header)
+	assert.Assert(t, ok)
+	assert.Equal(t, load, target.Load{Running: 2, Waiting: 3, QueuedTokens: 4})
+	header.Set(engine.HeaderWaiting, "-1")
+	_, ok = engine.LoadOf(header)
+	assert.Assert(t, !ok)
+}
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -125,6 +125,9 @@
 	if echoed := resp.Header.Get(engine.HeaderRequestID); echoed != ex.ID && (echoed != "" || ex.Pool.Kind == tables.PoolEngine) {
 		return &attemptError{cause: errCrossed}
 	}
+	if load, ok := engine.LoadOf(resp.Header); ok && ex.Pool.Kind == tables.PoolEngine {
+		ex.Target.Live.ReportLoad(load, time.Now())
+	}
 	if failure := checkWeights(ex, resp); failure != nil {
 		return failure
 	}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -58,6 +58,7 @@
 var internalHeaders = map[string]bool{
 	engine.HeaderRequestID: true, engine.HeaderIncarnation: true, engine.HeaderNotRun: true,
 	engine.HeaderCached: true, engine.HeaderPrompt: true, engine.HeaderWeights: true,
+	engine.HeaderRunning: true, engine.HeaderWaiting: true, engine.HeaderQueued: true,
 	apierr.HeaderOutcome: true, headerReplayed: true,
 }
 
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
@@ -28,15 +29,48 @@
 	Adapter       string
 	CanResume     bool
 	Reachable     bool
-	Load          Load
+	Load          Load // newest known when the snapshot was made; see NewestLoad
 	Live          *Live
 }
 
-// Live counts this instance's own work on a target. It is shared by all
-// snapshots of the same target.
+// Live holds what changes without a new snapshot: this instance's own work on a
+// target, and the target's newest load. It is shared by all snapshots of the
+// same target.
 type Live struct {
 	InFlight       atomic.Int64 // requests
 	InFlightTokens atomic.Int64 // tokens reserved for them
+	reported       atomic.Pointer[reportedLoad]
+}
+
+// reportedLoad is a load and when it was observed.
+type reportedLoad struct {
+	load     Load
+	observed time.Time
+}
+
+// ReportLoad records a load that the target reported at a time. An older one
+// than the newest known is dropped.
+func (l *Live) ReportLoad(load Load, observed time.Time) {
+	next := &reportedLoad{load: load, observed: observed}
+	for {
+		known := l.reported.Load()
+		if known != nil && known.observed.After(observed) {
+			return
+		}
+		if l.reported.CompareAndSwap(known, next) {
+			return
+		}
+	}
+}
+
+// NewestLoad returns the newest load that the target reported, from a response
+// or from a read of its state, and when it was observed. The time is zero if no
+// load is known.
+func (t *Target) NewestLoad() (Load, time.Time) {
+	if known := t.Live.reported.Load(); known != nil {
+		return known.load, known.observed
+	}
+	return Load{}, time.Time{}
 }
 
 // Matches reports whether the target has all labels of a selector.
