Divide the reads of target states between instances

Cause: each instance read each target each second.

Change: two observers per target by rendezvous hash read its state. Changes spread at once in targets.update, confirmations and differences in targets.confirm, whole tables in targets.fetch. Records are ordered by version and then by content hash. A target without a confirmation for 3.5 s is read by every instance at a bounded rate. A starting instance fetches a table, and reads what no peer knows.

Measured: with 8 instances in process, a restarted target is seen by all within the 3 s that the test allows, and no instance but its two observers reads it.

Ruled out: an order by observer incarnation and counter, because two observers' counters cannot be compared; with a version per target both make the same record of the same change, so it spreads once. Flooded confirmations per target: 620 a second would each take a message per neighbour. Random partners for each exchange: most would need a handshake, so neighbours are kept for a while.

Conclusion: reads grow with targets per instance, not with targets.

--- a/pkg/control/listing.go
+++ b/pkg/control/listing.go
@@ -216,7 +216,8 @@
 	}
 	l.current.Store(next)
 	if previous == nil {
-		close(l.known)
+		// Whoever waits for the list finds the listeners informed.
+		defer close(l.known)
 	}
 	if previous != nil && previous.digest == next.digest {
 		return
--- a/pkg/control/targets.go
+++ b/pkg/control/targets.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,25 +16,54 @@
 )
 
 const (
-	// targetInterval is the time between two reads of the instance list and of
-	// the targets' own state. A leaving target must be passed over in seconds.
+	// targetInterval is the time between two looks at the instance list and two
+	// reads of the state of an observed target. A leaving target must be passed
+	// over in seconds.
 	targetInterval = time.Second
 	// stateTimeout bounds the read of one target's state.
 	stateTimeout = 800 * time.Millisecond
+	// stateAttempts is the number of reads in a row that must fail. The first one
+	// of an instance that was paused for a moment fails without reason.
+	stateAttempts = 2
 	// maxStateReads bounds the reads that run at the same time.
 	maxStateReads = 32
+	// staleAfter is the age of the last confirmation from which an instance reads
+	// a target that others should observe. Confirmations are usually not older
+	// than a read interval and 3 s on their way through 410 instances.
+	staleAfter = 3500 * time.Millisecond
+	// staleInterval is the time between two looks for such targets.
+	staleInterval = 250 * time.Millisecond
+	// maxStaleReads bounds the reads at each look to 16 a second: about 0.3 % of
+	// a core and 7 KB/s. Each spreads as a confirmation, so that the instances
+	// together get through many targets.
+	maxStaleReads = 4
 )
 
+// errLate means that the answer was read long after it was sent, because this
+// process was paused.
+var errLate = errors.New("the read took longer than its timeout")
+
 // Targets observes the targets. The instance list says which there are; each
 // engine's own state says what it is and whether it is leaving, and is newer.
 type Targets struct {
 	List   platform.InstanceList
 	Client engine.Client
+	// Spread divides the reads with the peers. Without it, all targets are read.
+	Spread *TargetSpread
 	Log    hclog.Logger
 
 	set   atomic.Pointer[target.Set]
 	ready atomic.Bool
-	live  map[string]*target.Live // by target id; used by Run only
+	once  sync.Once
+	table *targetTable
+
+	observers observers // used by the goroutine that calls Reconcile only
+
+	mu       sync.Mutex // guards the rest, and serialises publishing
+	rows     []platform.Instance
+	live     map[string]*target.Live // by target id
+	listed   map[string]time.Time    // when a target was first listed
+	observed map[string]bool         // ids of the targets read here, nil for all
 }
 
 // Set returns the known targets.
@@ -43,12 +74,32 @@
 	return target.NewSet(nil)
 }
 
-// Ready reports whether the targets of a known instance list have been read at
-// least once.
+// Ready reports whether the states of the targets of a known instance list have
+// been read, here or by a peer, at least once.
 func (c *Targets) Ready() bool { return c.ready.Load() }
 
+// Observed reports whether this instance reads the state of a target each second.
+func (c *Targets) Observed(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.observed == nil || c.observed[id]
+}
+
+func (c *Targets) init() {
+	c.once.Do(func() {
+		c.live, c.listed = make(map[string]*target.Live), make(map[string]time.Time)
+		c.table = newTargetTable()
+		if c.Spread != nil {
+			c.table = c.Spread.table
+		}
+	})
+}
+
 // Run reconciles until ctx ends.
 func (c *Targets) Run(ctx context.Context) {
+	c.init()
+	var group sync.WaitGroup
+	defer group.Wait()
 	var rows []platform.Instance
 	for ctx.Err() == nil {
 		listed, err := c.List.Instances(ctx)
@@ -57,6 +108,9 @@
 		} else if ctx.Err() == nil {
 			c.Log.Warn("instance list does not answer; the last one is used", "cause", err)
 		}
+		if err == nil && !c.ready.Load() {
+			c.start(ctx, rows, &group)
+		}
 		c.Reconcile(ctx, rows)
 		if err == nil {
 			c.ready.Store(true)
@@ -65,97 +119,235 @@
 	}
 }
 
-// Reconcile reads the state of all listed targets and publishes a new set.
-func (c *Targets) Reconcile(ctx context.Context, rows []platform.Instance) {
-	if c.live == nil {
-		c.live = make(map[string]*target.Live)
+// start gets the states that peers know, and reads the others at once.
+func (c *Targets) start(ctx context.Context, rows []platform.Instance, group *sync.WaitGroup) {
+	if c.Spread == nil {
+		return
 	}
-	previous := c.Set()
-	var targets []*target.Target
-	for _, row := range rows {
-		if row.Role == platform.RoleRouter {
+	c.take(rows)
+	c.Spread.join(ctx)
+	c.readStates(ctx, c.stale(0))
+	group.Go(func() { c.followChanges(ctx) })
+	group.Go(func() { c.followStale(ctx) })
+}
+
+// followChanges publishes records of peers as they arrive.
+func (c *Targets) followChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.Spread.changed:
+			c.publish()
+		}
+	}
+}
+
+// followStale reads targets whose observers are silent.
+func (c *Targets) followStale(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(staleInterval))
+		rows := c.stale(staleAfter)
+		rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+		c.readStates(ctx, rows[:min(len(rows), maxStaleReads)])
+	}
+}
+
+// stale returns the engines whose state has not been confirmed for staleAfter
+// and that have been listed for a grace period, in which their observers
+// usually read them.
+func (c *Targets) stale(grace time.Duration) []platform.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var rows []platform.Instance
+	for _, row := range c.rows {
+		if row.Role != platform.RoleEngine || now.Sub(c.listed[row.ID]) < grace {
 			continue
 		}
-		targets = append(targets, c.fromRow(row))
+		if _, confirmed := c.table.view(row.ID); now.Sub(confirmed) > staleAfter {
+			rows = append(rows, row)
+		}
 	}
-	c.readStates(ctx, targets, previous)
-	c.forget(targets)
-	c.set.Store(target.NewSet(targets))
+	return rows
 }
 
-func (c *Targets) fromRow(row platform.Instance) *target.Target {
-	live := c.live[row.ID]
-	if live == nil {
-		live = &target.Live{}
-		c.live[row.ID] = live
+// Reconcile reads the state of the observed targets and publishes a new set.
+func (c *Targets) Reconcile(ctx context.Context, rows []platform.Instance) {
+	c.init()
+	c.take(rows)
+	c.readStates(ctx, c.choose(rows))
+	c.publish()
+}
+
+// take notes the rows of targets.
+func (c *Targets) take(rows []platform.Instance) {
+	now := time.Now()
+	var targets []platform.Instance
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		if row.Role != platform.RoleRouter {
+			targets = append(targets, row)
+			listed[row.ID] = true
+		}
 	}
-	return &target.Target{
-		ID: row.ID, Role: row.Role, Address: row.Address, Zone: row.Zone,
-		Labels: row.Labels, Leaving: row.Leaving, Live: live,
-		Reachable: row.Role == platform.RoleService,
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = targets
+	for id := range listed {
+		if _, ok := c.listed[id]; !ok {
+			c.listed[id] = now
+		}
+	}
+	c.forget(listed)
+}
+
+// forget drops what belongs to targets that left the list: the counters once no
+// work is left.
+func (c *Targets) forget(listed map[string]bool) {
+	for id, live := range c.live {
+		if !listed[id] && live.InFlight.Load() == 0 {
+			delete(c.live, id)
+		}
 	}
+	for id := range c.listed {
+		if !listed[id] {
+			delete(c.listed, id)
+		}
+	}
+	c.table.forget(listed)
 }
 
-func (c *Targets) readStates(ctx context.Context, targets []*target.Target, previous *target.Set) {
+// choose returns the engines that this instance observes.
+func (c *Targets) choose(rows []platform.Instance) []platform.Instance {
+	var engines []platform.Instance
+	var ids []string
+	for _, row := range rows {
+		if row.Role == platform.RoleEngine {
+			engines = append(engines, row)
+			ids = append(ids, row.ID)
+		}
+	}
+	if c.Spread == nil {
+		return engines
+	}
+	own := c.observers.choose(c.Spread.instances.Self.ID, c.Spread.instances.Live(), ids)
+	c.mu.Lock()
+	c.observed = own
+	c.mu.Unlock()
+	var chosen []platform.Instance
+	for _, row := range engines {
+		if own[row.ID] {
+			chosen = append(chosen, row)
+		}
+	}
+	return chosen
+}
+
+func (c *Targets) readStates(ctx context.Context, rows []platform.Instance) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxStateReads)
-	for _, t := range targets {
-		if t.Role != platform.RoleEngine {
-			continue
-		}
-		group.Add(1)
+	for _, row := range rows {
 		slots <- struct{}{}
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			defer func() { <-slots }()
-			c.readState(ctx, t, previous.ByID[t.ID])
-		}()
+			c.readState(ctx, row)
+		})
 	}
 	group.Wait()
 }
 
-func (c *Targets) readState(ctx context.Context, t, previous *target.Target) {
+// readState reads the state of a target and passes a change on.
+func (c *Targets) readState(ctx context.Context, row platform.Instance) {
+	var began time.Time
+	for range stateAttempts {
+		began = time.Now()
+		state, err := c.readOnce(ctx, row.Address)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			c.liveOf(row.ID).ReportLoad(state.Load, began)
+			c.pass(row.ID, c.table.observe(row.ID, state, began))
+			return
+		}
+	}
+	c.pass(row.ID, c.table.fail(row.ID, c.Observed(row.ID), began))
+}
+
+func (c *Targets) readOnce(ctx context.Context, address string) (engine.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	state, err := c.Client.State(ctx, t.Address)
-	if err != nil {
-		c.keepState(t, previous)
-		return
+	began := time.Now()
+	state, err := c.Client.State(ctx, address)
+	if err == nil && time.Since(began) > 2*stateTimeout {
+		err = errLate
 	}
-	t.Reachable = true
-	t.Incarnation = state.Incarnation
-	t.Model, t.WeightVersion, t.Adapter = state.Model, state.WeightVersion, state.Adapter
-	t.CanResume = state.CanResume
-	t.Leaving = t.Leaving || state.Leaving
-	t.Load = state.Load
-	if previous != nil && previous.Incarnation != "" && previous.Incarnation != t.Incarnation {
-		c.Log.Info("target restarted", "target", t.ID, "incarnation", t.Incarnation)
+	return state, err
+}
+
+func (c *Targets) pass(id string, changed bool) {
+	if changed && c.Spread != nil {
+		c.Spread.publish(id)
 	}
 }
 
-// keepState carries over what is known of a target that does not answer. It is
-// not chosen while it does not.
-func (c *Targets) keepState(t, previous *target.Target) {
-	if previous == nil {
-		return
+func (c *Targets) liveOf(id string) *target.Live {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.liveLocked(id)
+}
+
+// liveLocked runs under mu.
+func (c *Targets) liveLocked(id string) *target.Live {
+	live := c.live[id]
+	if live == nil {
+		live = &target.Live{}
+		c.live[id] = live
 	}
-	t.Incarnation = previous.Incarnation
-	t.Model, t.WeightVersion, t.Adapter = previous.Model, previous.WeightVersion, previous.Adapter
-	t.Load = previous.Load
-	if previous.Reachable {
-		c.Log.Warn("target does not answer", "target", t.ID, "address", t.Address)
+	return live
+}
+
+// publish makes a set of the list and the known states.
+func (c *Targets) publish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	previous := c.Set()
+	var targets []*target.Target
+	for _, row := range c.rows {
+		t := c.fromRow(row)
+		targets = append(targets, t)
+		c.logChange(t, previous.ByID[t.ID])
 	}
+	c.set.Store(target.NewSet(targets))
 }
 
-// forget drops the counters of targets that left the list and have no work left.
-func (c *Targets) forget(targets []*target.Target) {
-	listed := make(map[string]bool, len(targets))
-	for _, t := range targets {
-		listed[t.ID] = true
+func (c *Targets) fromRow(row platform.Instance) *target.Target {
+	t := &target.Target{
+		ID: row.ID, Role: row.Role, Address: row.Address, Zone: row.Zone,
+		Labels: row.Labels, Leaving: row.Leaving, Live: c.liveLocked(row.ID),
+		Reachable: row.Role == platform.RoleService,
 	}
-	for id, live := range c.live {
-		if !listed[id] && live.InFlight.Load() == 0 {
-			delete(c.live, id)
-		}
+	if row.Role != platform.RoleEngine {
+		return t
+	}
+	record, _ := c.table.view(row.ID)
+	t.Reachable, t.Incarnation = record.Reachable, record.Incarnation
+	t.Model, t.WeightVersion, t.Adapter = record.Model, record.WeightVersion, record.Adapter
+	t.CanResume = record.CanResume
+	t.Leaving = t.Leaving || record.Leaving
+	t.Load, _ = t.NewestLoad()
+	return t
+}
+
+func (c *Targets) logChange(t, previous *target.Target) {
+	if previous == nil {
+		return
+	}
+	if previous.Incarnation != "" && previous.Incarnation != t.Incarnation {
+		c.Log.Info("target restarted", "target", t.ID, "incarnation", t.Incarnation)
+	}
+	if previous.Reachable && !t.Reachable {
+		c.Log.Warn("target does not answer", "target", t.ID, "address", t.Address)
 	}
 }
--- /dev/null
+++ b/pkg/control/targetspread_test.go
@@ -0,0 +1,324 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+)
+
+// fakeEngines are the states of engines, by address, and the reads of them.
+type fakeEngines struct {
+	mu     sync.Mutex
+	states map[string]engine.State
+	reads  map[string]int // by reader and address
+}
+
+func newFakeEngines(count int) (*fakeEngines, fixedList) {
+	f := &fakeEngines{states: make(map[string]engine.State), reads: make(map[string]int)}
+	var rows fixedList
+	for n := range count {
+		id := fmt.Sprint("engine-", n)
+		f.states[id] = engine.State{Incarnation: "1", Model: "m"}
+		rows = append(rows, platform.Instance{ID: id, Role: platform.RoleEngine, Address: id})
+	}
+	return f, rows
+}
+
+func (f *fakeEngines) set(address string, state engine.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.states[address] = state
+}
+
+func (f *fakeEngines) readsBy(reader, address string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads[reader+" "+address]
+}
+
+// fixedList is an instance list that does not change.
+type fixedList []platform.Instance
+
+func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+
+// fakeReader is the way of one instance to the engines.
+type fakeReader struct {
+	engine.Client
+	engines *fakeEngines
+	id      string
+	cut     map[string]bool // addresses that it does not reach
+}
+
+func (r *fakeReader) State(_ context.Context, address string) (engine.State, error) {
+	r.engines.mu.Lock()
+	defer r.engines.mu.Unlock()
+	r.engines.reads[r.id+" "+address]++
+	if r.cut[address] {
+		return engine.State{}, errors.New("no route")
+	}
+	return r.engines.states[address], nil
+}
+
+// member is an instance that divides the reads with others.
+type member struct {
+	*node
+	reader  *fakeReader
+	spread  *TargetSpread
+	targets *Targets
+}
+
+func newMember(t *testing.T, authority *certstest.Authority, engines *fakeEngines, rows fixedList, seeds ...string) *member {
+	m := &member{node: newNode(t, authority, seeds...)}
+	m.reader = &fakeReader{engines: engines, id: m.instances.Self.ID, cut: make(map[string]bool)}
+	m.spread = NewTargetSpread(m.instances, m.transport, hclog.NewNullLogger())
+	m.spread.Register(m.registry)
+	m.targets = &Targets{List: rows, Client: m.reader, Spread: m.spread, Log: hclog.NewNullLogger()}
+	return m
+}
+
+func (m *member) start(t *testing.T) *member {
+	m.run(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { m.targets.Run(ctx) })
+	group.Go(func() { m.spread.Run(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return m
+}
+
+// startMembers starts instances and waits until each knows all others.
+func startMembers(t *testing.T, count int, engines *fakeEngines, rows fixedList) []*member {
+	authority := certstest.NewAuthority(t)
+	first := newMember(t, authority, engines, rows).start(t)
+	members := []*member{first}
+	for range count - 1 {
+		members = append(members, newMember(t, authority, engines, rows, first.transport.Address()).start(t))
+	}
+	waitFor(t, 20*time.Second, "the instances do not know each other", func() bool {
+		for _, m := range members {
+			if len(m.instances.Live()) != count-1 || !m.targets.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return members
+}
+
+// observersOf returns the members that observe a target.
+func observersOf(members []*member, id string) (observers, others []*member) {
+	for _, m := range members {
+		if m.targets.Observed(id) {
+			observers = append(observers, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	return observers, others
+}
+
+func waitObservers(t *testing.T, members []*member, rows fixedList) {
+	waitFor(t, 10*time.Second, "targets do not have two observers each", func() bool {
+		for _, row := range rows {
+			if observers, _ := observersOf(members, row.ID); len(observers) != observersPerTarget {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against an instance that relies on the cache of a dead engine: all must
+// see a restarted target in 3 s, although only two read its state.
+func TestRestartedTargetIsSeenByAll(t *testing.T) {
+	engines, rows := newFakeEngines(20)
+	members := startMembers(t, 8, engines, rows)
+	waitObservers(t, members, rows)
+	for n, id := range []string{"engine-3", "engine-7"} {
+		incarnation := fmt.Sprint("restarted ", n)
+		engines.set(id, engine.State{Incarnation: incarnation, Model: "m"})
+		waitFor(t, 3*time.Second, "not all see the restarted target", func() bool {
+			for _, m := range members {
+				if m.targets.Set().ByID[id].Incarnation != incarnation {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	observers, others := observersOf(members, "engine-3")
+	before := make(map[*member]int)
+	for _, m := range members {
+		before[m] = engines.readsBy(m.reader.id, "engine-3")
+	}
+	waitFor(t, 20*time.Second, "the observers do not read", func() bool {
+		return engines.readsBy(observers[0].reader.id, "engine-3") >= before[observers[0]]+5
+	})
+	for _, m := range others {
+		assert.Equal(t, engines.readsBy(m.reader.id, "engine-3"), before[m], "others than the observers read a target whose state is confirmed")
+	}
+}
+
+// Guards against a state that changes to and fro between observers that
+// disagree, and against losing a target for all because one does not reach it.
+func TestObserversDisagree(t *testing.T) {
+	engines, rows := newFakeEngines(1)
+	members := startMembers(t, 3, engines, rows)
+	waitObservers(t, members, rows)
+	const id = "engine-0"
+	observers, others := observersOf(members, id)
+	blind := observers[0]
+	version := func() uint64 {
+		r, _ := others[0].spread.table.view(id)
+		return r.Version
+	}
+	before, reads := version(), engines.readsBy(blind.reader.id, id)
+	engines.mu.Lock()
+	blind.reader.cut[id] = true
+	engines.mu.Unlock()
+	waitFor(t, 20*time.Second, "the blind observer does not read", func() bool {
+		return engines.readsBy(blind.reader.id, id) >= reads+6*stateAttempts
+	})
+	waitFor(t, 3*time.Second, "the others do not use the target", func() bool {
+		return others[0].targets.Set().ByID[id].Reachable && observers[1].targets.Set().ByID[id].Reachable
+	})
+	assert.Assert(t, !blind.targets.Set().ByID[id].Reachable, "the blind observer uses a target that it does not reach")
+	assert.Assert(t, version() <= before+2, "the state changed %d times", version()-before)
+}
+
+// Guards against an update that is lost for good.
+func TestLostTargetUpdateHeals(t *testing.T) {
+	engines, rows := newFakeEngines(2)
+	members := startMembers(t, 2, engines, rows)
+	// Only the first has the record, as if its update had been lost.
+	members[0].spread.table.observe("unlisted", engine.State{Incarnation: "x"}, time.Now())
+	waitFor(t, 10*time.Second, "the record did not arrive", func() bool {
+		r, _ := members[1].spread.table.view("unlisted")
+		return r.Incarnation == "x"
+	})
+}
+
+// fakePeer is a peer that answers from a table and does not read by itself. It
+// returns its row in the instance list.
+func fakePeer(t *testing.T, authority *certstest.Authority, id string, source *targetTable, before func(context.Context) error) platform.Instance {
+	registry := peer.NewRegistry()
+	fake, err := peer.Listen("127.0.0.1:0", newIdentity(t, authority), registry, hclog.NewNullLogger())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = fake.Close() })
+	peer.Hello.Handle(registry, func(ctx context.Context, _ peer.HelloBody) (peer.HelloBody, error) {
+		return peer.HelloBody{ID: id, Address: fake.Address(), Incarnation: id}, before(ctx)
+	})
+	peer.TargetsConfirm.Handle(registry, func(ctx context.Context, _ peer.TargetsConfirmBody) (peer.TargetsConfirmBody, error) {
+		err := before(ctx)
+		return source.confirmation(), err
+	})
+	peer.TargetsFetch.Handle(registry, func(ctx context.Context, _ peer.Empty) (peer.TargetsFetchAnswer, error) {
+		err := before(ctx)
+		return peer.TargetsFetchAnswer{Records: source.records(nil)}, err
+	})
+	go fake.Serve()
+	return platform.Instance{ID: id, Role: platform.RoleRouter, Address: fake.Address()}
+}
+
+// Guards against a mass restart in which each instance reads all targets
+// although a peer knows them, and against one that waits for peers that are gone
+// or have just started too.
+func TestRestartedInstanceFetchesStates(t *testing.T) {
+	engines, rows := newFakeEngines(40)
+	authority := certstest.NewAuthority(t)
+	full, now := newTargetTable(), time.Now()
+	for _, row := range rows {
+		full.observe(row.ID, engine.State{Incarnation: "1", Model: "m"}, now)
+	}
+	answer := func(context.Context) error { return nil }
+	gone := platform.Instance{ID: "gone", Role: platform.RoleRouter, Address: closedUDP(t)}
+	for _, c := range []struct {
+		name    string
+		peers   []platform.Instance
+		readAll bool
+	}{
+		{"gone", []platform.Instance{gone}, true},
+		{"just started", []platform.Instance{
+			gone, fakePeer(t, authority, "a", newTargetTable(), answer), fakePeer(t, authority, "b", newTargetTable(), answer),
+		}, true},
+		{"knowing", []platform.Instance{
+			gone, fakePeer(t, authority, "c", full, answer), fakePeer(t, authority, "d", newTargetTable(), answer),
+		}, false},
+	} {
+		m := newMember(t, authority, engines, rows)
+		m.instances.Merge(c.peers)
+		m.start(t)
+		waitFor(t, 5*time.Second, c.name+": not ready", m.targets.Ready)
+		read := 0
+		for _, row := range rows {
+			assert.Assert(t, m.targets.Set().ByID[row.ID].Reachable, c.name)
+			if engines.readsBy(m.reader.id, row.ID) > 0 {
+				read++
+			}
+		}
+		assert.Equal(t, read == len(rows), c.readAll, "%s: %d targets read", c.name, read)
+	}
+}
+
+// closedUDP returns an address without a socket.
+func closedUDP(t *testing.T) string {
+	n := newNode(t, certstest.NewAuthority(t))
+	assert.NilError(t, n.transport.Close())
+	return n.transport.Address()
+}
+
+// Guards G11 when both observers of a target are frozen: others must read it
+// themselves soon after the confirmations end. Observers that still answer do
+// not look frozen, so that only the age of the confirmations tells.
+func TestFrozenObservers(t *testing.T) {
+	t.Run("silent", func(t *testing.T) { testFrozenObservers(t, false) })
+	t.Run("answering", func(t *testing.T) { testFrozenObservers(t, true) })
+}
+
+func testFrozenObservers(t *testing.T, answering bool) {
+	authority := certstest.NewAuthority(t)
+	engines, rows := newFakeEngines(30)
+	m := newMember(t, authority, engines, rows)
+	frozen, source := make(chan struct{}), newTargetTable()
+	before := func(ctx context.Context) error {
+		select {
+		case <-frozen:
+			if answering {
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		default:
+		}
+		for _, row := range rows {
+			source.observe(row.ID, engine.State{Incarnation: "1", Model: "m"}, time.Now())
+		}
+		return nil
+	}
+	m.instances.Merge([]platform.Instance{fakePeer(t, authority, "a", source, before), fakePeer(t, authority, "b", source, before)})
+	m.start(t)
+	waitFor(t, 5*time.Second, "not ready", m.targets.Ready)
+	var id string
+	for _, row := range rows {
+		if !m.targets.Observed(row.ID) {
+			id = row.ID
+		}
+	}
+	assert.Assert(t, id != "", "all targets are observed here")
+	close(frozen)
+	engines.set(id, engine.State{Incarnation: "1", Model: "m", Leaving: true})
+	waitFor(t, 6*time.Second, "a leaving target with frozen observers is still used", func() bool {
+		return m.targets.Set().ByID[id].Leaving
+	})
+}
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -21,6 +21,7 @@
 	registry  *peer.Registry // other parts register their messages before Run
 	instances *control.Instances
 	spread    *control.Spread
+	targets   *control.TargetSpread
 }
 
 // errPeerSettings means that only some of the settings for peers are given.
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -92,6 +92,7 @@
 			return err
 		}
 		s.peers.sharePoison(s.poison)
+		s.peers.shareTargets(s.targets, s.log)
 	}
 	instance, files := s.settings.Instance, s.settings.TLS
 	s.caller, err = newEndpoint(endpointOptions{
@@ -158,7 +159,7 @@
 		s.configuration.Run, s.listing.Run, s.targets.Run, s.orders.Run, s.claims.Run,
 	}
 	if s.peers != nil {
-		all = append(all, s.peers.run)
+		all = append(all, s.peers.run, s.peers.targets.Run)
 	}
 	return all
 }
--- a/pkg/server/status.go
+++ b/pkg/server/status.go
@@ -35,6 +35,7 @@
 	Model         string `json:"model"`
 	WeightVersion string `json:"weight_version"`
 	InFlight      int64  `json:"in_flight"`
+	Observed      bool   `json:"observed"` // this instance reads its state each second
 }
 
 // PeerStatus is one other instance in the status document.
@@ -85,6 +86,7 @@
 		rows = append(rows, TargetStatus{
 			ID: t.ID, Zone: t.Zone, Reachable: t.Reachable, Leaving: t.Leaving,
 			Model: t.Model, WeightVersion: t.WeightVersion, InFlight: t.Live.InFlight.Load(),
+			Observed: s.targets.Observed(t.ID),
 		})
 	}
 	return rows
