--- a/test/e2e/idle_bench_test.go
+++ b/test/e2e/idle_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -10,8 +11,12 @@
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
-// idlePeriod is how long the processes run without traffic.
-const idlePeriod = 30 * time.Second
+const (
+	// idlePeriod is how long the processes run without traffic.
+	idlePeriod = 30 * time.Second
+	// idleTargets is the number of targets of today's larger deployment.
+	idleTargets = 22
+)
 
 // BenchmarkIdleInstances measures the work of 8 processes that have no traffic
 // and no changes: reads of the platform and of targets, and exchanges with
@@ -22,7 +27,14 @@
 	for b.Loop() {
 		f := newFleet(b)
 		authority := certstest.NewAuthority(b)
-		f.target("engine-1", platform.RoleEngine, "engine")
+		e := f.target("engine-1", platform.RoleEngine, "engine")
+		for n := 2; n <= idleTargets; n++ {
+			// One process answers for all targets; only the routers are measured.
+			f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/instances", platform.Instance{
+				ID: fmt.Sprint("engine-", n), Role: platform.RoleEngine, Address: e.addresses["address"], Zone: "a",
+				Labels: map[string]string{"app": "engine"},
+			})
+		}
 		var routers []*process
 		var seeds []string
 		for n := range spreadInstances {
