--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -143,6 +143,9 @@
 	if crossed(ex, resp.Header.Get(engine.HeaderRequestID)) {
 		return &attemptError{cause: errCrossed}
 	}
+	if load, ok := engine.LoadOf(resp.Header); ok && ex.Pool.Kind == tables.PoolEngine {
+		ex.Target.Live.ReportLoad(load, time.Now())
+	}
 	if failure := checkWeights(ex, resp); failure != nil {
 		return failure
 	}
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -96,6 +96,7 @@
 			return err
 		}
 		s.peers.sharePoison(s.poison)
+		s.peers.shareTargets(s.targets, s.log)
 	}
 	instance, files := s.settings.Instance, s.settings.TLS
 	s.operator, err = newEndpoint(endpointOptions{
@@ -165,7 +166,7 @@
 		s.quota.lease.Run, s.quota.level.Run,
 	}
 	if s.peers != nil {
-		all = append(all, s.peers.run)
+		all = append(all, s.peers.run, s.peers.targets.Run)
 	}
 	return all
 }
