Keep reads of the platform from growing with the fleet

Cause: each instance read the instance list every second and the orders lease every four. At 410 instances these are 512 calls/s, and the list of about 1,000 rows is some 155 KB each time, over the 20 KB/s of a daemon. A test of a restart used confirmations that were too old by its third case; it now makes new ones. Ruled out: one reader; its pause would delay the list for all.

--- a/pkg/control/listing.go
+++ b/pkg/control/listing.go
@@ -17,6 +17,9 @@
 const (
 	// listInterval is the time between two reads of the instance list.
 	listInterval = time.Second
+	// listSpared replaces listInterval for instances that leave the platform to
+	// others and ask peers.
+	listSpared = 30 * time.Second
 	// listStale is the age from which peers are asked for a newer list.
 	listStale = 3 * time.Second
 	// joinInterval is the first wait between attempts of a starting instance to
@@ -38,6 +41,9 @@
 	// Caller and Peers reach other instances. Caller is nil without peers.
 	Caller peer.Caller
 	Peers  func(limit int) []string
+	// Spared reports whether enough other instances ask the platform; nil means
+	// never.
+	Spared func() bool
 	Log    hclog.Logger
 
 	mu        sync.Mutex // serialises changes
@@ -115,10 +121,19 @@
 		if ctx.Err() == nil {
 			l.logOutage(err)
 		}
-		sleep(ctx, jitter(listInterval))
+		sleep(ctx, jitter(l.interval()))
 	}
 }
 
+// interval keeps the platform's load from growing with the fleet. A list from a
+// peer is a few seconds older, and the list lags by more than that anyway.
+func (l *Listing) interval() time.Duration {
+	if l.Spared != nil && l.Spared() {
+		return listSpared
+	}
+	return listInterval
+}
+
 func (l *Listing) logOutage(err error) {
 	if wasDown := l.down.Swap(err != nil); wasDown == (err != nil) {
 		return
--- a/pkg/control/orders.go
+++ b/pkg/control/orders.go
@@ -21,6 +21,8 @@
 	ordersGuard = 5 * time.Second
 	// ordersInterval is well under the lease, so that a renewal may fail twice.
 	ordersInterval = 4 * time.Second
+	// ordersSpared replaces it for instances that leave the lease to others.
+	ordersSpared = time.Minute
 	// orderTimeout bounds one order from sending to its effect in the target's
 	// state. A load takes over a second, and several at once take longer.
 	orderTimeout = 30 * time.Second
@@ -47,7 +49,10 @@
 	Configuration SnapshotSource
 	Targets       TargetSource
 	Clock         clock.Clock
-	Log           hclog.Logger
+	// Spared reports whether enough other instances stand by for the lease; nil
+	// means never.
+	Spared func() bool
+	Log    hclog.Logger
 
 	holding    bool
 	quietUntil time.Duration            // earliest order to a target that ignores fencing numbers
@@ -69,7 +74,11 @@
 func (o *Orders) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		o.Reconcile(ctx)
-		sleep(ctx, jitter(ordersInterval))
+		wait := ordersInterval
+		if !o.holding && o.Spared != nil && o.Spared() {
+			wait = ordersSpared
+		}
+		sleep(ctx, jitter(wait))
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderSend)
 	defer cancel()
--- a/pkg/control/targetspread_test.go
+++ b/pkg/control/targetspread_test.go
@@ -237,10 +237,7 @@
 func TestRestartedInstanceFetchesStates(t *testing.T) {
 	engines, rows := newFakeEngines(40)
 	authority := certstest.NewAuthority(t)
-	full, now := newTargetTable(), time.Now()
-	for _, row := range rows {
-		full.observe(row.ID, engine.State{Incarnation: "1", Model: "m"}, now)
-	}
+	full := newTargetTable()
 	answer := func(context.Context) error { return nil }
 	gone := platform.Instance{ID: "gone", Role: platform.RoleRouter, Address: closedUDP(t)}
 	for _, c := range []struct {
@@ -256,6 +253,11 @@
 			gone, fakePeer(t, authority, "c", full, answer), fakePeer(t, authority, "d", newTargetTable(), answer),
 		}, false},
 	} {
+		// The first cases wait for peers that are gone for longer than a
+		// confirmation counts, so that each case needs new ones.
+		for _, row := range rows {
+			full.observe(row.ID, engine.State{Incarnation: "1", Model: "m"}, time.Now())
+		}
 		m := newMember(t, authority, engines, rows)
 		m.instances.Merge(c.peers)
 		m.start(t)
