End the configuration controller when a watch returns without an error

Cause: the loop around the watch did not look at its context; a store whose watch ends without an error at the end of the context kept it running. Change: the loop ends with the context. Ruled out: a fault of the test; the HTTP client returns an error and hid it. Conclusion: a graceful stop does not depend on the store's client.

--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -128,15 +128,12 @@
 		c.offerObject(object)
 	}
 	listed := time.Now()
-	for {
+	for ctx.Err() == nil {
 		if c.Spared != nil && c.Spared() && c.Generation() > 0 {
 			if time.Since(listed) > sparedList {
 				return nil
 			}
 			sleep(ctx, jitter(sparedPause))
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
 			continue
 		}
 		events, next, err := c.Store.Watch(ctx, KindConfiguration, revision)
@@ -150,6 +147,7 @@
 		}
 		revision = next
 	}
+	return ctx.Err()
 }
 
 func (c *Configuration) offerObject(object platform.Object) {
