Do not take an error answer of a peer as silence

Change: only unreachable and timeout mark a peer as failing.

Ruled out: a handler in the fake peer, because it would hide the fault.

Conclusion: overload or a rolling upgrade does not move observers.

--- a/pkg/control/targetspread.go
+++ b/pkg/control/targetspread.go
@@ -232,8 +232,11 @@
 	}
 }
 
+// failed records that a peer is silent. An error that the peer answered with,
+// such as busy, shows that it is alive.
 func (s *TargetSpread) failed(ctx context.Context, address string, err error) {
-	if ctx.Err() == nil {
+	kind := peer.KindOf(err)
+	if ctx.Err() == nil && (kind == peer.KindUnreachable || kind == peer.KindTimeout) {
 		s.instances.fail(address, err)
 	}
 }
--- a/pkg/control/targetspread_test.go
+++ b/pkg/control/targetspread_test.go
@@ -210,7 +210,8 @@
 }
 
 // fakePeer is a peer that answers from a table and does not read by itself. It
-// returns its row in the instance list.
+// returns its row in the instance list. It has no handler for updates: an answer
+// of unknown_type must not make it look gone.
 func fakePeer(t *testing.T, authority *certstest.Authority, id string, source *targetTable, before func(context.Context) error) platform.Instance {
 	registry := peer.NewRegistry()
 	fake, err := peer.Listen("127.0.0.1:0", newIdentity(t, authority), registry, hclog.NewNullLogger())
