Do not pass a fetched table on; record the cost of target states

Cause: a starting instance took each record of the fetched table for news and sent all of them to six neighbours: 707 KB at 620 targets.

Ruled out: passing on nothing that was fetched, because a record whose update was lost may be missing elsewhere too.

--- a/pkg/control/targetspread.go
+++ b/pkg/control/targetspread.go
@@ -255,9 +255,15 @@
 	if !s.fetchDue(same, own.Settled && answer.Settled) {
 		return
 	}
-	if records, err := s.fetch(ctx, address); err == nil {
-		s.sendTo(ctx, address, s.lacking(records))
+	records, news, err := s.fetch(ctx, address)
+	if err != nil {
+		return
 	}
+	if len(news) <= peer.MaxTargetRecords {
+		// More is not news to the others, but what this instance lacked.
+		s.publish(news...)
+	}
+	s.sendTo(ctx, address, s.lacking(records))
 }
 
 // fetchDue reports whether the difference of two tables is worth a fetch.
@@ -279,15 +285,17 @@
 	return true
 }
 
-// fetch merges the whole table of a peer.
-func (s *TargetSpread) fetch(ctx context.Context, address string) ([]peer.TargetRecord, error) {
+// fetch merges the whole table of a peer. It returns the table and the ids of
+// the records that were new.
+func (s *TargetSpread) fetch(ctx context.Context, address string) ([]peer.TargetRecord, []string, error) {
 	asked := time.Now()
 	answer, err := peer.TargetsFetch.Call(ctx, s.caller, address, peer.Empty{})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	s.take(answer.Records, asked)
-	return answer.Records, nil
+	news, _ := s.table.merge(answer.Records, asked)
+	signal(s.changed)
+	return answer.Records, news, nil
 }
 
 // lacking returns the ids of the records that a peer's table has older or not.
@@ -318,7 +326,7 @@
 		ended, end := context.WithTimeout(ctx, hedgeDelay)
 		group.Go(func() {
 			defer end()
-			if records, err := s.fetch(ctx, address); err == nil && len(records) > 0 {
+			if records, _, err := s.fetch(ctx, address); err == nil && len(records) > 0 {
 				cancel()
 			}
 		})
--- a/test/bench/states_test.go
+++ b/test/bench/states_test.go
@@ -142,7 +142,7 @@
 	spread  *control.TargetSpread
 	fleet   *fakeFleet
 	address string // of the instance, through a relay
-	// startBytes were exchanged with peers until the instance was ready.
+	// startBytes were exchanged with peers up to settleTime after it was ready.
 	startBytes int64
 }
 
@@ -220,10 +220,10 @@
 		group.Go(func() { s.fleet.confirm(ctx, s.address) })
 	}
 	waitUntil(b, "ready", s.targets.Ready)
+	<-time.After(settleTime)
 	if s.fleet != nil {
 		s.startBytes = s.fleet.bytes.Load()
 	}
-	<-time.After(settleTime)
 	return func() { cancel(); group.Wait() }
 }
 
