Keep one function to wait and one to spread waits

Cause: five packages had a wait that ends with its context, two a jitter. Change: clock.Sleep and clock.Jitter. Ruled out: nothing. Conclusion: one place to read.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
@@ -123,21 +124,9 @@
 		if err == nil || errors.Is(err, errNotOurs) || attempt == storeAttempts {
 			return err
 		}
-		if !sleep(ctx, wait/2+rand.N(wait)) {
+		if !clock.Sleep(ctx, wait/2+rand.N(wait)) {
 			return err
 		}
 		wait *= 2
 	}
 }
-
-// sleep reports whether the whole time has passed.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/claim/removal.go
+++ b/pkg/claim/removal.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
@@ -62,7 +63,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for sleep(ctx, jitter(abandonedInterval)) {
+		for clock.Sleep(ctx, clock.Jitter(abandonedInterval)) {
 			m.RemoveAbandoned(ctx)
 		}
 	}()
@@ -73,7 +74,7 @@
 func (m *Manager) removeOld(ctx context.Context) {
 	kind := rand.IntN(kindCount)
 	interval := removalInterval
-	for sleep(ctx, jitter(interval)) {
+	for clock.Sleep(ctx, clock.Jitter(interval)) {
 		removed, err := m.RemoveExpired(ctx, kind)
 		if err != nil && ctx.Err() == nil {
 			m.options.Log.Warn("old claims were not removed; the next pass tries again", "kind", kindName(kind), "cause", err)
@@ -87,9 +88,6 @@
 	}
 }
 
-// jitter spreads the work of instances that started together.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
 // RemoveExpired removes at most one batch of expired claims of a kind and
 // returns their number.
 func (m *Manager) RemoveExpired(ctx context.Context, kind int) (int, error) {
--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
@@ -112,7 +112,7 @@
 			continue
 		}
 		c.Log.Warn("platform does not answer; configuration in force stays", "generation", c.Generation(), "cause", err)
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 		wait = min(2*wait, retryMax)
 	}
 }
@@ -133,7 +133,7 @@
 			if time.Since(listed) > sparedList {
 				return nil
 			}
-			sleep(ctx, jitter(sparedPause))
+			clock.Sleep(ctx, clock.Jitter(sparedPause))
 			continue
 		}
 		events, next, err := c.Store.Watch(ctx, KindConfiguration, revision)
@@ -161,18 +161,3 @@
 	}
 	c.Offer(a, "platform")
 }
-
-// jitter spreads waits over half to one and a half of d, so that restarted
-// instances do not call in step.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/control/listing.go
+++ b/pkg/control/listing.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
@@ -121,7 +122,7 @@
 		if ctx.Err() == nil {
 			l.logOutage(err)
 		}
-		sleep(ctx, jitter(l.interval()))
+		clock.Sleep(ctx, clock.Jitter(l.interval()))
 	}
 }
 
@@ -151,7 +152,7 @@
 		if age, known := l.Age(); !known || age > listStale {
 			l.askPeers(ctx)
 		}
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 		wait = min(2*wait, listInterval)
 	}
 }
--- a/pkg/control/orders.go
+++ b/pkg/control/orders.go
@@ -78,7 +78,7 @@
 		if !o.holding && o.Spared != nil && o.Spared() {
 			wait = ordersSpared
 		}
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderSend)
 	defer cancel()
--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -139,7 +139,7 @@
 // Run reconciles until ctx ends. It does not hand back.
 func (c *QuotaLease) Run(ctx context.Context) {
 	for c.Ledger.Shares() == 0 && ctx.Err() == nil {
-		sleep(ctx, jitter(configurationWait))
+		clock.Sleep(ctx, clock.Jitter(configurationWait))
 	}
 	for ctx.Err() == nil {
 		if err := c.Reconcile(ctx); err != nil && ctx.Err() == nil {
@@ -149,7 +149,7 @@
 		c.mu.Lock()
 		wait := max(leaseInterval, time.Duration(len(c.live))*leaseIntervalPer)
 		c.mu.Unlock()
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 	}
 }
 
@@ -548,7 +548,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 		wait = min(2*wait, retryMax)
 		c.readBack(ctx)
 	}
--- a/pkg/control/quotalevel.go
+++ b/pkg/control/quotalevel.go
@@ -45,7 +45,7 @@
 		if holders := c.Holders.Holders(); len(holders) > 0 {
 			c.Round(ctx, holders[rand.IntN(len(holders))])
 		}
-		sleep(ctx, jitter(levelInterval))
+		clock.Sleep(ctx, clock.Jitter(levelInterval))
 	}
 }
 
--- a/pkg/control/spread.go
+++ b/pkg/control/spread.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
@@ -125,7 +126,7 @@
 			group.Go(func() { _ = s.instances.Hello(ctx, address) })
 		}
 		group.Wait()
-		sleep(ctx, jitter(wait))
+		clock.Sleep(ctx, clock.Jitter(wait))
 	}
 }
 
@@ -136,7 +137,7 @@
 		if address := s.instances.Random(); address != "" {
 			_ = s.instances.Hello(ctx, address)
 		}
-		sleep(ctx, jitter(exchangeInterval))
+		clock.Sleep(ctx, clock.Jitter(exchangeInterval))
 	}
 }
 
--- a/pkg/control/targets.go
+++ b/pkg/control/targets.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -115,7 +116,7 @@
 		if err == nil {
 			c.ready.Store(true)
 		}
-		sleep(ctx, jitter(targetInterval))
+		clock.Sleep(ctx, clock.Jitter(targetInterval))
 	}
 }
 
@@ -146,7 +147,7 @@
 // followStale reads targets whose observers are silent.
 func (c *Targets) followStale(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(staleInterval))
+		clock.Sleep(ctx, clock.Jitter(staleInterval))
 		rows := c.stale(staleAfter)
 		rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
 		c.readStates(ctx, rows[:min(len(rows), maxStaleReads)])
--- a/pkg/control/targetspread.go
+++ b/pkg/control/targetspread.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 )
 
@@ -126,7 +127,7 @@
 			default:
 			}
 		}
-		sleep(ctx, jitter(confirmInterval))
+		clock.Sleep(ctx, clock.Jitter(confirmInterval))
 	}
 	group.Wait()
 }
@@ -189,7 +190,7 @@
 			return
 		case rounds <- struct{}{}:
 		}
-		sleep(ctx, batchDelay)
+		clock.Sleep(ctx, batchDelay)
 		batch := s.drain()
 		group.Go(func() {
 			defer func() { <-rounds }()
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -51,7 +52,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true
 		}
-		pause(ctx, crashProbeWait)
+		clock.Sleep(ctx, crashProbeWait)
 	}
 	return false
 }
@@ -70,18 +71,6 @@
 	return false, conn.Close()
 }
 
-// pause waits and reports whether ctx is still in force.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // observeCrash records that the request was running on a target that crashed.
 func (f *Forward) observeCrash(ex *Exchange, failure *attemptError) {
 	if f.Poison == nil || f.Crashes == nil || !failure.broken {
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -9,6 +9,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/claim"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -123,7 +124,7 @@
 	if deadline, ok := ex.Context().Deadline(); ok && time.Until(deadline) <= wait {
 		return false
 	}
-	return pause(ex.Context(), wait)
+	return clock.Sleep(ex.Context(), wait)
 }
 
 func (f *Forward) finalError(ex *Exchange, failure *attemptError) error {
--- a/pkg/standin/generate.go
+++ b/pkg/standin/generate.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 )
 
@@ -101,7 +102,7 @@
 	e.mu.Unlock()
 	missing := len(prompt) - cached
 	delay := time.Duration(missing) * e.options.PrefillPerKB / 1024
-	wait(ctx, delay+time.Duration(faults.DelayMillis)*time.Millisecond)
+	clock.Sleep(ctx, delay+time.Duration(faults.DelayMillis)*time.Millisecond)
 	return cached
 }
 
@@ -150,7 +151,7 @@
 	after, _ := strconv.ParseUint(r.Header.Get(engine.HeaderResumeAfter), 10, 64)
 	interval, sent := e.tokenInterval(), 0
 	for position := after + 1; position <= uint64(call.MaxTokens); position++ {
-		if !wait(ctx, interval) {
+		if !clock.Sleep(ctx, interval) {
 			return
 		}
 		if position != faults.SkipEvent {
@@ -197,7 +198,7 @@
 	var text strings.Builder
 	interval := e.tokenInterval()
 	for position := uint64(1); position <= uint64(call.MaxTokens); position++ {
-		if !wait(ctx, interval) {
+		if !clock.Sleep(ctx, interval) {
 			return
 		}
 		text.WriteString(Token(body, position))
@@ -211,18 +212,3 @@
 		Usage: usage{PromptTokens: promptTokens, CompletionTokens: call.MaxTokens, TotalTokens: promptTokens + call.MaxTokens},
 	})
 }
-
-// wait waits for d and reports whether ctx is still alive.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/standin/service.go
+++ b/pkg/standin/service.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 )
 
@@ -81,7 +82,7 @@
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
 	}
-	wait(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
+	clock.Sleep(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
 	if faults.CutAfterReading {
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/tablestore/put.go
+++ b/pkg/tablestore/put.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
@@ -106,7 +106,7 @@
 		wait = defaultReadBackWait
 	}
 	for try := range readBackTries {
-		if try > 0 && !pause(ctx, wait) {
+		if try > 0 && !clock.Sleep(ctx, clock.Jitter(wait)) {
 			break
 		}
 		wait *= 2
@@ -150,17 +150,5 @@
 	}
 }
 
-// pause waits for about d. It reports whether ctx is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // errDamaged is the cause when a stored generation is not what its name says.
 var errDamaged = errors.New("the stored generation differs from its name")
