Log one line for each outage, and wrap errors with the house library

Cause: an outage of the platform logged a line for each attempt, and the backoff was not reset after a sound time. Errors were wrapped in two ways. Change: one line per outage; the backoff starts anew after a list that was read; eris wraps errors outside the request path. Measured: go test -race of the packages touched passes. Ruled out: eris on the request path; it records a stack for each error.

--- a/pkg/certs/certs.go
+++ b/pkg/certs/certs.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 )
 
 // Pair is a certificate with its private key.
@@ -19,7 +20,7 @@
 	load := func() (*tls.Certificate, error) {
 		pair, err := tls.LoadX509KeyPair(certFile, keyFile)
 		if err != nil {
-			return nil, fmt.Errorf("certificate %s with key %s: %w", certFile, keyFile, err)
+			return nil, eris.Wrapf(err, "certificate %s with key %s", certFile, keyFile)
 		}
 		return &pair, nil
 	}
--- a/pkg/certs/reload.go
+++ b/pkg/certs/reload.go
@@ -2,12 +2,12 @@
 package certs
 
 import (
-	"fmt"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 )
 
 // checkInterval bounds how often the files are examined, because a check runs
@@ -96,7 +96,7 @@
 	for _, path := range r.paths {
 		info, err := os.Stat(path)
 		if err != nil {
-			return nil, fmt.Errorf("certificate file: %w", err)
+			return nil, eris.Wrap(err, "certificate file")
 		}
 		stamps = append(stamps, stamp{modified: info.ModTime(), size: info.Size()})
 	}
--- a/pkg/cli/replay.go
+++ b/pkg/cli/replay.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
 	"lacewingwheel.example/lacewingwheel/pkg/choice"
@@ -71,7 +72,7 @@
 	}
 	file, err := os.Open(options.trace)
 	if err != nil {
-		return nil, &ExitError{Code: ExitInvalid, Err: fmt.Errorf("%w; name a file made with --write-trace", err)}
+		return nil, &ExitError{Code: ExitInvalid, Err: eris.Wrap(err, "name a file made with --write-trace")}
 	}
 	defer file.Close()
 	trace, err := replay.Read(file)
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -2,10 +2,11 @@
 package config
 
 import (
-	"fmt"
 	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
 )
 
@@ -60,7 +61,7 @@
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w; name a readable file with --settings", err)
+		return nil, eris.Wrap(err, "settings: name a readable file with --settings")
 	}
 	return Parse(path, text)
 }
--- a/pkg/control/accepted.go
+++ b/pkg/control/accepted.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -30,7 +32,7 @@
 func DecodeAccepted(value []byte) (*Accepted, error) {
 	var a Accepted
 	if err := json.Unmarshal(value, &a); err != nil {
-		return nil, fmt.Errorf("accepted configuration: %w", err)
+		return nil, eris.Wrap(err, "accepted configuration")
 	}
 	if a.Generation == 0 {
 		return nil, fmt.Errorf("accepted configuration: generation is missing")
--- a/pkg/control/compress.go
+++ b/pkg/control/compress.go
@@ -5,6 +5,8 @@
 	"compress/flate"
 	"fmt"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 // compress packs what one instance sends to another.
@@ -30,7 +32,7 @@
 	defer r.Close()
 	out, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
-		return nil, fmt.Errorf("compressed data: %w", err)
+		return nil, eris.Wrap(err, "compressed data")
 	}
 	if len(out) > limit {
 		return nil, fmt.Errorf("compressed data: more than %d bytes", limit)
--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -103,42 +103,48 @@
 func (c *Configuration) Run(ctx context.Context) {
 	wait := retryMin
 	for ctx.Err() == nil {
-		err := c.follow(ctx)
+		listed, err := c.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
+		if listed {
 			wait = retryMin
+		}
+		if err == nil {
 			continue
 		}
-		c.Log.Warn("platform does not answer; configuration in force stays", "generation", c.Generation(), "cause", err)
+		// One line for each outage, not one for each attempt.
+		if wait == retryMin {
+			c.Log.Warn("platform does not answer; configuration in force stays", "generation", c.Generation(), "cause", err)
+		}
 		clock.Sleep(ctx, clock.Jitter(wait))
 		wait = min(2*wait, retryMax)
 	}
 }
 
 // follow lists once and then watches. It returns on the first failure, and
-// without one when it is time to list again.
-func (c *Configuration) follow(ctx context.Context) error {
+// without one when it is time to list again. It reports whether the list was
+// read.
+func (c *Configuration) follow(ctx context.Context) (listed bool, err error) {
 	objects, revision, err := c.Store.List(ctx, KindConfiguration)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, object := range objects {
 		c.offerObject(object)
 	}
-	listed := time.Now()
+	listedAt := time.Now()
 	for ctx.Err() == nil {
 		if c.Spared != nil && c.Spared() && c.Generation() > 0 {
-			if time.Since(listed) > sparedList {
-				return nil
+			if time.Since(listedAt) > sparedList {
+				return true, nil
 			}
 			clock.Sleep(ctx, clock.Jitter(sparedPause))
 			continue
 		}
 		events, next, err := c.Store.Watch(ctx, KindConfiguration, revision)
 		if err != nil {
-			return err
+			return true, err
 		}
 		for _, event := range events {
 			if !event.Deleted {
@@ -147,7 +153,7 @@
 		}
 		revision = next
 	}
-	return ctx.Err()
+	return true, ctx.Err()
 }
 
 func (c *Configuration) offerObject(object platform.Object) {
--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -141,10 +141,14 @@
 	for c.Ledger.Shares() == 0 && ctx.Err() == nil {
 		clock.Sleep(ctx, clock.Jitter(configurationWait))
 	}
+	failing := false
 	for ctx.Err() == nil {
-		if err := c.Reconcile(ctx); err != nil && ctx.Err() == nil {
+		err := c.Reconcile(ctx)
+		// One line for each outage, not one for each attempt.
+		if err != nil && !failing && ctx.Err() == nil {
 			c.Log.Warn("quota shares are not reconciled; leases in force go on until they end", "cause", err)
 		}
+		failing = err != nil
 		c.tried.Store(true)
 		c.mu.Lock()
 		wait := max(leaseInterval, time.Duration(len(c.live))*leaseIntervalPer)
--- a/pkg/control/quotarecord.go
+++ b/pkg/control/quotarecord.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // KindQuotaShare is the kind of the objects that say who holds a quota share.
@@ -32,7 +34,7 @@
 func DecodeShareRecord(value []byte) (*ShareRecord, error) {
 	var r ShareRecord
 	if err := json.Unmarshal(value, &r); err != nil {
-		return nil, fmt.Errorf("quota share: %w", err)
+		return nil, eris.Wrap(err, "quota share")
 	}
 	if r.Lease <= 0 || r.Shares <= 0 {
 		return nil, fmt.Errorf("quota share: lease or number of shares is missing")
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -17,6 +17,7 @@
 	_ "time/tzdata" // the clock change must not depend on the machine
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 )
 
 // Format names the trace format. A trace is a file of JSON lines. The first is
@@ -245,7 +246,7 @@
 	decoder := json.NewDecoder(r)
 	t := &Trace{}
 	if err := decoder.Decode(&t.Header); err != nil {
-		return nil, fmt.Errorf("trace header: %w", err)
+		return nil, eris.Wrap(err, "trace header")
 	}
 	if t.Format != Format {
 		return nil, fmt.Errorf("trace format is %q, want %q; write the trace again with this version", t.Format, Format)
@@ -264,7 +265,7 @@
 			return t, nil
 		}
 		if err != nil {
-			return nil, fmt.Errorf("trace line %d: %w", line, err)
+			return nil, eris.Wrapf(err, "trace line %d", line)
 		}
 		restart := record.DownMS > 0
 		switch {
--- a/pkg/server/listen.go
+++ b/pkg/server/listen.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
 )
@@ -42,7 +43,7 @@
 	}
 	listener, err := net.Listen("tcp", o.address)
 	if err != nil {
-		return nil, fmt.Errorf("%s_listen: %w; choose another address or end the process that uses it", o.setting, err)
+		return nil, eris.Wrapf(err, "%s_listen: choose another address or end the process that uses it", o.setting)
 	}
 	server := &http.Server{
 		Handler:           o.handler,
@@ -65,7 +66,7 @@
 	}
 	pair, err := certs.LoadPair(o.certFile, o.keyFile, o.log.Named("certs"))
 	if err != nil {
-		return nil, fmt.Errorf("[tls] %s_cert: %w; give a certificate and its key in PEM", o.setting, err)
+		return nil, eris.Wrapf(err, "[tls] %s_cert: give a certificate and its key in PEM", o.setting)
 	}
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS12,
--- a/pkg/server/peers.go
+++ b/pkg/server/peers.go
@@ -7,6 +7,7 @@
 	"net"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
 	"lacewingwheel.example/lacewingwheel/pkg/config"
@@ -51,7 +52,7 @@
 	p := &peers{registry: peer.NewRegistry()}
 	p.transport, err = peer.Listen(settings.Instance.PeerListen, identity, p.registry, log.Named("peer"))
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w; choose another address or end the process that uses it", err)
+		return nil, eris.Wrap(err, "peer_listen: choose another address or end the process that uses it")
 	}
 	address, err := peerAddress(settings, p.transport)
 	if err != nil {
@@ -85,11 +86,11 @@
 func loadIdentity(settings *config.Settings, log hclog.Logger) (*peer.Identity, error) {
 	pair, err := certs.LoadPair(settings.TLS.PeerCert, settings.TLS.PeerKey, log.Named("certs"))
 	if err != nil {
-		return nil, fmt.Errorf("[tls] peer_cert: %w; give a certificate and its key in PEM", err)
+		return nil, eris.Wrap(err, "[tls] peer_cert: give a certificate and its key in PEM")
 	}
 	authority, err := certs.LoadAuthority(settings.TLS.PeerCA, log.Named("certs"))
 	if err != nil {
-		return nil, fmt.Errorf("[tls] peer_ca: %w; give the authority's certificate in PEM", err)
+		return nil, eris.Wrap(err, "[tls] peer_ca: give the authority's certificate in PEM")
 	}
 	return &peer.Identity{Pair: pair, Authority: authority}, nil
 }
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // stop leaves readiness, serves on during the grace, so that load balancers
@@ -30,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Server.DrainTimeout)
 	defer cancel()
 	if err := s.caller.http.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("requests were still running at the drain timeout: %w; raise drain_timeout", err)
+		return eris.Wrap(err, "requests were still running at the drain timeout; raise drain_timeout")
 	}
 	s.log.Info("stopped")
 	return nil
