Count only what an objective can say something about

Change: the time to first token counts for streams and services only; rows without an objective have no burn rate; the editor is the system's user. Ruled out: an objective for whole answers; the table has none. Conclusion: a report does not alarm over non-streamed requests.

--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -115,3 +115,15 @@
 		assert.Assert(t, strings.Contains(out, "circle"), out)
 	}
 }
+
+// Guards against an alarm, or a worst-served organisation, that comes from
+// requests without a route, which have no objective.
+func TestRequestsWithoutRoute(t *testing.T) {
+	r := NewRecorder(time.Now)
+	for range 100 {
+		r.Record(Sample{Class: Refused})
+	}
+	report := Merge(time.Now(), []Document{r.Document("i", "z")}, nil)
+	assert.DeepEqual(t, report.Rows[0].Rates, make([]float64, len(Windows)))
+	assert.Assert(t, report.WorstServed == nil)
+}
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -77,9 +77,11 @@
 	P99   time.Duration `json:"p99"`
 }
 
-// BurnRate returns how many times faster than allowed a budget is spent.
+// BurnRate returns how many times faster than allowed a budget is spent. It is
+// zero without an objective, as for requests that were refused before their
+// route was known.
 func BurnRate(c Counts, good float64) float64 {
-	if c.Total() == 0 || good >= 1 {
+	if c.Total() == 0 || good <= 0 || good >= 1 {
 		return 0
 	}
 	return float64(c.Bad) / float64(c.Total()) / (1 - good)
@@ -177,7 +179,7 @@
 		prompt += row.Totals.PromptTokens
 		cached += row.Totals.CachedTokens
 		total := row.Windows[len(row.Windows)-1].Total()
-		if fraction := row.GoodFraction(); total > 0 && fraction < worst {
+		if fraction := row.GoodFraction(); total > 0 && row.Objective.Good > 0 && fraction < worst {
 			worst = fraction
 			r.WorstServed = &row.Key
 		}
--- a/pkg/cli/tables_put.go
+++ b/pkg/cli/tables_put.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"os"
+	"os/user"
 
 	"github.com/spf13/cobra"
 
@@ -36,6 +36,14 @@
 	}
 	to.add(cmd)
 	addDirFlag(cmd, &dir)
-	cmd.Flags().StringVar(&name, "editor", os.Getenv("USER"), "name of the operator, shown to others")
+	cmd.Flags().StringVar(&name, "editor", userName(), "name of the operator, shown to others")
 	return cmd
 }
+
+// userName returns the name of the user, or "" if the system does not tell it.
+func userName() string {
+	if current, err := user.Current(); err == nil {
+		return current.Username
+	}
+	return ""
+}
--- a/pkg/gateway/burnrecorder.go
+++ b/pkg/gateway/burnrecorder.go
@@ -3,6 +3,7 @@
 import (
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/burn"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 // BurnRecorder counts finished requests against the objectives of their routes.
@@ -23,7 +24,10 @@
 		sample.Route = ex.Route.Name
 		sample.Objective = burn.Objective(ex.Route.Objective)
 	}
-	if !ex.Timing.FirstToken.IsZero() {
+	// An engine's whole answer has its first byte with its last token, which
+	// says nothing about the time to first token.
+	whole := ex.Pool != nil && ex.Pool.Kind == tables.PoolEngine && !ex.Stream
+	if !ex.Timing.FirstToken.IsZero() && !whole {
 		sample.FirstToken = ex.Timing.FirstToken.Sub(ex.Timing.Start)
 	}
 	r.Recorder.Record(sample)
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -185,3 +186,27 @@
 	assert.Equal(t, tokens, 3)
 	assert.Equal(t, len(f.engine.ReceivedRequests()), 1)
 }
+
+// Guards the objective: a long answer that is not streamed must not count as a
+// late first token, and a late stream must.
+func TestOnlyStreamsCanBeLate(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		f := newKeyFixture(t)
+		routes := strings.Replace(keyRoutes, "organisations = circle", "objective_first_token = 1ms", 1)
+		parsed, err := tables.Parse(tables.Source{Routes: []byte(routes), Pools: []byte(fmt.Sprintf(keyPools, digestOf(secretKey), digestOf("key-of-other")))})
+		assert.NilError(t, err)
+		f.snapshot.Store(tables.NewSnapshot(2, parsed))
+		f.engine.SetFaults(standin.EngineFaults{DelayMillis: 20})
+		body := wholeCall
+		if stream {
+			body = streamCall(3)
+		}
+		resp := f.do(t, "/v1/chat/completions", body, bearer(secretKey))
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		f.server.Close() // waits until the request is counted
+		totals := f.recorder.Document("i", "z").Series[0].Totals
+		assert.Equal(t, totals.Served, uint64(1))
+		assert.Equal(t, totals.Late == 1, stream)
+	}
+}
