--- /dev/null
+++ b/pkg/control/quotaobserve.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/quota"
+)
+
+// observeAll notes all records. It reports whether a share of another size is
+// still held: shares of two sizes could sum to more than the burst.
+func (c *QuotaLease) observeAll(objects []platform.Object, shares int) (blocked bool) {
+	if c.views == nil {
+		c.views = make([]shareView, shares)
+	}
+	now := c.Clock.Elapsed()
+	present := make([]bool, shares)
+	for _, object := range objects {
+		share, err := strconv.Atoi(object.Name)
+		if err != nil {
+			continue
+		}
+		record, err := DecodeShareRecord(object.Value)
+		if err != nil {
+			c.Log.Error("quota share is not readable; delete the object if no instance runs", "share", object.Name, "cause", err)
+			blocked = true
+			continue
+		}
+		blocked = blocked || (record.Shares != shares && record.Holder != "")
+		if share >= 0 && share < shares {
+			present[share] = true
+			c.observe(share, object.Version, record, now)
+		}
+	}
+	for share, ok := range present {
+		if !ok {
+			c.observe(share, 0, nil, now)
+		}
+	}
+	return blocked
+}
+
+// observe notes one version of a record that exists or existed by now.
+func (c *QuotaLease) observe(share int, version uint64, record *ShareRecord, now time.Duration) {
+	v := &c.views[share]
+	if v.known && version == v.version {
+		return
+	}
+	v.known = true
+	wasMine := c.mine(v.record)
+	if record == nil && v.record != nil {
+		v.heldUntil = v.leaseOver()
+	}
+	v.version, v.record = version, record
+	v.seen, v.free = now, false
+	if record != nil && record.Stopped != "" {
+		c.noteGone(record.Stopped, record.Address)
+	}
+	if !c.mine(record) {
+		v.returning = nil
+		if wasMine {
+			c.Ledger.Release(share, now)
+		}
+		return
+	}
+	if v.returning == nil {
+		lease := quota.Lease{Share: share, Fence: record.Fence, Until: record.HeldFrom + record.Lease}
+		c.Ledger.Hold(lease, record.Tokens, now)
+	}
+}
+
+// leaseOver is when the holder of the record seen has stopped by any clock.
+func (v *shareView) leaseOver() time.Duration {
+	return v.seen + v.record.Lease + max(minLeaseGuard, v.record.Lease/leaseGuardPart)
+}
+
+func (c *QuotaLease) mine(r *ShareRecord) bool {
+	return r != nil && r.Holder == c.Self.ID && r.Incarnation == c.Self.Incarnation
+}
