Move the least-loaded picker to the tests that use it

Cause: the daemon no longer uses it. Change: it moves to a test file; usable.go keeps what decides whether a target can serve. Measured: go test -race ./pkg/gateway ./pkg/replay pass. Ruled out: nothing. Conclusion: no production code without a caller.

--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -139,7 +139,7 @@
 	f.set = target.NewSet(nil)
 	f.addTarget("engine-1", "engine", platform.RoleEngine)
 	f.addTarget("plain-1", "plain", platform.RoleService)
-	picker := &LeastLoaded{Targets: f}
+	picker := &leastLoaded{Targets: f}
 	log := hclog.New(&hclog.LoggerOptions{Output: &f.log, Level: hclog.Trace})
 	f.server = httptest.NewServer(NewChain(log, RequestID{},
 		&Account{Log: log, Recorder: &BurnRecorder{Recorder: f.recorder}},
--- /dev/null
+++ b/pkg/gateway/picker_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import "lacewingwheel.example/lacewingwheel/pkg/target"
+
+// leastLoaded picks the usable target with the least work. It keeps no state, so
+// that tests of other filters know what it picks.
+type leastLoaded struct {
+	Targets TargetSource
+}
+
+// Pick implements Picker.
+func (p *leastLoaded) Pick(ex *Exchange, exclude map[string]bool) *target.Target {
+	var best *target.Target
+	var bestWork int64
+	for _, t := range p.Targets.Set().Targets {
+		if exclude[t.ID] || !CanServe(t, ex) {
+			continue
+		}
+		work := t.Live.InFlight.Load()
+		if best == nil || work < bestWork {
+			best, bestWork = t, work
+		}
+	}
+	return best
+}
--- a/pkg/gateway/leastloaded.go
+++ b/pkg/gateway/usable.go
@@ -10,27 +10,6 @@
 	Set() *target.Set
 }
 
-// LeastLoaded picks the usable target with the least work.
-type LeastLoaded struct {
-	Targets TargetSource
-}
-
-// Pick implements Picker.
-func (p *LeastLoaded) Pick(ex *Exchange, exclude map[string]bool) *target.Target {
-	var best *target.Target
-	var bestWork int64
-	for _, t := range p.Targets.Set().Targets {
-		if exclude[t.ID] || !CanServe(t, ex) {
-			continue
-		}
-		work := t.Live.InFlight.Load()
-		if best == nil || work < bestWork {
-			best, bestWork = t, work
-		}
-	}
-	return best
-}
-
 // CanServe reports whether a target can take the request, or the rest of it if
 // the caller already has a part.
 func CanServe(t *target.Target, ex *Exchange) bool {
--- a/pkg/replay/policy.go
+++ b/pkg/replay/policy.go
@@ -74,7 +74,7 @@
 
 func (b *baseline) report(*target.Target, bool, time.Time) {}
 
-// leastLoaded counts own requests, as gateway.LeastLoaded does; ties are drawn.
+// leastLoaded counts own requests; ties are drawn.
 // Counting reported requests as well makes it worse, because all instances then
 // send to the target that was idle in the last report.
 func (s *simulation) leastLoaded(usable []*target.Target) *target.Target {
