Add a soak that runs pairs of faults and checks the guarantees

Cause: each guarantee had its own tests, but nothing ran faults at random and in pairs against all of them. Change: BenchmarkSoak in test/e2e, bounded and seeded: streams, confirmations and edits over four routers, three engines, a service and the platform as processes; ten faults, two at a time; checks from what callers received and what targets recorded. Ruled out: checking by the routers' own metrics.

--- /dev/null
+++ b/test/e2e/soak_test.go
@@ -0,0 +1,373 @@
+package e2e
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+)
+
+var (
+	soakTime = flag.Duration("soak", 20*time.Second, "how long BenchmarkSoak runs")
+	soakSeed = flag.Uint64("soak-seed", 1, "seed of the faults of BenchmarkSoak")
+)
+
+const (
+	soakRouters = 4
+	soakEngines = 3
+	soakRate    = 20_000
+	soakBurst   = 40_000
+	soakTokens  = 30 // of each stream
+	// soakConverge is the time in which an accepted configuration must be in
+	// force everywhere.
+	soakConverge = 15 * time.Second
+)
+
+const soakRoutes = `[route chat]
+path = /v1/chat/completions
+pool = demo
+deadline = 10s
+
+[route confirm]
+path = /confirm
+pool = booking
+repeatable = false
+deadline = 5s
+`
+
+const soakPools = `[pool demo]
+targets = app=engine
+model = demo
+stall_timeout = 1s
+
+[pool booking]
+kind = service
+targets = app=booking
+stall_timeout = 1s
+
+[organisation circle]
+rate = %d
+burst = %d
+key.first = %s
+key.edit = %s
+`
+
+// soak is a fleet under traffic and faults, and what callers saw.
+type soak struct {
+	*fleet
+	random  *rand.Rand
+	options []peerOptions
+	engines []*process
+	service *process
+	edits   uint64
+
+	mu      sync.Mutex
+	routers []*process
+	copies  map[string][]seenCopy // by body of a confirmation
+
+	started time.Time
+	tokens  atomic.Int64 // that callers received
+	streams atomic.Int64 // whole
+	cut     atomic.Int64 // ended with an error
+	refused atomic.Int64
+}
+
+// seenCopy is how one copy of a confirmation ended for its caller.
+type seenCopy struct {
+	ok      bool
+	outcome apierr.Outcome
+}
+
+// BenchmarkSoak runs traffic through random pairs of faults and checks the
+// guarantees from what callers received and what targets recorded:
+//
+//	go test ./test/e2e -run '^$' -bench Soak -benchtime 1x -timeout 15m -soak 3m -soak-seed 1
+func BenchmarkSoak(b *testing.B) {
+	for range b.N {
+		s := newSoak(b)
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		for n := range 8 {
+			random := rand.New(rand.NewPCG(*soakSeed, uint64(n)))
+			group.Go(func() { s.stream(b, stop, random, n) })
+			group.Go(func() { s.confirm(stop, random, n) })
+		}
+		for time.Since(s.started) < *soakTime {
+			s.faultPair(b)
+		}
+		close(stop)
+		group.Wait()
+		s.check(b)
+	}
+}
+
+func newSoak(b *testing.B) *soak {
+	s := &soak{
+		fleet: newFleet(b), random: rand.New(rand.NewPCG(*soakSeed, 99)), copies: make(map[string][]seenCopy),
+	}
+	b.Logf("seed %d", *soakSeed)
+	s.edits = 1
+	s.edit()
+	for n := range soakEngines {
+		s.engines = append(s.engines, s.target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine", "--token-interval", "3ms"))
+	}
+	s.service = s.target("booking-1", platform.RoleService, "booking")
+	authority := certstest.NewAuthority(b)
+	var seeds []string
+	for n := range soakRouters {
+		o := peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds}
+		r := s.peerRouter(o)
+		o.listen = r.addresses["peer"]
+		waitReady(b, r)
+		seeds = append(seeds[:len(seeds):len(seeds)], o.listen)
+		s.options, s.routers = append(s.options, o), append(s.routers, r)
+	}
+	for n := range s.options {
+		s.options[n].seeds = seeds
+	}
+	s.started = time.Now()
+	return s
+}
+
+// edit accepts a configuration with another second key.
+func (s *soak) edit() {
+	s.edits++
+	digest := func(key string) string { return tables.FormatDigest(tables.DigestKey(key)) }
+	s.putTables(s.edits, soakRoutes, fmt.Sprintf(soakPools, soakRate, soakBurst, digest(s.key), digest(fmt.Sprint("edit ", s.edits))))
+}
+
+func (s *soak) router(random *rand.Rand) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routers[random.IntN(len(s.routers))]
+}
+
+func (s *soak) send(router *process, path, body, idempotencyKey string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+router.addresses["caller"]+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	if idempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	return (&http.Client{Timeout: 15 * time.Second}).Do(req)
+}
+
+// stream sends streaming requests. A stream that ends cleanly must be whole.
+func (s *soak) stream(b *testing.B, stop chan struct{}, random *rand.Rand, sender int) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		body := chatBody(fmt.Sprint("sender ", sender, " ", n), soakTokens)
+		resp, err := s.send(s.router(random), "/v1/chat/completions", body, "")
+		if err != nil || resp.StatusCode != http.StatusOK {
+			s.refused.Add(1)
+			if err == nil {
+				resp.Body.Close()
+			}
+			pause(20 * time.Millisecond)
+			continue
+		}
+		if err := s.readSoakStream(body, resp.Body); err != nil {
+			b.Errorf("G2, G8: %v", err)
+		}
+		resp.Body.Close()
+	}
+}
+
+func (s *soak) readSoakStream(body string, r io.Reader) error {
+	reader := engine.NewEventReader(r)
+	for position := uint64(1); ; position++ {
+		event, err := reader.Next()
+		if err != nil || strings.Contains(string(event.Data), `"error"`) {
+			s.cut.Add(1)
+			return nil // cut visibly
+		}
+		if event.Position != position {
+			return fmt.Errorf("event %d came as number %d of its stream", event.Position, position)
+		}
+		if event.Done() {
+			if position != soakTokens+1 {
+				return fmt.Errorf("a stream of %d events ended as if whole", position)
+			}
+			s.streams.Add(1)
+			return nil
+		}
+		if !strings.Contains(string(event.Data), standin.Token([]byte(body), position)) {
+			return fmt.Errorf("event %d belongs to another request: %s", position, event.Data)
+		}
+		s.tokens.Add(1)
+	}
+}
+
+// confirm sends each confirmation up to three times, to any router.
+func (s *soak) confirm(stop chan struct{}, random *rand.Rand, sender int) {
+	for n := 0; ; n++ {
+		body := fmt.Sprint("confirmation ", sender, " ", n)
+		for range 1 + random.IntN(3) {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			s.note(body, s.confirmOnce(random, body))
+			pause(10 * time.Millisecond)
+		}
+	}
+}
+
+func (s *soak) confirmOnce(random *rand.Rand, body string) seenCopy {
+	resp, err := s.send(s.router(random), "/confirm", body, body)
+	if err != nil {
+		return seenCopy{outcome: apierr.Unknown}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		return seenCopy{ok: true}
+	}
+	var doc apierr.Body
+	if json.NewDecoder(resp.Body).Decode(&doc) != nil {
+		return seenCopy{outcome: apierr.Unknown}
+	}
+	return seenCopy{outcome: doc.Error.Outcome}
+}
+
+func (s *soak) note(body string, seen seenCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[body] = append(s.copies[body], seen)
+}
+
+// fault starts a fault and returns what ends it.
+type fault struct {
+	name  string
+	start func() func()
+}
+
+func (s *soak) faults() []fault {
+	platformFault := func(f standin.PlatformFaults) func() func() {
+		return func() func() { return s.setFaults(s.platform, f, standin.PlatformFaults{}) }
+	}
+	engineFault := func(f standin.EngineFaults) func() func() {
+		return func() func() { return s.setFaults(s.engines[s.random.IntN(soakEngines)], f, standin.EngineFaults{}) }
+	}
+	return []fault{
+		{"router killed and restarted", s.killRouter},
+		{"router frozen", s.freezeRouter},
+		{"engine cuts streams", engineFault(standin.EngineFaults{CutAfterEvents: 7})},
+		{"engine answers with another id", engineFault(standin.EngineFaults{WrongRequestID: true})},
+		{"engine leaves out an event", engineFault(standin.EngineFaults{SkipEvent: 5})},
+		{"engine frozen", engineFault(standin.EngineFaults{Freeze: true})},
+		{"service cuts after running", func() func() {
+			return s.setFaults(s.service, standin.ServiceFaults{CutAfterReading: true}, standin.ServiceFaults{})
+		}},
+		{"platform down", platformFault(standin.PlatformFaults{Down: true})},
+		{"platform slow", platformFault(standin.PlatformFaults{DelayMillis: 300})},
+		{"answers of writes lost", platformFault(standin.PlatformFaults{LoseAnswers: 20})},
+	}
+}
+
+func (s *soak) setFaults(p *process, on, off any) func() {
+	s.admin(http.MethodPut, p.addresses["address"], "/admin/faults", on)
+	return func() { s.admin(http.MethodPut, p.addresses["address"], "/admin/faults", off) }
+}
+
+func (s *soak) killRouter() func() {
+	n := s.random.IntN(soakRouters)
+	s.routers[n].kill()
+	return func() {
+		next := s.peerRouter(s.options[n])
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.routers[n] = next
+	}
+}
+
+func (s *soak) freezeRouter() func() {
+	frozen := s.routers[s.random.IntN(soakRouters)]
+	_ = frozen.cmd.Process.Signal(syscall.SIGSTOP)
+	return func() { _ = frozen.cmd.Process.Signal(syscall.SIGCONT) }
+}
+
+// faultPair runs two faults at a time and then waits until an edit made after
+// them is in force everywhere.
+func (s *soak) faultPair(b *testing.B) {
+	all := s.faults()
+	s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	b.Logf("%6.1f s: %s, %s", time.Since(s.started).Seconds(), all[0].name, all[1].name)
+	first := all[0].start()
+	pause(time.Duration(s.random.IntN(1000)) * time.Millisecond)
+	second := all[1].start()
+	pause(time.Second + time.Duration(s.random.IntN(2000))*time.Millisecond)
+	first()
+	second()
+	pause(200 * time.Millisecond)
+	s.edit()
+	for _, r := range s.routers {
+		waitGeneration(b, r, s.edits, soakConverge)
+	}
+}
+
+// check compares what callers saw with what targets recorded.
+func (s *soak) check(b *testing.B) {
+	limit := soakBurst + soakRate*time.Since(s.started).Seconds()
+	if used := float64(s.tokens.Load()); used > limit {
+		b.Errorf("G7: %.0f tokens delivered, limit %.0f", used, limit)
+	}
+	var runs map[string]int
+	s.getJSON(s.service.addresses["address"], "/admin/runs", &runs)
+	ran, once := 0, 0
+	for body, copies := range s.copies {
+		anyOK, allNotRun := false, true
+		for _, c := range copies {
+			anyOK = anyOK || c.ok
+			allNotRun = allNotRun && !c.ok && c.outcome == apierr.NotRun
+		}
+		n := runs[body]
+		ran += n
+		if n == 1 {
+			once++
+		}
+		if n > 1 {
+			b.Errorf("G10: %q ran %d times", body, n)
+		}
+		if allNotRun && n > 0 {
+			b.Errorf("G9: %q ran although each copy was told not_run", body)
+		}
+		if anyOK && n != 1 {
+			b.Errorf("G8: %q was confirmed and ran %d times", body, n)
+		}
+	}
+	for _, e := range s.engines {
+		var received []standin.Received
+		s.getJSON(e.addresses["address"], "/admin/received", &received)
+		text, err := json.Marshal(received)
+		assert.NilError(b, err)
+		if strings.Contains(string(text), s.key) {
+			b.Errorf("G5: an engine received the key")
+		}
+	}
+	fmt.Printf("soak seed %d: %d whole streams, %d cut visibly, %d refused, %d tokens; %d confirmations, %d ran once, %d runs; %d edits\n",
+		*soakSeed, s.streams.Load(), s.cut.Load(), s.refused.Load(), s.tokens.Load(), len(s.copies), once, ran, s.edits-1)
+}
