--- a/test/e2e/guarantees_test.go
+++ b/test/e2e/guarantees_test.go
@@ -21,9 +21,10 @@
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
-const onceRoutes = testRoutes + `
+const onceRoutes = harness.Routes + `
 [route confirm]
 path = /confirm
 pool = booking
@@ -32,25 +33,17 @@
 `
 
 // newOnceFleet returns a fleet whose tables have a non-repeatable route.
-func newOnceFleet(t *testing.T) *fleet {
-	f := newFleet(t)
-	f.putTables(2, onceRoutes, poolsWithKey(f.key))
+func newOnceFleet(t *testing.T) *harness.Fleet {
+	f := harness.New(t)
+	f.PutTables(2, onceRoutes, harness.PoolsWithKey(f.Key))
 	return f
 }
 
-func (f *fleet) getJSON(address, path string, out any) {
-	f.t.Helper()
-	resp, err := http.Get("http://" + address + path)
-	assert.NilError(f.t, err)
-	defer resp.Body.Close()
-	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(out))
-}
-
 // runs returns how often the service has run a body.
-func (f *fleet) runs(service *process, body string) int {
-	f.t.Helper()
+func runs(f *harness.Fleet, service *harness.Process, body string) int {
+	f.T.Helper()
 	var runs map[string]int
-	f.getJSON(service.addresses["address"], "/admin/runs", &runs)
+	f.GetJSON(service.Addresses["address"], "/admin/runs", &runs)
 	return runs[body]
 }
 
@@ -65,15 +58,15 @@
 // the same time must run once in all.
 func TestConfirmationRunsOnceOverInstances(t *testing.T) {
 	f := newOnceFleet(t)
-	service := f.target("booking-1", platform.RoleService, "booking")
-	routers := []*process{f.router("r1", 1), f.router("r2", 1), f.router("r3", 1)}
+	service := f.Target("booking-1", platform.RoleService, "booking")
+	routers := []*harness.Process{f.Router("r1", 1), f.Router("r2", 1), f.Router("r3", 1)}
 	const body, copies = "slot 7", 4
 	var group sync.WaitGroup
 	statuses := make(chan int, copies*len(routers))
 	for _, router := range routers {
 		for range copies {
 			group.Go(func() {
-				resp := f.post(router, "/confirm", body, "Idempotency-Key", "one")
+				resp := f.Post(router, "/confirm", body, "Idempotency-Key", "one")
 				statuses <- resp.StatusCode
 			})
 		}
@@ -88,12 +81,12 @@
 		}
 	}
 	assert.Assert(t, succeeded >= 1)
-	assert.Equal(t, f.runs(service, body), 1)
+	assert.Equal(t, runs(f, service, body), 1)
 
-	resp := f.post(routers[2], "/confirm", body, "Idempotency-Key", "one")
+	resp := f.Post(routers[2], "/confirm", body, "Idempotency-Key", "one")
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, resp.Header.Get("Idempotent-Replayed"), "true")
-	assert.Equal(t, f.runs(service, body), 1)
+	assert.Equal(t, runs(f, service, body), 1)
 }
 
 // Guards G10 and G9: after its router is killed in mid-request, or its target
@@ -101,112 +94,112 @@
 // again, and the caller must not be told that it has not run.
 func TestConfirmationAfterLostAnswer(t *testing.T) {
 	f := newOnceFleet(t)
-	service := f.target("booking-1", platform.RoleService, "booking")
-	first, second := f.router("r1", 1), f.router("r2", 1)
+	service := f.Target("booking-1", platform.RoleService, "booking")
+	first, second := f.Router("r1", 1), f.Router("r2", 1)
 
-	f.admin(http.MethodPut, service.addresses["address"], "/admin/faults", standin.ServiceFaults{CutAfterReading: true})
-	resp := f.post(first, "/confirm", "cut", "Idempotency-Key", "cut")
+	f.Admin(http.MethodPut, service.Addresses["address"], "/admin/faults", standin.ServiceFaults{CutAfterReading: true})
+	resp := f.Post(first, "/confirm", "cut", "Idempotency-Key", "cut")
 	assert.Equal(t, errorOf(t, resp).Outcome, apierr.Unknown)
-	f.admin(http.MethodPut, service.addresses["address"], "/admin/faults", standin.ServiceFaults{})
-	resp = f.post(second, "/confirm", "cut", "Idempotency-Key", "cut")
+	f.Admin(http.MethodPut, service.Addresses["address"], "/admin/faults", standin.ServiceFaults{})
+	resp = f.Post(second, "/confirm", "cut", "Idempotency-Key", "cut")
 	assert.Equal(t, errorOf(t, resp).Code, apierr.CodeOutcomeUnknown)
-	assert.Equal(t, f.runs(service, "cut"), 1)
+	assert.Equal(t, runs(f, service, "cut"), 1)
 
-	f.admin(http.MethodPut, service.addresses["address"], "/admin/faults", standin.ServiceFaults{DelayMillis: 3000})
+	f.Admin(http.MethodPut, service.Addresses["address"], "/admin/faults", standin.ServiceFaults{DelayMillis: 3000})
 	go func() {
-		req, _ := http.NewRequest(http.MethodPost, "http://"+first.addresses["caller"]+"/confirm", strings.NewReader("kill"))
-		req.Header.Set("Authorization", "Bearer "+f.key)
+		req, _ := http.NewRequest(http.MethodPost, "http://"+first.Addresses["caller"]+"/confirm", strings.NewReader("kill"))
+		req.Header.Set("Authorization", "Bearer "+f.Key)
 		req.Header.Set("Idempotency-Key", "kill")
 		if resp, err := http.DefaultClient.Do(req); err == nil {
 			resp.Body.Close()
 		}
 	}()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if f.runs(service, "kill") == 1 {
+		if runs(f, service, "kill") == 1 {
 			return poll.Success()
 		}
 		return poll.Continue("not dispatched")
 	}, poll.WithTimeout(10*time.Second))
-	first.kill()
-	resp = f.post(second, "/confirm", "kill", "Idempotency-Key", "kill")
+	first.Kill()
+	resp = f.Post(second, "/confirm", "kill", "Idempotency-Key", "kill")
 	detail := errorOf(t, resp)
 	assert.Equal(t, detail.Outcome, apierr.Unknown, "%+v", detail)
-	assert.Equal(t, f.runs(service, "kill"), 1)
+	assert.Equal(t, runs(f, service, "kill"), 1)
 }
 
 // Guards G9: without the platform no claim can be made, so the request must be
 // refused as not run, and then run once when the platform is back.
 func TestConfirmationDuringOutage(t *testing.T) {
 	f := newOnceFleet(t)
-	service := f.target("booking-1", platform.RoleService, "booking")
-	router := f.router("r1", 1)
-	f.outage(true)
-	resp := f.post(router, "/confirm", "slot 7", "Idempotency-Key", "one")
+	service := f.Target("booking-1", platform.RoleService, "booking")
+	router := f.Router("r1", 1)
+	f.Outage(true)
+	resp := f.Post(router, "/confirm", "slot 7", "Idempotency-Key", "one")
 	detail := errorOf(t, resp)
 	assert.Equal(t, detail.Code, apierr.CodeClaimUnavailable)
 	assert.Equal(t, detail.Outcome, apierr.NotRun)
-	assert.Equal(t, f.runs(service, "slot 7"), 0)
-	resp = f.post(router, "/booking/slots", "lookup")
+	assert.Equal(t, runs(f, service, "slot 7"), 0)
+	resp = f.Post(router, "/booking/slots", "lookup")
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	f.outage(false)
-	resp = f.post(router, "/confirm", "slot 7", "Idempotency-Key", "one")
+	f.Outage(false)
+	resp = f.Post(router, "/confirm", "slot 7", "Idempotency-Key", "one")
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	assert.Equal(t, f.runs(service, "slot 7"), 1)
+	assert.Equal(t, runs(f, service, "slot 7"), 1)
 }
 
 // Guards against a poison request that takes down one target after the other,
 // because its caller sends it to another instance each time.
 func TestPoisonRequestOverInstances(t *testing.T) {
 	const engineCount = 4
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	var engines []*process
+	var engines []*harness.Process
 	for n := range engineCount {
-		e := f.target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine")
-		f.admin(http.MethodPut, e.addresses["address"], "/admin/faults", standin.EngineFaults{CrashOnText: "poison"})
+		e := f.Target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine")
+		f.Admin(http.MethodPut, e.Addresses["address"], "/admin/faults", standin.EngineFaults{CrashOnText: "poison"})
 		engines = append(engines, e)
 	}
-	routers := []*process{f.peerRouter(peerOptions{id: "r1", authority: authority})}
-	seed := []string{routers[0].addresses["peer"]}
-	routers = append(routers, f.peerRouter(peerOptions{id: "r2", authority: authority, seeds: seed}))
+	routers := []*harness.Process{f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})}
+	seed := []string{routers[0].Addresses["peer"]}
+	routers = append(routers, f.PeerRouter(harness.PeerOptions{ID: "r2", Authority: authority, Seeds: seed}))
 	for _, router := range routers {
-		waitReady(t, router)
+		harness.WaitReady(t, router)
 	}
-	waitPeers(t, routers[0], 1)
+	harness.WaitPeers(t, routers[0], 1)
 	body := `{"model":"demo","max_tokens":1,"messages":[{"role":"user","content":"poison"}]}`
 	for n := range 6 {
-		resp := f.post(routers[n%2], "/v1/chat/completions", body)
+		resp := f.Post(routers[n%2], "/v1/chat/completions", body)
 		assert.Assert(t, resp.StatusCode >= 400)
 		_, _ = io.Copy(io.Discard, resp.Body)
 	}
 	crashed := 0
 	for _, e := range engines {
 		select {
-		case <-e.exited:
+		case <-e.Exited:
 			crashed++
 		default:
 		}
 	}
 	assert.Assert(t, crashed <= 2, "%d engines crashed", crashed)
 	for _, router := range routers {
-		assert.Equal(t, errorOf(t, f.post(router, "/v1/chat/completions", body)).Code, apierr.CodeQuarantined)
+		assert.Equal(t, errorOf(t, f.Post(router, "/v1/chat/completions", body)).Code, apierr.CodeQuarantined)
 		sound := chatBody("sound", 5)
-		readStream(t, sound, f.post(router, "/v1/chat/completions", sound).Body, 5)
+		readStream(t, sound, f.Post(router, "/v1/chat/completions", sound).Body, 5)
 	}
 }
 
 // Guards G11: a target that says that it is leaving must get no new work after
 // a few seconds, although the instance list still shows it as live.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	f := newFleet(t)
-	leaving := f.target("engine-1", platform.RoleEngine, "engine")
-	f.target("engine-2", platform.RoleEngine, "engine")
-	router := f.router("r1", 2)
-	f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/faults", standin.PlatformFaults{FreezeList: true})
-	f.admin(http.MethodPut, leaving.addresses["address"], "/admin/faults", standin.EngineFaults{Leaving: true})
+	f := harness.New(t)
+	leaving := f.Target("engine-1", platform.RoleEngine, "engine")
+	f.Target("engine-2", platform.RoleEngine, "engine")
+	router := f.Router("r1", 2)
+	f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/faults", standin.PlatformFaults{FreezeList: true})
+	f.Admin(http.MethodPut, leaving.Addresses["address"], "/admin/faults", standin.EngineFaults{Leaving: true})
 	const limit = 5 * time.Second
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		status, err := readStatus(router)
+		status, err := harness.ReadStatus(router)
 		if err != nil {
 			return poll.Error(err)
 		}
@@ -219,13 +212,13 @@
 	}, poll.WithTimeout(limit))
 	received := func() int {
 		var requests []standin.Received
-		f.getJSON(leaving.addresses["address"], "/admin/received", &requests)
+		f.GetJSON(leaving.Addresses["address"], "/admin/received", &requests)
 		return len(requests)
 	}
 	before := received()
 	for n := range 20 {
 		body := chatBody(fmt.Sprint("prompt ", n), 3)
-		readStream(t, body, f.post(router, "/v1/chat/completions", body).Body, 3)
+		readStream(t, body, f.Post(router, "/v1/chat/completions", body).Body, 3)
 	}
 	assert.Equal(t, received(), before)
 }
@@ -233,14 +226,14 @@
 // Guards the reaction to a new weight version in the table: engines are ordered
 // to load it, and requests wait for no other weights.
 func TestPoolWeightsAreLoaded(t *testing.T) {
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--load-delay", "200ms")
-	f.target("engine-2", platform.RoleEngine, "engine", "--load-delay", "200ms")
-	router := f.router("r1", 2)
-	pools := strings.Replace(poolsWithKey(f.key), "model = demo\n", "model = demo\nweight_version = 2\nload_limit = 1\n", 1)
-	f.putTables(2, testRoutes, pools)
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine", "--load-delay", "200ms")
+	f.Target("engine-2", platform.RoleEngine, "engine", "--load-delay", "200ms")
+	router := f.Router("r1", 2)
+	pools := strings.Replace(harness.PoolsWithKey(f.Key), "model = demo\n", "model = demo\nweight_version = 2\nload_limit = 1\n", 1)
+	f.PutTables(2, harness.Routes, pools)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		status, err := readStatus(router)
+		status, err := harness.ReadStatus(router)
 		if err != nil {
 			return poll.Error(err)
 		}
@@ -256,22 +249,22 @@
 		return poll.Continue("%d of 2 engines run the new weights", loaded)
 	}, poll.WithTimeout(40*time.Second))
 	body := chatBody("hello", 5)
-	readStream(t, body, f.post(router, "/v1/chat/completions", body).Body, 5)
+	readStream(t, body, f.Post(router, "/v1/chat/completions", body).Body, 5)
 }
 
 // Guards the report: it must add up the instances that answer and name the one
 // that does not.
 func TestReportOverProcesses(t *testing.T) {
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	routers := []*process{f.router("r1", 1), f.router("r2", 1)}
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	routers := []*harness.Process{f.Router("r1", 1), f.Router("r2", 1)}
 	for _, router := range routers {
 		body := chatBody("hello", 3)
-		readStream(t, body, f.post(router, "/v1/chat/completions", body).Body, 3)
+		readStream(t, body, f.Post(router, "/v1/chat/completions", body).Body, 3)
 	}
-	gone := closedPort(t)
-	command := exec.Command(filepath.Join(binaries, "lacewingwheel"), "report", "--format", "json",
-		"--operator", routers[0].addresses["operator"], "--operator", routers[1].addresses["operator"], "--operator", gone)
+	gone := harness.ClosedPort(t)
+	command := exec.Command(filepath.Join(harness.Binaries(), "lacewingwheel"), "report", "--format", "json",
+		"--operator", routers[0].Addresses["operator"], "--operator", routers[1].Addresses["operator"], "--operator", gone)
 	var out bytes.Buffer
 	command.Stdout = &out
 	assert.NilError(t, command.Run())
--- a/test/e2e/idle_bench_test.go
+++ b/test/e2e/idle_bench_test.go
@@ -9,6 +9,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 const (
@@ -25,31 +26,31 @@
 //	go test ./test/e2e -run '^$' -bench IdleInstances -benchtime 1x
 func BenchmarkIdleInstances(b *testing.B) {
 	for b.Loop() {
-		f := newFleet(b)
+		f := harness.New(b)
 		authority := certstest.NewAuthority(b)
-		e := f.target("engine-1", platform.RoleEngine, "engine")
+		e := f.Target("engine-1", platform.RoleEngine, "engine")
 		for n := 2; n <= idleTargets; n++ {
 			// One process answers for all targets; only the routers are measured.
-			f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/instances", platform.Instance{
-				ID: fmt.Sprint("engine-", n), Role: platform.RoleEngine, Address: e.addresses["address"], Zone: "a",
+			f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/instances", platform.Instance{
+				ID: fmt.Sprint("engine-", n), Role: platform.RoleEngine, Address: e.Addresses["address"], Zone: "a",
 				Labels: map[string]string{"app": "engine"},
 			})
 		}
-		var routers []*process
+		var routers []*harness.Process
 		var seeds []string
 		for n := range spreadInstances {
-			r := f.peerRouter(peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds})
-			routers, seeds = append(routers, r), append(seeds, r.addresses["peer"])
+			r := f.PeerRouter(harness.PeerOptions{ID: fmt.Sprint("r", n), Authority: authority, Seeds: seeds})
+			routers, seeds = append(routers, r), append(seeds, r.Addresses["peer"])
 		}
 		started := time.Now()
 		<-time.After(idlePeriod)
 		var cpu time.Duration
 		var peak int64
 		for _, r := range routers {
-			r.signal(b, syscall.SIGTERM)
-			<-r.exited
-			cpu += r.cmd.ProcessState.UserTime() + r.cmd.ProcessState.SystemTime()
-			peak = max(peak, r.cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss)
+			r.Signal(b, syscall.SIGTERM)
+			<-r.Exited
+			cpu += r.Cmd.ProcessState.UserTime() + r.Cmd.ProcessState.SystemTime()
+			peak = max(peak, r.Cmd.ProcessState.SysUsage().(*syscall.Rusage).Maxrss)
 		}
 		wall := time.Since(started) * spreadInstances
 		b.ReportMetric(100*cpu.Seconds()/wall.Seconds(), "cpu-%")
--- a/test/e2e/observers_test.go
+++ b/test/e2e/observers_test.go
@@ -13,6 +13,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 // targetOf returns a target of a status document.
@@ -27,12 +28,12 @@
 
 // observersOf waits until a target has two observers and returns them, and the
 // other routers.
-func observersOf(t *testing.T, routers []*process, id string) (observers, others []*process) {
+func observersOf(t *testing.T, routers []*harness.Process, id string) (observers, others []*harness.Process) {
 	t.Helper()
-	waitStatus(t, routers[0], 20*time.Second, "two observers", func(server.Status) bool {
+	harness.WaitStatus(t, routers[0], 20*time.Second, "two observers", func(server.Status) bool {
 		observers, others = nil, nil
 		for _, r := range routers {
-			status, err := readStatus(r)
+			status, err := harness.ReadStatus(r)
 			if err != nil {
 				return false
 			}
@@ -57,23 +58,23 @@
 // leaving, as if it lagged by more than the test takes.
 func TestLeavingTargetWithFrozenObservers(t *testing.T) {
 	const limit = 5 * time.Second
-	f := newFleet(t)
-	f.putTables(2, openRoutes, poolsWithKey(f.key))
-	engines := make(map[string]*process)
+	f := harness.New(t)
+	f.PutTables(2, openRoutes, harness.PoolsWithKey(f.Key))
+	engines := make(map[string]*harness.Process)
 	for n := range 5 {
 		id := fmt.Sprint("engine-", n)
-		engines[id] = f.target(id, platform.RoleEngine, "engine")
+		engines[id] = f.Target(id, platform.RoleEngine, "engine")
 	}
 	authority := certstest.NewAuthority(t)
-	routers := []*process{f.peerRouter(peerOptions{id: "r0", authority: authority})}
+	routers := []*harness.Process{f.PeerRouter(harness.PeerOptions{ID: "r0", Authority: authority})}
 	for n := 1; n < 4; n++ {
-		routers = append(routers, f.peerRouter(peerOptions{
-			id: fmt.Sprint("r", n), authority: authority, seeds: []string{routers[0].addresses["peer"]},
+		routers = append(routers, f.PeerRouter(harness.PeerOptions{
+			ID: fmt.Sprint("r", n), Authority: authority, Seeds: []string{routers[0].Addresses["peer"]},
 		}))
 	}
 	for _, r := range routers {
-		waitReady(t, r)
-		waitPeers(t, r, len(routers)-1)
+		harness.WaitReady(t, r)
+		harness.WaitPeers(t, r, len(routers)-1)
 	}
 	for _, c := range []struct {
 		frozen int
@@ -81,29 +82,29 @@
 	}{{1, "engine-1"}, {2, "engine-2"}} {
 		frozen, id := c.frozen, c.id
 		observers, _ := observersOf(t, routers, id)
-		stopped := make(map[*process]bool)
+		stopped := make(map[*harness.Process]bool)
 		for _, r := range observers[:frozen] {
-			r.signal(t, syscall.SIGSTOP)
+			r.Signal(t, syscall.SIGSTOP)
 			stopped[r] = true
 		}
-		f.admin(http.MethodPut, engines[id].addresses["address"], "/admin/faults", standin.EngineFaults{Leaving: true})
+		f.Admin(http.MethodPut, engines[id].Addresses["address"], "/admin/faults", standin.EngineFaults{Leaving: true})
 		deadline := time.Now().Add(limit)
 		isLeaving := func(s server.Status) bool { return targetOf(s, id).Leaving }
 		for _, r := range routers {
 			if !stopped[r] {
-				waitStatus(t, r, time.Until(deadline), "aware that the target leaves", isLeaving)
+				harness.WaitStatus(t, r, time.Until(deadline), "aware that the target leaves", isLeaving)
 			}
 		}
 		received := func() int {
 			var requests []standin.Received
-			f.getJSON(engines[id].addresses["address"], "/admin/received", &requests)
+			f.GetJSON(engines[id].Addresses["address"], "/admin/received", &requests)
 			return len(requests)
 		}
 		before := received()
-		send := func(r *process) {
+		send := func(r *harness.Process) {
 			for n := range 10 {
 				body := chatBody(fmt.Sprint("prompt ", n), 2)
-				readStream(t, body, f.post(r, "/v1/chat/completions", body).Body, 2)
+				readStream(t, body, f.Post(r, "/v1/chat/completions", body).Body, 2)
 			}
 		}
 		for _, r := range routers {
@@ -113,10 +114,10 @@
 		}
 		assert.Equal(t, received(), before, "%d observers frozen", frozen)
 		for r := range stopped {
-			r.signal(t, syscall.SIGCONT)
+			r.Signal(t, syscall.SIGCONT)
 		}
 		for r := range stopped {
-			waitStatus(t, r, limit, "aware that the target leaves", isLeaving)
+			harness.WaitStatus(t, r, limit, "aware that the target leaves", isLeaving)
 		}
 		before = received()
 		for r := range stopped {
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -14,6 +14,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 func chatBody(content string, tokens int) string {
@@ -41,17 +42,17 @@
 // Guards the whole path: two routers, two engines, a service and the platform
 // as processes; streams are whole and a plain service is passed through.
 func TestWholePath(t *testing.T) {
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	f.target("engine-2", platform.RoleEngine, "engine")
-	f.target("booking-1", platform.RoleService, "booking")
-	for _, router := range []*process{f.router("r1", 3), f.router("r2", 3)} {
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	f.Target("engine-2", platform.RoleEngine, "engine")
+	f.Target("booking-1", platform.RoleService, "booking")
+	for _, router := range []*harness.Process{f.Router("r1", 3), f.Router("r2", 3)} {
 		body := chatBody("hello", 20)
-		resp := f.post(router, "/v1/chat/completions", body)
+		resp := f.Post(router, "/v1/chat/completions", body)
 		assert.Equal(t, resp.StatusCode, http.StatusOK)
 		readStream(t, body, resp.Body, 20)
 
-		resp = f.post(router, "/booking/slots", "slot 7")
+		resp = f.Post(router, "/booking/slots", "slot 7")
 		text, err := io.ReadAll(resp.Body)
 		assert.NilError(t, err)
 		assert.Equal(t, string(text), "POST /booking/slots: 6 bytes\n")
@@ -61,24 +62,24 @@
 // Guards against a stream that is cut when its engine is killed: the rest must
 // come from another engine, without a gap or a repeat.
 func TestStreamResumesAfterEngineKill(t *testing.T) {
-	f := newFleet(t)
-	crash := f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "5ms")
-	f.target("engine-2", platform.RoleEngine, "engine", "--token-interval", "5ms")
-	router := f.router("r1", 2)
-	f.admin(http.MethodPut, crash.addresses["address"], "/admin/faults", standin.EngineFaults{CrashAfterEvents: 7})
+	f := harness.New(t)
+	crash := f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "5ms")
+	f.Target("engine-2", platform.RoleEngine, "engine", "--token-interval", "5ms")
+	router := f.Router("r1", 2)
+	f.Admin(http.MethodPut, crash.Addresses["address"], "/admin/faults", standin.EngineFaults{CrashAfterEvents: 7})
 	// Several streams at a time, so that each engine gets some.
 	const streams, tokens = 8, 100
 	var bodies []string
 	var responses []*http.Response
 	for n := range streams {
 		bodies = append(bodies, chatBody(fmt.Sprint("stream ", n), tokens))
-		responses = append(responses, f.post(router, "/v1/chat/completions", bodies[n]))
+		responses = append(responses, f.Post(router, "/v1/chat/completions", bodies[n]))
 	}
 	for n, resp := range responses {
 		readStream(t, bodies[n], resp.Body, tokens)
 	}
 	select {
-	case <-crash.exited:
+	case <-crash.Exited:
 	default:
 		t.Fatal("no stream was sent to the engine that crashes")
 	}
@@ -86,13 +87,13 @@
 
 // Guards against a graceful stop that cuts a running stream.
 func TestStopCutsNoStream(t *testing.T) {
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
-	router := f.router("r1", 1)
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
+	router := f.Router("r1", 1)
 	body := chatBody("hello", 60)
-	resp := f.post(router, "/v1/chat/completions", body)
-	router.signal(t, syscall.SIGTERM)
+	resp := f.Post(router, "/v1/chat/completions", body)
+	router.Signal(t, syscall.SIGTERM)
 	readStream(t, body, resp.Body, 60)
-	<-router.exited
-	assert.Equal(t, router.cmd.ProcessState.ExitCode(), 0)
+	<-router.Exited
+	assert.Equal(t, router.Cmd.ProcessState.ExitCode(), 0)
 }
--- a/test/e2e/peers_test.go
+++ b/test/e2e/peers_test.go
@@ -25,26 +25,27 @@
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 // Guards G13: an instance that cannot reach the platform gets its configuration,
 // its targets and each change through a peer.
 func TestConfigurationThroughPeer(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
-	r2 := f.peerRouter(peerOptions{id: "r2", authority: authority, platform: closedPort(t), seeds: []string{r1.addresses["peer"]}})
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})
+	r2 := f.PeerRouter(harness.PeerOptions{ID: "r2", Authority: authority, Platform: harness.ClosedPort(t), Seeds: []string{r1.Addresses["peer"]}})
 	// Only r1 can hold quota shares, from which r2 borrows.
-	waitReady(t, r1)
-	waitReady(t, r2)
+	harness.WaitReady(t, r1)
+	harness.WaitReady(t, r2)
 	body := chatBody("hello", 5)
-	readStream(t, body, f.post(r2, "/v1/chat/completions", body).Body, 5)
+	readStream(t, body, f.Post(r2, "/v1/chat/completions", body).Body, 5)
 	for generation := uint64(2); generation <= 4; generation++ {
-		f.putTables(generation, testRoutes, poolsWithKey(f.key))
-		waitGeneration(t, r2, generation, 5*time.Second)
+		f.PutTables(generation, harness.Routes, harness.PoolsWithKey(f.Key))
+		harness.WaitGeneration(t, r2, generation, 5*time.Second)
 	}
-	status, err := readStatus(r2)
+	status, err := harness.ReadStatus(r2)
 	assert.NilError(t, err)
 	assert.Equal(t, len(status.Peers), 1)
 	assert.Equal(t, status.Peers[0].ID, "r1")
@@ -56,28 +57,28 @@
 // Guards G6 in an outage: a key revoked just before it, of which one instance
 // alone has heard, stops working on all instances, also for running streams.
 func TestRevocationDuringOutage(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
-	routers := []*process{r1}
+	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})
+	routers := []*harness.Process{r1}
 	for _, id := range []string{"r2", "r3", "r4"} {
-		routers = append(routers, f.peerRouter(peerOptions{
-			id: id, authority: authority, platform: closedPort(t), seeds: []string{routers[len(routers)-1].addresses["peer"]},
+		routers = append(routers, f.PeerRouter(harness.PeerOptions{
+			ID: id, Authority: authority, Platform: harness.ClosedPort(t), Seeds: []string{routers[len(routers)-1].Addresses["peer"]},
 		}))
 	}
 	var streams []*http.Response
 	for _, r := range routers {
-		waitReady(t, r)
-		streams = append(streams, f.post(r, "/v1/chat/completions", chatBody("long", 100_000)))
+		harness.WaitReady(t, r)
+		streams = append(streams, f.Post(r, "/v1/chat/completions", chatBody("long", 100_000)))
 	}
-	f.putTables(2, testRoutes, poolsWithKey("another key"))
+	f.PutTables(2, harness.Routes, harness.PoolsWithKey("another key"))
 	accepted := time.Now()
-	waitGeneration(t, r1, 2, revocationLimit)
-	f.outage(true)
+	harness.WaitGeneration(t, r1, 2, revocationLimit)
+	f.Outage(true)
 	for i, r := range routers {
-		waitGeneration(t, r, 2, revocationLimit)
-		assert.Equal(t, f.post(r, "/v1/chat/completions", chatBody("new", 1)).StatusCode, http.StatusUnauthorized)
+		harness.WaitGeneration(t, r, 2, revocationLimit)
+		assert.Equal(t, f.Post(r, "/v1/chat/completions", chatBody("new", 1)).StatusCode, http.StatusUnauthorized)
 		code, done := lastEvent(t, streams[i].Body)
 		assert.Assert(t, !done && strings.Contains(code, "key_revoked"), "%s", code)
 	}
@@ -105,53 +106,53 @@
 // refuses calls or leaves them without an answer.
 func TestHerdRestartDuringOutage(t *testing.T) {
 	t.Run("platform refuses", func(t *testing.T) {
-		testHerdRestart(t, func(f *fleet) { f.outage(true) })
+		testHerdRestart(t, func(f *harness.Fleet) { f.Outage(true) })
 	})
 	t.Run("platform is frozen", func(t *testing.T) {
-		testHerdRestart(t, func(f *fleet) { f.platform.signal(t, syscall.SIGSTOP) })
+		testHerdRestart(t, func(f *harness.Fleet) { f.Platform.Signal(t, syscall.SIGSTOP) })
 	})
 }
 
-func testHerdRestart(t *testing.T, breakPlatform func(*fleet)) {
-	f := newFleet(t)
+func testHerdRestart(t *testing.T, breakPlatform func(*harness.Fleet)) {
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
+	f.Target("engine-1", platform.RoleEngine, "engine")
 	const instances = 6
-	var options []peerOptions
-	var routers []*process
+	var options []harness.PeerOptions
+	var routers []*harness.Process
 	var seeds []string
 	for n := range instances {
-		o := peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds}
-		r := f.peerRouter(o)
-		o.listen = r.addresses["peer"]
+		o := harness.PeerOptions{ID: fmt.Sprint("r", n), Authority: authority, Seeds: seeds}
+		r := f.PeerRouter(o)
+		o.Listen = r.Addresses["peer"]
 		if n == 0 {
 			// The survivor holds the quota shares. Those of killed instances
 			// cannot be taken over without the platform, so that an instance
 			// that restarts into an outage serves from the survivor's tokens.
-			waitReady(t, r)
+			harness.WaitReady(t, r)
 		}
-		seeds = append(seeds[:len(seeds):len(seeds)], o.listen)
+		seeds = append(seeds[:len(seeds):len(seeds)], o.Listen)
 		options, routers = append(options, o), append(routers, r)
 	}
-	f.putTables(2, testRoutes, poolsWithKey(f.key))
+	f.PutTables(2, harness.Routes, harness.PoolsWithKey(f.Key))
 	for _, r := range routers {
-		waitReady(t, r)
-		waitGeneration(t, r, 2, 5*time.Second)
+		harness.WaitReady(t, r)
+		harness.WaitGeneration(t, r, 2, 5*time.Second)
 	}
 	breakPlatform(f)
 	for _, r := range routers[1:] {
-		r.kill()
+		r.Kill()
 	}
 	started := time.Now()
 	for n := 1; n < instances; n++ {
-		options[n].seeds = seeds
-		routers[n] = f.peerRouter(options[n])
+		options[n].Seeds = seeds
+		routers[n] = f.PeerRouter(options[n])
 	}
 	for _, r := range routers[1:] {
-		waitReady(t, r)
-		waitGeneration(t, r, 2, time.Second)
+		harness.WaitReady(t, r)
+		harness.WaitGeneration(t, r, 2, time.Second)
 		body := chatBody("hello", 5)
-		readStream(t, body, f.post(r, "/v1/chat/completions", body).Body, 5)
+		readStream(t, body, f.Post(r, "/v1/chat/completions", body).Body, 5)
 	}
 	took := time.Since(started)
 	t.Logf("%d instances served %v after the first was started", instances-1, took)
@@ -161,18 +162,18 @@
 // Guards G13: neither an offer nor an answer of a peer brings back a lower
 // generation, and an unknown message does no harm.
 func TestLowerGenerationIsIgnored(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
-	f.putTables(2, testRoutes, poolsWithKey(f.key))
-	waitGeneration(t, r1, 2, 5*time.Second)
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})
+	f.PutTables(2, harness.Routes, harness.PoolsWithKey(f.Key))
+	harness.WaitGeneration(t, r1, 2, 5*time.Second)
 
 	registry := peer.NewRegistry()
 	fetched := make(chan struct{}, 10)
 	peer.ConfigFetch.Handle(registry, func(context.Context, peer.ConfigFetchBody) (peer.ConfigFetchAnswer, error) {
 		defer func() { fetched <- struct{}{} }()
-		old := control.Accepted{Generation: 1, Editor: "old", Routes: testRoutes, Pools: poolsWithKey("old")}
+		old := control.Accepted{Generation: 1, Editor: "old", Routes: harness.Routes, Pools: harness.PoolsWithKey("old")}
 		value, err := old.Encode()
 		if err != nil {
 			return peer.ConfigFetchAnswer{}, err
@@ -182,34 +183,34 @@
 		_, _ = w.Write(value)
 		return peer.ConfigFetchAnswer{Generation: 1, Accepted: packed.Bytes()}, w.Close()
 	})
-	fake := fakePeer(t, authority, registry)
+	fake := harness.FakePeer(t, authority, registry)
 	for _, generation := range []uint64{1, 9} {
-		answer, err := peer.ConfigOffer.Call(t.Context(), fake, r1.addresses["peer"], peer.ConfigOfferBody{Address: fake.Address(), Generation: generation})
+		answer, err := peer.ConfigOffer.Call(t.Context(), fake, r1.Addresses["peer"], peer.ConfigOfferBody{Address: fake.Address(), Generation: generation})
 		assert.NilError(t, err)
 		assert.Equal(t, answer.Generation, uint64(2))
 	}
 	<-fetched
 	unknown := &peer.Message[peer.Empty, peer.Empty]{Request: "later.message", Response: "later.answer", Timeout: time.Second}
-	_, err := unknown.Call(t.Context(), fake, r1.addresses["peer"], peer.Empty{})
+	_, err := unknown.Call(t.Context(), fake, r1.Addresses["peer"], peer.Empty{})
 	assert.Equal(t, peer.KindOf(err), peer.KindUnknownType)
-	f.putTables(3, testRoutes, poolsWithKey(f.key))
-	status := waitStatus(t, r1, 5*time.Second, "past generation 2", func(s server.Status) bool { return s.Generation != 2 })
+	f.PutTables(3, harness.Routes, harness.PoolsWithKey(f.Key))
+	status := harness.WaitStatus(t, r1, 5*time.Second, "past generation 2", func(s server.Status) bool { return s.Generation != 2 })
 	assert.Equal(t, status.Generation, uint64(3))
 }
 
 // Guards G13 against operators that race: exactly one edit of each round is
 // accepted, and all instances put that one in force.
 func TestRacingWriters(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
-	r2 := f.peerRouter(peerOptions{id: "r2", authority: authority, platform: closedPort(t), seeds: []string{r1.addresses["peer"]}})
-	r3 := f.peerRouter(peerOptions{id: "r3", authority: authority, seeds: []string{r2.addresses["peer"]}})
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})
+	r2 := f.PeerRouter(harness.PeerOptions{ID: "r2", Authority: authority, Platform: harness.ClosedPort(t), Seeds: []string{r1.Addresses["peer"]}})
+	r3 := f.PeerRouter(harness.PeerOptions{ID: "r3", Authority: authority, Seeds: []string{r2.Addresses["peer"]}})
 	for generation := uint64(2); generation <= 6; generation++ {
-		winner := f.race(generation, 4)
-		for _, r := range []*process{r1, r2, r3} {
-			status := waitStatus(t, r, 5*time.Second, "at the new generation", func(s server.Status) bool { return s.Generation == generation })
+		winner := race(f, generation, 4)
+		for _, r := range []*harness.Process{r1, r2, r3} {
+			status := harness.WaitStatus(t, r, 5*time.Second, "at the new generation", func(s server.Status) bool { return s.Generation == generation })
 			assert.Equal(t, status.Editor, winner)
 		}
 	}
@@ -217,18 +218,18 @@
 
 // race lets several editors replace the same version and returns the one that
 // was accepted.
-func (f *fleet) race(generation uint64, editors int) string {
-	f.t.Helper()
-	current, err := f.store.Get(f.t.Context(), control.KindConfiguration, control.NameAccepted)
-	assert.NilError(f.t, err)
+func race(f *harness.Fleet, generation uint64, editors int) string {
+	f.T.Helper()
+	current, err := f.Store.Get(f.T.Context(), control.KindConfiguration, control.NameAccepted)
+	assert.NilError(f.T, err)
 	errs := make([]error, editors)
 	var group sync.WaitGroup
 	for n := range editors {
 		group.Go(func() {
-			a := control.Accepted{Generation: generation, Editor: fmt.Sprint("editor-", n), Nonce: uuid.NewString(), Routes: testRoutes, Pools: poolsWithKey(f.key)}
+			a := control.Accepted{Generation: generation, Editor: fmt.Sprint("editor-", n), Nonce: uuid.NewString(), Routes: harness.Routes, Pools: harness.PoolsWithKey(f.Key)}
 			value, err := a.Encode()
 			if err == nil {
-				_, err = f.store.Update(f.t.Context(), control.KindConfiguration, control.NameAccepted, value, current.Version)
+				_, err = f.Store.Update(f.T.Context(), control.KindConfiguration, control.NameAccepted, value, current.Version)
 			}
 			errs[n] = err
 		})
@@ -237,11 +238,11 @@
 	winner := ""
 	for n, err := range errs {
 		if err == nil {
-			assert.Equal(f.t, winner, "", "two editors were accepted")
+			assert.Equal(f.T, winner, "", "two editors were accepted")
 			winner = fmt.Sprint("editor-", n)
 			continue
 		}
-		assert.Assert(f.t, platform.IsKind(err, platform.KindConflict), "%v", err)
+		assert.Assert(f.T, platform.IsKind(err, platform.KindConflict), "%v", err)
 	}
 	return winner
 }
@@ -249,38 +250,38 @@
 // Guards G13 against an instance that is frozen across changes: it converges
 // when it runs again, never goes back, and holds nobody else up.
 func TestFreezeAndThaw(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority})
-	r2 := f.peerRouter(peerOptions{id: "r2", authority: authority, platform: closedPort(t), seeds: []string{r1.addresses["peer"]}})
-	r3 := f.peerRouter(peerOptions{id: "r3", authority: authority, platform: closedPort(t), seeds: []string{r2.addresses["peer"]}})
-	for _, r := range []*process{r1, r2, r3} {
-		waitReady(t, r)
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority})
+	r2 := f.PeerRouter(harness.PeerOptions{ID: "r2", Authority: authority, Platform: harness.ClosedPort(t), Seeds: []string{r1.Addresses["peer"]}})
+	r3 := f.PeerRouter(harness.PeerOptions{ID: "r3", Authority: authority, Platform: harness.ClosedPort(t), Seeds: []string{r2.Addresses["peer"]}})
+	for _, r := range []*harness.Process{r1, r2, r3} {
+		harness.WaitReady(t, r)
 	}
 	// r1 and r3 know each other through r2, which is frozen first.
-	for _, r := range []*process{r1, r3} {
-		waitStatus(t, r, 10*time.Second, "aware of both peers", func(s server.Status) bool { return len(s.Peers) == 2 })
+	for _, r := range []*harness.Process{r1, r3} {
+		harness.WaitStatus(t, r, 10*time.Second, "aware of both peers", func(s server.Status) bool { return len(s.Peers) == 2 })
 	}
 	generation := uint64(1)
-	for _, frozen := range []*process{r2, r1} {
-		frozen.signal(t, syscall.SIGSTOP)
+	for _, frozen := range []*harness.Process{r2, r1} {
+		frozen.Signal(t, syscall.SIGSTOP)
 		if frozen != r1 {
 			for range 2 {
 				generation++
-				f.putTables(generation, testRoutes, poolsWithKey(f.key))
-				waitGeneration(t, r1, generation, 5*time.Second)
-				waitGeneration(t, r3, generation, 10*time.Second)
+				f.PutTables(generation, harness.Routes, harness.PoolsWithKey(f.Key))
+				harness.WaitGeneration(t, r1, generation, 5*time.Second)
+				harness.WaitGeneration(t, r3, generation, 10*time.Second)
 			}
 		} else {
 			// Nobody else reaches the platform; the change waits for r1.
 			generation++
-			f.putTables(generation, testRoutes, poolsWithKey(f.key))
+			f.PutTables(generation, harness.Routes, harness.PoolsWithKey(f.Key))
 		}
-		frozen.signal(t, syscall.SIGCONT)
+		frozen.Signal(t, syscall.SIGCONT)
 		lowest := uint64(0)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			status, err := readStatus(frozen)
+			status, err := harness.ReadStatus(frozen)
 			if err != nil {
 				return poll.Continue("%v", err)
 			}
@@ -292,8 +293,8 @@
 			}
 			return poll.Continue("at generation %d", lowest)
 		}, poll.WithTimeout(15*time.Second), poll.WithDelay(time.Millisecond))
-		for _, r := range []*process{r1, r2, r3} {
-			waitGeneration(t, r, generation, 10*time.Second)
+		for _, r := range []*harness.Process{r1, r2, r3} {
+			harness.WaitGeneration(t, r, generation, 10*time.Second)
 		}
 	}
 }
@@ -301,32 +302,32 @@
 // Guards takeovers against false proof: a frozen process proves nothing, a
 // killed one is refused, and one that was started again has another incarnation.
 func TestProbeOfProcesses(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	options := peerOptions{id: "r1", authority: authority}
-	r1 := f.peerRouter(options)
-	options.listen = r1.addresses["peer"]
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	options := harness.PeerOptions{ID: "r1", Authority: authority}
+	r1 := f.PeerRouter(options)
+	options.Listen = r1.Addresses["peer"]
 	prober := &control.Instances{
 		Self:       control.Self{ID: "test", Address: "127.0.0.1:9", Incarnation: uuid.NewString()},
-		Transport:  fakePeer(t, authority, peer.NewRegistry()),
+		Transport:  harness.FakePeer(t, authority, peer.NewRegistry()),
 		Generation: func() uint64 { return 0 }, Log: hclog.NewNullLogger(),
 	}
-	first := prober.Probe(t.Context(), options.listen)
+	first := prober.Probe(t.Context(), options.Listen)
 	assert.Equal(t, first.State, control.ProbeAlive)
-	r1.signal(t, syscall.SIGSTOP)
-	assert.Equal(t, prober.Probe(t.Context(), options.listen).State, control.ProbeUnknown)
-	r1.signal(t, syscall.SIGCONT)
+	r1.Signal(t, syscall.SIGSTOP)
+	assert.Equal(t, prober.Probe(t.Context(), options.Listen).State, control.ProbeUnknown)
+	r1.Signal(t, syscall.SIGCONT)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if got := prober.Probe(t.Context(), options.listen); got != first {
+		if got := prober.Probe(t.Context(), options.Listen); got != first {
 			return poll.Continue("%+v", got)
 		}
 		return poll.Success()
 	}, poll.WithTimeout(10*time.Second))
-	r1.kill()
-	assert.Equal(t, prober.Probe(t.Context(), options.listen).State, control.ProbeRefused)
-	f.peerRouter(options)
-	again := prober.Probe(t.Context(), options.listen)
+	r1.Kill()
+	assert.Equal(t, prober.Probe(t.Context(), options.Listen).State, control.ProbeRefused)
+	f.PeerRouter(options)
+	again := prober.Probe(t.Context(), options.Listen)
 	assert.Equal(t, again.State, control.ProbeAlive)
 	assert.Assert(t, again.Incarnation != first.Incarnation)
 }
@@ -334,49 +335,49 @@
 // Guards G12: an instance that stops gracefully cuts no stream, of those that run
 // and of those that arrive during the grace, and its peers go on.
 func TestGracefulStopWithPeers(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority, server: "ready_grace = 2s"})
-	r2 := f.peerRouter(peerOptions{id: "r2", authority: authority, seeds: []string{r1.addresses["peer"]}})
-	waitReady(t, r1)
-	waitReady(t, r2)
+	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority, Server: "ready_grace = 2s"})
+	r2 := f.PeerRouter(harness.PeerOptions{ID: "r2", Authority: authority, Seeds: []string{r1.Addresses["peer"]}})
+	harness.WaitReady(t, r1)
+	harness.WaitReady(t, r2)
 	body := chatBody("hello", 150)
-	streams := []*http.Response{f.post(r1, "/v1/chat/completions", body)}
-	r1.signal(t, syscall.SIGTERM)
-	waitStatus(t, r1, 2*time.Second, "stopping", func(s server.Status) bool { return s.Stopping && !s.Ready })
-	streams = append(streams, f.post(r1, "/v1/chat/completions", body))
+	streams := []*http.Response{f.Post(r1, "/v1/chat/completions", body)}
+	r1.Signal(t, syscall.SIGTERM)
+	harness.WaitStatus(t, r1, 2*time.Second, "stopping", func(s server.Status) bool { return s.Stopping && !s.Ready })
+	streams = append(streams, f.Post(r1, "/v1/chat/completions", body))
 	for _, stream := range streams {
 		readStream(t, body, stream.Body, 150)
 	}
-	<-r1.exited
-	assert.Equal(t, r1.cmd.ProcessState.ExitCode(), 0)
-	f.putTables(2, testRoutes, poolsWithKey(f.key))
-	waitGeneration(t, r2, 2, 5*time.Second)
+	<-r1.Exited
+	assert.Equal(t, r1.Cmd.ProcessState.ExitCode(), 0)
+	f.PutTables(2, harness.Routes, harness.PoolsWithKey(f.Key))
+	harness.WaitGeneration(t, r2, 2, 5*time.Second)
 }
 
 // Guards against a certificate that needs a restart, and against a stream that
 // is cut when it changes.
 func TestCertificateReload(t *testing.T) {
-	f := newFleet(t)
+	f := harness.New(t)
 	authority := certstest.NewAuthority(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
+	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "20ms")
 	files := authority.Issue("caller-1")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: authority, tls: map[string]string{"caller_cert": files.Cert, "caller_key": files.Key}})
-	waitReady(t, r1)
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: authority, TLS: map[string]string{"caller_cert": files.Cert, "caller_key": files.Key}})
+	harness.WaitReady(t, r1)
 	trust := &tls.Config{RootCAs: authority.Pool()}
 	client := &http.Client{Transport: &http.Transport{TLSClientConfig: trust, ForceAttemptHTTP2: true}}
 	body := chatBody("hello", 150)
-	req, err := http.NewRequest(http.MethodPost, "https://"+r1.addresses["caller"]+"/v1/chat/completions", strings.NewReader(body))
+	req, err := http.NewRequest(http.MethodPost, "https://"+r1.Addresses["caller"]+"/v1/chat/completions", strings.NewReader(body))
 	assert.NilError(t, err)
-	req.Header.Set("Authorization", "Bearer "+f.key)
+	req.Header.Set("Authorization", "Bearer "+f.Key)
 	resp, err := client.Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	assert.Equal(t, resp.TLS.PeerCertificates[0].Subject.CommonName, "caller-1")
 	authority.Renew(files, "caller-2")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		conn, err := tls.Dial("tcp", r1.addresses["caller"], trust)
+		conn, err := tls.Dial("tcp", r1.Addresses["caller"], trust)
 		if err != nil {
 			return poll.Error(err)
 		}
@@ -392,17 +393,17 @@
 // Guards against an instance of another authority that gets the tables or is
 // taken for a peer.
 func TestOtherAuthorityIsRefused(t *testing.T) {
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	r1 := f.peerRouter(peerOptions{id: "r1", authority: certstest.NewAuthority(t)})
-	waitReady(t, r1)
-	stranger := f.peerRouter(peerOptions{id: "stranger", authority: certstest.NewAuthority(t), platform: closedPort(t), seeds: []string{r1.addresses["peer"]}})
-	status := waitStatus(t, stranger, 10*time.Second, "refused", func(s server.Status) bool {
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	r1 := f.PeerRouter(harness.PeerOptions{ID: "r1", Authority: certstest.NewAuthority(t)})
+	harness.WaitReady(t, r1)
+	stranger := f.PeerRouter(harness.PeerOptions{ID: "stranger", Authority: certstest.NewAuthority(t), Platform: harness.ClosedPort(t), Seeds: []string{r1.Addresses["peer"]}})
+	status := harness.WaitStatus(t, stranger, 10*time.Second, "refused", func(s server.Status) bool {
 		return len(s.Peers) == 1 && s.Peers[0].FailedSince != nil
 	})
 	assert.Equal(t, status.Generation, uint64(0))
 	assert.Assert(t, !status.Ready)
-	status, err := readStatus(r1)
+	status, err := harness.ReadStatus(r1)
 	assert.NilError(t, err)
 	assert.Equal(t, len(status.Peers), 0)
 }
--- a/test/e2e/quota_test.go
+++ b/test/e2e/quota_test.go
@@ -16,6 +16,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 const quotaPools = `[pool demo]
@@ -46,13 +47,13 @@
 		senders     = 4
 		phase       = 700 * time.Millisecond
 	)
-	f := newFleet(t)
-	f.target("engine-1", platform.RoleEngine, "engine", "--token-interval", "0s")
-	f.putTables(2, testRoutes, fmt.Sprintf(quotaPools, rate, burst, tables.FormatDigest(tables.DigestKey(f.key))))
-	first := f.router("r1", 1)
-	routers := []*process{first, f.router("r2", 1), f.router("r3", 1), f.router("r4", 1)}
+	f := harness.New(t)
+	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "0s")
+	f.PutTables(2, harness.Routes, fmt.Sprintf(quotaPools, rate, burst, tables.FormatDigest(tables.DigestKey(f.Key))))
+	first := f.Router("r1", 1)
+	routers := []*harness.Process{first, f.Router("r2", 1), f.Router("r3", 1), f.Router("r4", 1)}
 	for _, r := range routers[1:] {
-		waitPeers(t, r, 1)
+		harness.WaitPeers(t, r, 1)
 	}
 	var used atomic.Int64
 	stop := make(chan struct{})
@@ -60,15 +61,15 @@
 	started := time.Now()
 	for _, router := range routers {
 		for n := range senders {
-			group.Go(func() { f.sendUntil(stop, router, fmt.Sprint("sender ", n), output, &used) })
+			group.Go(func() { sendUntil(f, stop, router, fmt.Sprint("sender ", n), output, &used) })
 		}
 	}
 	pause(phase)
-	f.outage(true)
-	routers[1].signal(t, syscall.SIGSTOP)
+	f.Outage(true)
+	routers[1].Signal(t, syscall.SIGSTOP)
 	pause(phase)
-	routers[2].kill()
-	routers[1].signal(t, syscall.SIGCONT)
+	routers[2].Kill()
+	routers[1].Signal(t, syscall.SIGCONT)
 	pause(phase)
 	close(stop)
 	group.Wait()
@@ -83,7 +84,7 @@
 
 // sendUntil sends requests one after the other and adds up the tokens of whole
 // responses. Failures are expected: routers refuse, and one of them is killed.
-func (f *fleet) sendUntil(stop chan struct{}, router *process, content string, output int, used *atomic.Int64) {
+func sendUntil(f *harness.Fleet, stop chan struct{}, router *harness.Process, content string, output int, used *atomic.Int64) {
 	client := &http.Client{Timeout: 5 * time.Second}
 	body := fmt.Sprintf(`{"model":"demo","max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, output, content)
 	for {
@@ -92,8 +93,8 @@
 			return
 		default:
 		}
-		req, _ := http.NewRequest(http.MethodPost, "http://"+router.addresses["caller"]+"/v1/chat/completions", strings.NewReader(body))
-		req.Header.Set("Authorization", "Bearer "+f.key)
+		req, _ := http.NewRequest(http.MethodPost, "http://"+router.Addresses["caller"]+"/v1/chat/completions", strings.NewReader(body))
+		req.Header.Set("Authorization", "Bearer "+f.Key)
 		resp, err := client.Do(req)
 		if err != nil {
 			pause(10 * time.Millisecond)
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -22,6 +22,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 var (
@@ -71,15 +72,15 @@
 
 // soak is a fleet under traffic and faults, and what callers saw.
 type soak struct {
-	*fleet
+	*harness.Fleet
 	random  *rand.Rand
-	options []peerOptions
-	engines []*process
-	service *process
+	options []harness.PeerOptions
+	engines []*harness.Process
+	service *harness.Process
 	edits   uint64
 
 	mu      sync.Mutex
-	routers []*process
+	routers []*harness.Process
 	copies  map[string][]seenCopy // by body of a confirmation
 
 	started time.Time
@@ -120,27 +121,27 @@
 
 func newSoak(b *testing.B) *soak {
 	s := &soak{
-		fleet: newFleet(b), random: rand.New(rand.NewPCG(*soakSeed, 99)), copies: make(map[string][]seenCopy),
+		Fleet: harness.New(b), random: rand.New(rand.NewPCG(*soakSeed, 99)), copies: make(map[string][]seenCopy),
 	}
 	b.Logf("seed %d", *soakSeed)
 	s.edits = 1
 	s.edit()
 	for n := range soakEngines {
-		s.engines = append(s.engines, s.target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine", "--token-interval", "3ms"))
+		s.engines = append(s.engines, s.Target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine", "--token-interval", "3ms"))
 	}
-	s.service = s.target("booking-1", platform.RoleService, "booking")
+	s.service = s.Target("booking-1", platform.RoleService, "booking")
 	authority := certstest.NewAuthority(b)
 	var seeds []string
 	for n := range soakRouters {
-		o := peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds}
-		r := s.peerRouter(o)
-		o.listen = r.addresses["peer"]
-		waitReady(b, r)
-		seeds = append(seeds[:len(seeds):len(seeds)], o.listen)
+		o := harness.PeerOptions{ID: fmt.Sprint("r", n), Authority: authority, Seeds: seeds}
+		r := s.PeerRouter(o)
+		o.Listen = r.Addresses["peer"]
+		harness.WaitReady(b, r)
+		seeds = append(seeds[:len(seeds):len(seeds)], o.Listen)
 		s.options, s.routers = append(s.options, o), append(s.routers, r)
 	}
 	for n := range s.options {
-		s.options[n].seeds = seeds
+		s.options[n].Seeds = seeds
 	}
 	s.started = time.Now()
 	return s
@@ -150,21 +151,21 @@
 func (s *soak) edit() {
 	s.edits++
 	digest := func(key string) string { return tables.FormatDigest(tables.DigestKey(key)) }
-	s.putTables(s.edits, soakRoutes, fmt.Sprintf(soakPools, soakRate, soakBurst, digest(s.key), digest(fmt.Sprint("edit ", s.edits))))
+	s.PutTables(s.edits, soakRoutes, fmt.Sprintf(soakPools, soakRate, soakBurst, digest(s.Key), digest(fmt.Sprint("edit ", s.edits))))
 }
 
-func (s *soak) router(random *rand.Rand) *process {
+func (s *soak) router(random *rand.Rand) *harness.Process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.routers[random.IntN(len(s.routers))]
 }
 
-func (s *soak) send(router *process, path, body, idempotencyKey string) (*http.Response, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+router.addresses["caller"]+path, strings.NewReader(body))
+func (s *soak) send(router *harness.Process, path, body, idempotencyKey string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+router.Addresses["caller"]+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+s.key)
+	req.Header.Set("Authorization", "Bearer "+s.Key)
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
 	}
@@ -267,7 +268,7 @@
 
 func (s *soak) faults() []fault {
 	platformFault := func(f standin.PlatformFaults) func() func() {
-		return func() func() { return s.setFaults(s.platform, f, standin.PlatformFaults{}) }
+		return func() func() { return s.setFaults(s.Platform, f, standin.PlatformFaults{}) }
 	}
 	engineFault := func(f standin.EngineFaults) func() func() {
 		return func() func() { return s.setFaults(s.engines[s.random.IntN(soakEngines)], f, standin.EngineFaults{}) }
@@ -288,16 +289,16 @@
 	}
 }
 
-func (s *soak) setFaults(p *process, on, off any) func() {
-	s.admin(http.MethodPut, p.addresses["address"], "/admin/faults", on)
-	return func() { s.admin(http.MethodPut, p.addresses["address"], "/admin/faults", off) }
+func (s *soak) setFaults(p *harness.Process, on, off any) func() {
+	s.Admin(http.MethodPut, p.Addresses["address"], "/admin/faults", on)
+	return func() { s.Admin(http.MethodPut, p.Addresses["address"], "/admin/faults", off) }
 }
 
 func (s *soak) killRouter() func() {
 	n := s.random.IntN(soakRouters)
-	s.routers[n].kill()
+	s.routers[n].Kill()
 	return func() {
-		next := s.peerRouter(s.options[n])
+		next := s.PeerRouter(s.options[n])
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.routers[n] = next
@@ -306,8 +307,8 @@
 
 func (s *soak) freezeRouter() func() {
 	frozen := s.routers[s.random.IntN(soakRouters)]
-	_ = frozen.cmd.Process.Signal(syscall.SIGSTOP)
-	return func() { _ = frozen.cmd.Process.Signal(syscall.SIGCONT) }
+	_ = frozen.Cmd.Process.Signal(syscall.SIGSTOP)
+	return func() { _ = frozen.Cmd.Process.Signal(syscall.SIGCONT) }
 }
 
 // faultPair runs two faults at a time and then waits until an edit made after
@@ -325,7 +326,7 @@
 	pause(200 * time.Millisecond)
 	s.edit()
 	for _, r := range s.routers {
-		waitGeneration(b, r, s.edits, soakConverge)
+		harness.WaitGeneration(b, r, s.edits, soakConverge)
 	}
 }
 
@@ -336,7 +337,7 @@
 		b.Errorf("G7: %.0f tokens delivered, limit %.0f", used, limit)
 	}
 	var runs map[string]int
-	s.getJSON(s.service.addresses["address"], "/admin/runs", &runs)
+	s.GetJSON(s.service.Addresses["address"], "/admin/runs", &runs)
 	ran, once := 0, 0
 	for body, copies := range s.copies {
 		anyOK, allNotRun := false, true
@@ -361,10 +362,10 @@
 	}
 	for _, e := range s.engines {
 		var received []standin.Received
-		s.getJSON(e.addresses["address"], "/admin/received", &received)
+		s.GetJSON(e.Addresses["address"], "/admin/received", &received)
 		text, err := json.Marshal(received)
 		assert.NilError(b, err)
-		if strings.Contains(string(text), s.key) {
+		if strings.Contains(string(text), s.Key) {
 			b.Errorf("G5: an engine received the key")
 		}
 	}
--- a/test/e2e/spread_bench_test.go
+++ b/test/e2e/spread_bench_test.go
@@ -11,6 +11,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
 const (
@@ -30,27 +31,27 @@
 
 // measureSpread starts the processes, of which only some reach the platform.
 func measureSpread(b *testing.B, reaching int) {
-	f := newFleet(b)
+	f := harness.New(b)
 	authority := certstest.NewAuthority(b)
-	f.target("engine-1", platform.RoleEngine, "engine")
-	var routers []*process
+	f.Target("engine-1", platform.RoleEngine, "engine")
+	var routers []*harness.Process
 	var seeds []string
 	for n := range spreadInstances {
-		o := peerOptions{id: fmt.Sprint("r", n), authority: authority, seeds: seeds}
+		o := harness.PeerOptions{ID: fmt.Sprint("r", n), Authority: authority, Seeds: seeds}
 		if n >= reaching {
-			o.platform = closedPort(b)
+			o.Platform = harness.ClosedPort(b)
 		}
-		r := f.peerRouter(o)
-		routers, seeds = append(routers, r), append(seeds, r.addresses["peer"])
+		r := f.PeerRouter(o)
+		routers, seeds = append(routers, r), append(seeds, r.Addresses["peer"])
 	}
 	for _, r := range routers {
-		waitReady(b, r)
+		harness.WaitReady(b, r)
 	}
 	times := hdrhistogram.New(1, spreadLimit.Microseconds(), 3)
 	generation := uint64(1)
 	for b.Loop() {
 		generation++
-		f.putTables(generation, testRoutes, poolsWithKey(f.key))
+		f.PutTables(generation, harness.Routes, harness.PoolsWithKey(f.Key))
 		accepted := time.Now()
 		waitAll(b, routers, generation)
 		assert.NilError(b, times.RecordValue(time.Since(accepted).Microseconds()))
@@ -62,14 +63,14 @@
 }
 
 // waitAll waits until all routers have a generation in force.
-func waitAll(b *testing.B, routers []*process, generation uint64) {
+func waitAll(b *testing.B, routers []*harness.Process, generation uint64) {
 	b.Helper()
 	limit := time.Now().Add(spreadLimit)
 	var group sync.WaitGroup
 	for _, r := range routers {
 		group.Go(func() {
 			for {
-				status, err := readStatus(r)
+				status, err := harness.ReadStatus(r)
 				if err == nil && status.Generation >= generation {
 					return
 				}
--- a/test/e2e/peers_harness_test.go
+++ b/test/harness/peers.go
@@ -1,4 +1,4 @@
-package e2e
+package harness
 
 import (
 	"encoding/json"
@@ -23,15 +23,15 @@
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
-// peerOptions describe a router that talks to other instances.
-type peerOptions struct {
-	id        string
-	authority *certstest.Authority // signs the certificate of the router
-	platform  string               // default: the fleet's
-	listen    string               // for peers; default: a port from the kernel
-	seeds     []string
-	server    string            // lines of the section [server]
-	tls       map[string]string // more keys of the section [tls]
+// PeerOptions describe a router that talks to other instances.
+type PeerOptions struct {
+	ID        string
+	Authority *certstest.Authority // signs the certificate of the router
+	Platform  string               // default: the fleet's
+	Listen    string               // for peers; default: a port from the kernel
+	Seeds     []string
+	Server    string            // lines of the section [server]
+	TLS       map[string]string // more keys of the section [tls]
 }
 
 const peerSettingsText = `[instance]
@@ -53,32 +53,32 @@
 [tls]
 `
 
-// peerRouter starts a router with peers and does not wait until it is ready.
-func (f *fleet) peerRouter(o peerOptions) *process {
-	f.t.Helper()
-	if o.platform == "" {
-		o.platform = f.platform.addresses["address"]
+// PeerRouter starts a router with peers and does not wait until it is ready.
+func (f *Fleet) PeerRouter(o PeerOptions) *Process {
+	f.T.Helper()
+	if o.Platform == "" {
+		o.Platform = f.Platform.Addresses["address"]
 	}
-	if o.listen == "" {
-		o.listen = "127.0.0.1:0"
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
 	}
-	files := o.authority.Issue(o.id)
+	files := o.Authority.Issue(o.ID)
 	seeds := ""
-	if len(o.seeds) > 0 {
-		seeds = "seeds = " + strings.Join(o.seeds, ", ")
+	if len(o.Seeds) > 0 {
+		seeds = "seeds = " + strings.Join(o.Seeds, ", ")
 	}
-	text := fmt.Sprintf(peerSettingsText, o.id, o.listen, o.platform, seeds, o.server)
-	text += fmt.Sprintf("peer_cert = %s\npeer_key = %s\npeer_ca = %s\n", files.Cert, files.Key, o.authority.File)
-	for key, value := range o.tls {
+	text := fmt.Sprintf(peerSettingsText, o.ID, o.Listen, o.Platform, seeds, o.Server)
+	text += fmt.Sprintf("peer_cert = %s\npeer_key = %s\npeer_ca = %s\n", files.Cert, files.Key, o.Authority.File)
+	for key, value := range o.TLS {
 		text += key + " = " + value + "\n"
 	}
-	path := filepath.Join(f.t.TempDir(), o.id+".ini")
-	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
-	return start(f.t, "lacewingwheel", "serve", "--settings", path)
+	path := filepath.Join(f.T.TempDir(), o.ID+".ini")
+	assert.NilError(f.T, os.WriteFile(path, []byte(text), 0o600))
+	return Start(f.T, "lacewingwheel", "serve", "--settings", path)
 }
 
-// closedPort returns an address that refuses connections.
-func closedPort(t testing.TB) string {
+// ClosedPort returns an address that refuses connections.
+func ClosedPort(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -88,9 +88,10 @@
 
 var statusClient = &http.Client{Timeout: 2 * time.Second}
 
-func readStatus(p *process) (server.Status, error) {
+// ReadStatus reads the status of a router.
+func ReadStatus(p *Process) (server.Status, error) {
 	var status server.Status
-	resp, err := statusClient.Get("http://" + p.addresses["operator"] + "/status.json")
+	resp, err := statusClient.Get("http://" + p.Addresses["operator"] + "/status.json")
 	if err != nil {
 		return status, err
 	}
@@ -98,12 +99,12 @@
 	return status, json.NewDecoder(resp.Body).Decode(&status)
 }
 
-// waitStatus waits until the status of a router fulfils a condition.
-func waitStatus(t testing.TB, p *process, limit time.Duration, what string, done func(server.Status) bool) server.Status {
+// WaitStatus waits until the status of a router fulfils a condition.
+func WaitStatus(t testing.TB, p *Process, limit time.Duration, what string, done func(server.Status) bool) server.Status {
 	t.Helper()
 	var last server.Status
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		status, err := readStatus(p)
+		status, err := ReadStatus(p)
 		if err != nil {
 			return poll.Continue("%v", err)
 		}
@@ -115,22 +116,24 @@
 	return last
 }
 
-func waitReady(t testing.TB, p *process) {
+// WaitReady waits until a router is ready and reaches a target.
+func WaitReady(t testing.TB, p *Process) {
 	t.Helper()
-	waitStatus(t, p, 20*time.Second, "ready with its target", func(s server.Status) bool {
+	WaitStatus(t, p, 20*time.Second, "ready with its target", func(s server.Status) bool {
 		return s.Ready && len(s.Targets) > 0 && s.Targets[0].Reachable
 	})
 }
 
-func waitGeneration(t testing.TB, p *process, generation uint64, limit time.Duration) {
+// WaitGeneration waits until a router has a generation in force.
+func WaitGeneration(t testing.TB, p *Process, generation uint64, limit time.Duration) {
 	t.Helper()
-	waitStatus(t, p, limit, fmt.Sprint("at generation ", generation), func(s server.Status) bool { return s.Generation == generation })
+	WaitStatus(t, p, limit, fmt.Sprint("at generation ", generation), func(s server.Status) bool { return s.Generation == generation })
 }
 
-// waitPeers waits until an instance has had contact with as many others.
-func waitPeers(t testing.TB, p *process, peers int) {
+// WaitPeers waits until an instance has had contact with as many others.
+func WaitPeers(t testing.TB, p *Process, peers int) {
 	t.Helper()
-	waitStatus(t, p, 20*time.Second, "the peers are not known", func(s server.Status) bool {
+	WaitStatus(t, p, 20*time.Second, "the peers are not known", func(s server.Status) bool {
 		contacts := 0
 		for _, other := range s.Peers {
 			if other.Incarnation != "" {
@@ -141,19 +144,19 @@
 	})
 }
 
-// outage takes the platform down or brings it back.
-func (f *fleet) outage(down bool) {
-	f.t.Helper()
-	f.admin(http.MethodPut, f.platform.addresses["address"], "/admin/faults", standin.PlatformFaults{Down: down})
+// Outage takes the platform down or brings it back.
+func (f *Fleet) Outage(down bool) {
+	f.T.Helper()
+	f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/faults", standin.PlatformFaults{Down: down})
 }
 
-// poolsWithKey returns the pools table with one key of the organisation.
-func poolsWithKey(key string) string {
-	return fmt.Sprintf(testPools, tables.FormatDigest(tables.DigestKey(key)))
+// PoolsWithKey returns the pools table with one key of the organisation.
+func PoolsWithKey(key string) string {
+	return fmt.Sprintf(Pools, tables.FormatDigest(tables.DigestKey(key)))
 }
 
-// fakePeer is an endpoint of the test itself with a certificate of the authority.
-func fakePeer(t testing.TB, authority *certstest.Authority, registry *peer.Registry) *peer.Transport {
+// FakePeer is an endpoint of the test itself with a certificate of the authority.
+func FakePeer(t testing.TB, authority *certstest.Authority, registry *peer.Registry) *peer.Transport {
 	t.Helper()
 	files := authority.Issue("fake")
 	pair, err := certs.LoadPair(files.Cert, files.Key, hclog.NewNullLogger())
