Check G3, G4, G6 and G12 in the soak too

Cause: the soak checked seven guarantees. Change: keys of the last edit, of another organisation and none at each router after each pair of faults; a graceful stop as a fault; restarted routers must serve within 10 s. A pair no longer takes one router twice: the soak had killed the router that it had just stopped and started both again on one port. Ruled out: G11 in the soak; a leaving target needs 5 s undisturbed. Conclusion: G1 and G11 stay with their own tests.

--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -20,6 +20,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/test/harness"
@@ -39,11 +40,18 @@
 	// soakConverge is the time in which an accepted configuration must be in
 	// force everywhere.
 	soakConverge = 15 * time.Second
+	// soakRestart is the time in which a restarted router must serve, also with
+	// the platform down, if a peer answers.
+	soakRestart = 10 * time.Second
+	// soakDrain is more than the longest deadline of a route.
+	soakDrain = 20 * time.Second
+	otherKey  = "key-of-other"
 )
 
 const soakRoutes = `[route chat]
 path = /v1/chat/completions
 pool = demo
+organisations = circle
 deadline = 10s
 
 [route confirm]
@@ -68,6 +76,11 @@
 burst = %d
 key.first = %s
 key.edit = %s
+
+[organisation other]
+rate = 1000
+burst = 5000
+key.first = %s
 `
 
 // soak is a fleet under traffic and faults, and what callers saw.
@@ -78,6 +91,7 @@
 	engines []*harness.Process
 	service *harness.Process
 	edits   uint64
+	faulty  int // router with a fault, -1 for none
 
 	mu      sync.Mutex
 	routers []*harness.Process
@@ -151,21 +165,23 @@
 func (s *soak) edit() {
 	s.edits++
 	digest := func(key string) string { return tables.FormatDigest(tables.DigestKey(key)) }
-	s.PutTables(s.edits, soakRoutes, fmt.Sprintf(soakPools, soakRate, soakBurst, digest(s.Key), digest(fmt.Sprint("edit ", s.edits))))
+	s.PutTables(s.edits, soakRoutes, fmt.Sprintf(soakPools, soakRate, soakBurst, digest(s.Key), digest(editKey(s.edits)), digest(otherKey)))
 }
 
+func editKey(edit uint64) string { return fmt.Sprint("edit ", edit) }
+
 func (s *soak) router(random *rand.Rand) *harness.Process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.routers[random.IntN(len(s.routers))]
 }
 
-func (s *soak) send(router *harness.Process, path, body, idempotencyKey string) (*http.Response, error) {
+func (s *soak) send(router *harness.Process, path, body, key, idempotencyKey string) (*http.Response, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+router.Addresses["caller"]+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+s.Key)
+	req.Header.Set("Authorization", "Bearer "+key)
 	if idempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", idempotencyKey)
 	}
@@ -181,7 +197,7 @@
 		default:
 		}
 		body := chatBody(fmt.Sprint("sender ", sender, " ", n), soakTokens)
-		resp, err := s.send(s.router(random), "/v1/chat/completions", body, "")
+		resp, err := s.send(s.router(random), "/v1/chat/completions", body, s.Key, "")
 		if err != nil || resp.StatusCode != http.StatusOK {
 			s.refused.Add(1)
 			if err == nil {
@@ -239,7 +255,7 @@
 }
 
 func (s *soak) confirmOnce(random *rand.Rand, body string) seenCopy {
-	resp, err := s.send(s.router(random), "/confirm", body, body)
+	resp, err := s.send(s.router(random), "/confirm", body, s.Key, body)
 	if err != nil {
 		return seenCopy{outcome: apierr.Unknown}
 	}
@@ -276,6 +292,7 @@
 	return []fault{
 		{"router killed and restarted", s.killRouter},
 		{"router frozen", s.freezeRouter},
+		{"router stopped gracefully and restarted", s.stopRouter},
 		{"engine cuts streams", engineFault(standin.EngineFaults{CutAfterEvents: 7})},
 		{"engine answers with another id", engineFault(standin.EngineFaults{WrongRequestID: true})},
 		{"engine leaves out an event", engineFault(standin.EngineFaults{SkipEvent: 5})},
@@ -294,19 +311,52 @@
 	return func() { s.Admin(http.MethodPut, p.Addresses["address"], "/admin/faults", off) }
 }
 
-func (s *soak) killRouter() func() {
+// pickRouter picks a router that has no fault yet in this pair.
+func (s *soak) pickRouter() int {
 	n := s.random.IntN(soakRouters)
+	if n == s.faulty {
+		n = (n + 1) % soakRouters
+	}
+	s.faulty = n
+	return n
+}
+
+func (s *soak) killRouter() func() {
+	n := s.pickRouter()
 	s.routers[n].Kill()
+	return func() { s.restart(n) }
+}
+
+// restart starts a router again and waits until it serves.
+func (s *soak) restart(n int) {
+	next := s.PeerRouter(s.options[n])
+	s.mu.Lock()
+	s.routers[n] = next
+	s.mu.Unlock()
+	harness.WaitStatus(s.T, next, soakRestart, "ready (G3)", func(status server.Status) bool { return status.Ready })
+}
+
+// stopRouter stops a router while requests run. It must not give up on any.
+func (s *soak) stopRouter() func() {
+	n := s.pickRouter()
+	stopped := s.routers[n]
+	_ = stopped.Cmd.Process.Signal(syscall.SIGTERM)
 	return func() {
-		next := s.PeerRouter(s.options[n])
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.routers[n] = next
+		select {
+		case <-stopped.Exited:
+			if code := stopped.Cmd.ProcessState.ExitCode(); code != 0 {
+				s.T.Errorf("G12: a router that was stopped gracefully ended with code %d", code)
+			}
+		case <-time.After(soakDrain):
+			s.T.Errorf("G12: a router was still running %v after it was told to stop", soakDrain)
+			stopped.Kill()
+		}
+		s.restart(n)
 	}
 }
 
 func (s *soak) freezeRouter() func() {
-	frozen := s.routers[s.random.IntN(soakRouters)]
+	frozen := s.routers[s.pickRouter()]
 	_ = frozen.Cmd.Process.Signal(syscall.SIGSTOP)
 	return func() { _ = frozen.Cmd.Process.Signal(syscall.SIGCONT) }
 }
@@ -314,6 +364,7 @@
 // faultPair runs two faults at a time and then waits until an edit made after
 // them is in force everywhere.
 func (s *soak) faultPair(b *testing.B) {
+	s.faulty = -1
 	all := s.faults()
 	s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	b.Logf("%6.1f s: %s, %s", time.Since(s.started).Seconds(), all[0].name, all[1].name)
@@ -327,6 +378,30 @@
 	s.edit()
 	for _, r := range s.routers {
 		harness.WaitGeneration(b, r, s.edits, soakConverge)
+		s.checkKeys(b, r)
+	}
+}
+
+// checkKeys checks that a router refuses the key that the last edit revoked, the
+// key of another organisation and no key, and accepts the newest.
+func (s *soak) checkKeys(b *testing.B, r *harness.Process) {
+	for _, c := range []struct {
+		guarantee, key string
+		status         int
+	}{
+		{"G6", editKey(s.edits - 1), http.StatusUnauthorized},
+		{"G4", otherKey, http.StatusForbidden},
+		{"G4", "", http.StatusUnauthorized},
+	} {
+		resp, err := s.send(r, "/v1/chat/completions", chatBody("keys", 1), c.key, "")
+		if err != nil {
+			b.Errorf("%s: %v", c.guarantee, err)
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode != c.status {
+			b.Errorf("%s: key %q got status %d, want %d", c.guarantee, c.key, resp.StatusCode, c.status)
+		}
 	}
 }
 
