Pass an engine's refusal on, and do not charge for it

Cause: a 4xx answer of an engine whose text is not JSON was taken for a cut answer and became 502 after a retry, and its whole cost stayed charged. Change: only a 200 must be JSON; a 4xx gives the reservation back. Measured: both tests failed before (502 in place of 400; 201 tokens spent in place of 0) and pass now. Ruled out: giving back after a 5xx, which may come after a run. Conclusion: a caller sees what the engine refused.

--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -253,3 +254,18 @@
 		assert.Assert(t, len(seen) > 50)
 	}
 }
+
+// Guards against an engine's refusal of a request that is taken for a failure
+// of the engine, because its text is not JSON: it must reach the caller, once.
+func TestEngineRefusalReachesCaller(t *testing.T) {
+	e := newTarget(t, "e", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+		http.Error(w, "max_tokens is too large", http.StatusBadRequest)
+	})
+	r := newRouter(t, standin.NewPlatform(), e.Target)
+	r.serve()
+	got := r.post(pathGenerate, "", generateBody)
+	assert.Equal(t, got.status, http.StatusBadRequest, got.body)
+	assert.Equal(t, got.body, "max_tokens is too large\n")
+	assert.Equal(t, e.reads.Load(), int64(1))
+}
--- a/pkg/gateway/limit.go
+++ b/pkg/gateway/limit.go
@@ -109,6 +109,9 @@
 		}
 		return 0
 	}
+	if status := ex.Writer.Status; status >= http.StatusBadRequest && status < http.StatusInternalServerError {
+		return ex.Cost // the target refused the request as it is
+	}
 	if ex.Usage.PromptTokens == 0 && ex.Usage.OutputTokens == 0 {
 		return 0 // nothing was reported
 	}
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -95,6 +95,7 @@
 		{name: "usage known", maxTokens: 100, usage: Usage{PromptTokens: 90, OutputTokens: 10}, want: 100},
 		{name: "prompt not reported", maxTokens: 100, usage: Usage{OutputTokens: 10}, want: 111},
 		{name: "no usage", maxTokens: 100, want: 201},
+		{name: "refused by the target", maxTokens: 100, change: func(ex *Exchange) { ex.Writer.Status = http.StatusBadRequest }, want: 0},
 		{name: "default maximum", want: 151},
 		{name: "more than reserved", maxTokens: 100, usage: Usage{PromptTokens: 900, OutputTokens: 10}, want: 500},
 		{name: "not run", maxTokens: 100, err: notRun, want: 0},
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -38,7 +38,7 @@
 		return &attemptError{cause: errAnswerTooLarge}
 	case answer.resp.StatusCode >= http.StatusInternalServerError:
 		return &attemptError{cause: fmt.Errorf("the target answered with status %d", answer.resp.StatusCode)}
-	case ex.Pool.Kind == tables.PoolEngine && !json.Valid(body):
+	case ex.Pool.Kind == tables.PoolEngine && answer.resp.StatusCode == http.StatusOK && !json.Valid(body):
 		return &attemptError{cause: errNotJSON}
 	case ex.Writer.Started():
 		return &attemptError{cause: fmt.Errorf("the target refused to resume with status %d", answer.resp.StatusCode)}
