Check leaving engines in the soak

Cause: G11 was not part of the soak. Change: a fault by which an engine says that it leaves; 5 s after the other fault has ended it must get no request. Two faults of a pair no longer take the same engine, whose faults replace each other. Ruled out: a check right after a thaw; a resumed router may need those seconds.

--- a/pkg/standin/engine.go
+++ b/pkg/standin/engine.go
@@ -78,6 +78,12 @@
 	reported    target.Load // with a lag: what readers see until reportedAt is older than the lag
 	reportedAt  time.Time
 	received    []Received
+	count       int // of all requests
+}
+
+// EngineCounts are the requests that an engine has seen.
+type EngineCounts struct {
+	Received int `json:"received"`
 }
 
 // Received is what an engine saw of a request, for tests.
@@ -123,6 +129,13 @@
 	return append([]Received(nil), e.received...)
 }
 
+// Counts returns how many requests the engine has seen.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return EngineCounts{Received: e.count}
+}
+
 // Handler returns the HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -134,6 +147,7 @@
 	mux.HandleFunc("POST /control/cancel/{id}", e.cancel)
 	mux.HandleFunc("PUT /admin/faults", e.putFaults)
 	mux.HandleFunc("POST /admin/restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
+	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Counts()) })
 	mux.HandleFunc("GET /admin/received", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.ReceivedRequests()) })
 	return mux
 }
@@ -228,6 +242,7 @@
 func (e *Engine) recordReceived(r *http.Request, body []byte) EngineFaults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.count++
 	e.received = append(e.received, Received{
 		RequestID: r.Header.Get(engine.HeaderRequestID), Path: r.URL.RequestURI(),
 		Header: r.Header.Clone(), Body: string(body),
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -43,6 +43,8 @@
 	// soakRestart is the time in which a restarted router must serve, also with
 	// the platform down, if a peer answers.
 	soakRestart = 10 * time.Second
+	// soakLeave is the time after which a leaving target must get no new work.
+	soakLeave = 5 * time.Second
 	// soakDrain is more than the longest deadline of a route.
 	soakDrain = 20 * time.Second
 	otherKey  = "key-of-other"
@@ -86,12 +88,14 @@
 // soak is a fleet under traffic and faults, and what callers saw.
 type soak struct {
 	*harness.Fleet
-	random  *rand.Rand
-	options []harness.PeerOptions
-	engines []*harness.Process
-	service *harness.Process
-	edits   uint64
-	faulty  int // router with a fault, -1 for none
+	random       *rand.Rand
+	options      []harness.PeerOptions
+	engines      []*harness.Process
+	service      *harness.Process
+	edits        uint64
+	faulty       int // router with a fault, -1 for none
+	faultyEngine int // the same for engines
+	left         int // engines that were seen to leave
 
 	mu      sync.Mutex
 	routers []*harness.Process
@@ -287,7 +291,7 @@
 		return func() func() { return s.setFaults(s.Platform, f, standin.PlatformFaults{}) }
 	}
 	engineFault := func(f standin.EngineFaults) func() func() {
-		return func() func() { return s.setFaults(s.engines[s.random.IntN(soakEngines)], f, standin.EngineFaults{}) }
+		return func() func() { return s.setFaults(s.pickEngine(), f, standin.EngineFaults{}) }
 	}
 	return []fault{
 		{"router killed and restarted", s.killRouter},
@@ -297,6 +301,7 @@
 		{"engine answers with another id", engineFault(standin.EngineFaults{WrongRequestID: true})},
 		{"engine leaves out an event", engineFault(standin.EngineFaults{SkipEvent: 5})},
 		{"engine frozen", engineFault(standin.EngineFaults{Freeze: true})},
+		{"engine leaves", s.leave},
 		{"service cuts after running", func() func() {
 			return s.setFaults(s.service, standin.ServiceFaults{CutAfterReading: true}, standin.ServiceFaults{})
 		}},
@@ -306,11 +311,46 @@
 	}
 }
 
+// leave lets an engine say that it is leaving. The instance list never shows it.
+// At the end it must have had no new work since soakLeave after the last fault.
+func (s *soak) leave() func() {
+	e := s.pickEngine()
+	back := s.setFaults(e, standin.EngineFaults{Leaving: true}, standin.EngineFaults{})
+	return func() {
+		s.left++
+		pause(soakLeave)
+		before := s.received(e)
+		pause(time.Second)
+		if after := s.received(e); after != before {
+			s.T.Errorf("G11: a leaving engine got %d requests", after-before)
+		}
+		back()
+	}
+}
+
+// received returns how many requests an engine has seen in all.
+func (s *soak) received(e *harness.Process) int {
+	var counts standin.EngineCounts
+	s.GetJSON(e.Addresses["address"], "/admin/counts", &counts)
+	return counts.Received
+}
+
 func (s *soak) setFaults(p *harness.Process, on, off any) func() {
 	s.Admin(http.MethodPut, p.Addresses["address"], "/admin/faults", on)
 	return func() { s.Admin(http.MethodPut, p.Addresses["address"], "/admin/faults", off) }
 }
 
+// pickEngine picks an engine that has no fault yet in this pair: the faults of
+// an engine replace each other.
+func (s *soak) pickEngine() *harness.Process {
+	n := s.random.IntN(soakEngines)
+	if n == s.faultyEngine {
+		n = (n + 1) % soakEngines
+	}
+	s.faultyEngine = n
+	return s.engines[n]
+}
+
 // pickRouter picks a router that has no fault yet in this pair.
 func (s *soak) pickRouter() int {
 	n := s.random.IntN(soakRouters)
@@ -364,7 +404,7 @@
 // faultPair runs two faults at a time and then waits until an edit made after
 // them is in force everywhere.
 func (s *soak) faultPair(b *testing.B) {
-	s.faulty = -1
+	s.faulty, s.faultyEngine = -1, -1
 	all := s.faults()
 	s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	b.Logf("%6.1f s: %s, %s", time.Since(s.started).Seconds(), all[0].name, all[1].name)
@@ -372,6 +412,10 @@
 	pause(time.Duration(s.random.IntN(1000)) * time.Millisecond)
 	second := all[1].start()
 	pause(time.Second + time.Duration(s.random.IntN(2000))*time.Millisecond)
+	// The end of "engine leaves" checks a quiet fleet, so it comes last.
+	if all[0].name == "engine leaves" {
+		first, second = second, first
+	}
 	first()
 	second()
 	pause(200 * time.Millisecond)
@@ -444,6 +488,6 @@
 			b.Errorf("G5: an engine received the key")
 		}
 	}
-	fmt.Printf("soak seed %d: %d whole streams, %d cut visibly, %d refused, %d tokens; %d confirmations, %d ran once, %d runs; %d edits\n",
-		*soakSeed, s.streams.Load(), s.cut.Load(), s.refused.Load(), s.tokens.Load(), len(s.copies), once, ran, s.edits-1)
+	fmt.Printf("soak seed %d: %d whole streams, %d cut visibly, %d refused, %d tokens; %d confirmations, %d ran once, %d runs; %d engines left; %d edits\n",
+		*soakSeed, s.streams.Load(), s.cut.Load(), s.refused.Load(), s.tokens.Load(), len(s.copies), once, ran, s.left, s.edits-1)
 }
