--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -43,7 +43,6 @@
 	CodeTargetFailed       Code = "target_failed"
 	CodeQuarantined        Code = "quarantined"
 	CodeNotReady           Code = "not_ready"
-	CodeStopping           Code = "stopping"
 	CodeInternal           Code = "internal"
 	CodeCallerGone         Code = "caller_gone"
 )
--- a/pkg/control/spread.go
+++ b/pkg/control/spread.go
@@ -34,9 +34,6 @@
 	// maxAcceptedBytes bounds a configuration from a peer. The platform's limit is
 	// half of it; encoding it again can escape more than its editor did.
 	maxAcceptedBytes = 2 * platform.MaxValueBytes
-	// maxRounds bounds the rounds of offers that run at a time; a round with a
-	// frozen neighbour lasts as long as its timeout.
-	maxRounds = 4
 )
 
 // Spread passes configurations between instances, so that a change reaches all
@@ -143,25 +140,7 @@
 
 // announceChanges offers each new generation to neighbours.
 func (s *Spread) announceChanges(ctx context.Context) {
-	var group sync.WaitGroup
-	defer group.Wait()
-	rounds := make(chan struct{}, maxRounds)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.changed:
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case rounds <- struct{}{}:
-		}
-		group.Go(func() {
-			defer func() { <-rounds }()
-			s.announce(ctx)
-		})
-	}
+	runRounds(ctx, s.changed, s.announce)
 }
 
 func (s *Spread) announce(ctx context.Context) {
--- a/pkg/control/targetspread.go
+++ b/pkg/control/targetspread.go
@@ -176,27 +176,10 @@
 
 // passOn sends queued records to the neighbours.
 func (s *TargetSpread) passOn(ctx context.Context) {
-	var group sync.WaitGroup
-	defer group.Wait()
-	rounds := make(chan struct{}, maxRounds)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case rounds <- struct{}{}:
-		}
+	runRounds(ctx, s.wake, func(ctx context.Context) {
 		clock.Sleep(ctx, batchDelay)
-		batch := s.drain()
-		group.Go(func() {
-			defer func() { <-rounds }()
-			s.send(ctx, batch)
-		})
-	}
+		s.send(ctx, s.drain())
+	})
 }
 
 func (s *TargetSpread) drain() []string {
--- a/pkg/gateway/burnrecorder.go
+++ b/pkg/gateway/burnrecorder.go
@@ -41,7 +41,7 @@
 	switch failure.Code {
 	case apierr.CodeRateLimited, apierr.CodeCostTooLarge:
 		return burn.OverRate
-	case apierr.CodeQueueFull, apierr.CodeNoTarget, apierr.CodeNotReady, apierr.CodeClaimUnavailable, apierr.CodeStopping:
+	case apierr.CodeQueueFull, apierr.CodeNoTarget, apierr.CodeNotReady, apierr.CodeClaimUnavailable:
 		return burn.Refused
 	case apierr.CodeTargetFailed, apierr.CodeDeadline, apierr.CodeInternal, apierr.CodeOutcomeUnknown:
 		return burn.Failed
