--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 const (
@@ -77,9 +77,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case platform.IsKind(err, platform.KindNotFound):
+	case objectstore.IsKind(err, objectstore.KindNotFound):
 		return errNotOurs
-	case platform.IsKind(err, platform.KindConflict):
+	case objectstore.IsKind(err, objectstore.KindConflict):
 		// An earlier update of ours has taken effect although its answer was
 		// lost: nobody else writes a claim in the state claimed.
 		return c.confirm(ctx)
@@ -90,7 +90,7 @@
 // confirm checks that the object carries the state of the record.
 func (c *Claim) confirm(ctx context.Context) error {
 	object, err := c.manager.options.Store.Get(ctx, c.kind, c.name)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if objectstore.IsKind(err, objectstore.KindNotFound) {
 		return errNotOurs
 	}
 	if err != nil {
@@ -107,7 +107,7 @@
 // later claim on the same key, because the store does not reuse versions.
 func (c *Claim) remove(ctx context.Context) error {
 	err := c.manager.options.Store.Delete(ctx, c.kind, c.name, c.version)
-	if platform.IsKind(err, platform.KindNotFound) || platform.IsKind(err, platform.KindConflict) {
+	if objectstore.IsKind(err, objectstore.KindNotFound) || objectstore.IsKind(err, objectstore.KindConflict) {
 		return nil // removed by an earlier delete whose answer was lost
 	}
 	return err
--- a/pkg/claim/grouping_test.go
+++ b/pkg/claim/grouping_test.go
@@ -15,7 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
@@ -30,24 +30,24 @@
 
 // slowStore takes benchCallTime for each call and counts the calls.
 type slowStore struct {
-	platform.Store
+	objectstore.Store
 	reads, writes atomic.Int64
 }
 
 func (s *slowStore) write() { s.writes.Add(1); time.Sleep(benchCallTime) }
 
-func (s *slowStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *slowStore) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
 	s.reads.Add(1)
 	time.Sleep(benchCallTime)
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s *slowStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+func (s *slowStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 	s.write()
 	return s.Store.Create(ctx, kind, name, value)
 }
 
-func (s *slowStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
+func (s *slowStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
 	s.write()
 	return s.Store.Update(ctx, kind, name, value, version)
 }
@@ -60,7 +60,7 @@
 // groupedClaims is the alternative in the comparison: one object per shard
 // holds many claims, and an instance writes all that wait in one update.
 type groupedClaims struct {
-	store  platform.Store
+	store  objectstore.Store
 	linger time.Duration
 	resets atomic.Int64 // of objects that had reached the largest size
 	shards []chan groupedWrite
@@ -72,7 +72,7 @@
 	done   chan struct{}
 }
 
-func newGroupedClaims(ctx context.Context, store platform.Store, shards int, linger time.Duration) *groupedClaims {
+func newGroupedClaims(ctx context.Context, store objectstore.Store, shards int, linger time.Duration) *groupedClaims {
 	g := &groupedClaims{store: store, linger: linger, shards: make([]chan groupedWrite, shards)}
 	for i := range g.shards {
 		g.shards[i] = make(chan groupedWrite, 4096)
@@ -117,7 +117,7 @@
 		if err != nil {
 			panic(err)
 		}
-		var object platform.Object
+		var object objectstore.Object
 		if version == 0 {
 			object, err = g.store.Create(context.Background(), "shard", name, value)
 		} else {
@@ -129,7 +129,7 @@
 			}
 			return claims, object.Version
 		}
-		if platform.IsKind(err, platform.KindTooLarge) {
+		if objectstore.IsKind(err, objectstore.KindTooLarge) {
 			// Starts the object again, as if its claims were kept elsewhere, so
 			// that the load can go on.
 			g.resets.Add(1)
--- a/pkg/claim/manager.go
+++ b/pkg/claim/manager.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 const (
@@ -28,7 +28,7 @@
 
 // Options describe the instance that makes claims.
 type Options struct {
-	Store       platform.Store
+	Store       objectstore.Store
 	Clock       clock.Clock
 	Log         hclog.Logger
 	Instance    string
@@ -150,15 +150,15 @@
 	value := c.record.encode()
 	var err error
 	for range createAttempts {
-		var object platform.Object
+		var object objectstore.Object
 		object, err = m.options.Store.Create(ctx, c.kind, c.name, value)
 		if err == nil {
 			c.version = object.Version
 			return Verdict{Decision: Run, Claim: c}
 		}
-		switch platform.KindOf(err) {
-		case platform.KindExists:
-		case platform.KindUnknown:
+		switch objectstore.KindOf(err) {
+		case objectstore.KindExists:
+		case objectstore.KindUnknown:
 			c.unsure = true
 		default:
 			return Verdict{Decision: Unavailable, Cause: err}
@@ -167,7 +167,7 @@
 		if err == nil {
 			return m.judge(c, object)
 		}
-		if !platform.IsKind(err, platform.KindNotFound) {
+		if !objectstore.IsKind(err, objectstore.KindNotFound) {
 			return Verdict{Decision: Unavailable, Cause: err}
 		}
 		// Nothing is there: the create has not taken effect yet, or the claim
@@ -178,7 +178,7 @@
 }
 
 // judge decides by the object that has the name of the claim.
-func (m *Manager) judge(c *Claim, object platform.Object) Verdict {
+func (m *Manager) judge(c *Claim, object objectstore.Object) Verdict {
 	found, err := decodeRecord(object.Value)
 	switch {
 	case err != nil:
--- a/pkg/claim/manager_test.go
+++ b/pkg/claim/manager_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
@@ -39,7 +39,7 @@
 	return f.managerOn(instance, httpapi.New(f.url))
 }
 
-func (f *fixture) managerOn(instance string, store platform.Store) *Manager {
+func (f *fixture) managerOn(instance string, store objectstore.Store) *Manager {
 	return NewManager(Options{
 		Store: store, Clock: f.clock, Log: hclog.NewNullLogger(),
 		Instance: instance, Incarnation: instance + "-1",
@@ -66,18 +66,18 @@
 
 // hookStore lets a test act at the writes of one instance.
 type hookStore struct {
-	platform.Store
-	create      func(ctx context.Context, kind, name string, value []byte) (platform.Object, error)
+	objectstore.Store
+	create      func(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error)
 	afterUpdate func()
 }
 
-func (s *hookStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
+func (s *hookStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
 	object, err := s.Store.Update(ctx, kind, name, value, version)
 	s.afterUpdate()
 	return object, err
 }
 
-func (s *hookStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+func (s *hookStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 	return s.create(ctx, kind, name, value)
 }
 
@@ -179,7 +179,7 @@
 	a, b := f.manager("a"), f.manager("b")
 	v := a.Claim(bg, f.request("k", "body"))
 	f.platform.SetFaults(standin.PlatformFaults{Down: true})
-	assert.Assert(t, platform.IsKind(v.Claim.Complete(bg, &Response{Status: 200}), platform.KindUnavailable))
+	assert.Assert(t, objectstore.IsKind(v.Claim.Complete(bg, &Response{Status: 200}), objectstore.KindUnavailable))
 	f.platform.SetFaults(standin.PlatformFaults{})
 	assert.Equal(t, a.Claim(bg, f.request("k", "body")).Decision, OutcomeUnknown)
 	assert.Equal(t, b.Claim(bg, f.request("k", "body")).Decision, InProgress)
@@ -212,7 +212,7 @@
 func TestCreateUnclear(t *testing.T) {
 	f := newFixture(t)
 	client := httpapi.New(f.url)
-	a := f.managerOn("a", &hookStore{Store: client, create: func(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+	a := f.managerOn("a", &hookStore{Store: client, create: func(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 		f.platform.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
 		object, err := client.Create(ctx, kind, name, value)
 		f.platform.SetFaults(standin.PlatformFaults{Down: true})
@@ -237,16 +237,16 @@
 		f := newFixture(t)
 		client := httpapi.New(f.url)
 		var late func() error
-		a := f.managerOn("a", &hookStore{Store: client, create: func(_ context.Context, kind, name string, value []byte) (platform.Object, error) {
+		a := f.managerOn("a", &hookStore{Store: client, create: func(_ context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 			late = func() error { _, err := client.Create(bg, kind, name, value); return err }
-			return platform.Object{}, &platform.Error{Kind: platform.KindUnknown, Call: "create", Cause: errors.New("answer lost")}
+			return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnknown, Call: "create", Cause: errors.New("answer lost")}
 		}})
 		b := f.manager("b")
 		request := f.request("k", "body")
 		assert.Equal(t, a.Claim(bg, request).Decision, Unavailable)
 		if duplicateFirst {
 			assert.Equal(t, b.Claim(bg, request).Decision, Run)
-			assert.Assert(t, platform.IsKind(late(), platform.KindExists))
+			assert.Assert(t, objectstore.IsKind(late(), objectstore.KindExists))
 			a.RemoveAbandoned(bg)
 			assert.Equal(t, f.stored("k").Instance, "b")
 			continue
@@ -293,7 +293,7 @@
 
 // checkThenRun is the variant that the design rules out: it looks for a claim
 // and writes one after the run.
-func checkThenRun(store platform.Store, request Request, run func()) {
+func checkThenRun(store objectstore.Store, request Request, run func()) {
 	kind, name := kindOf(request.Key), request.Key.String()
 	if _, err := store.Get(bg, kind, name); err == nil {
 		return
--- a/pkg/claim/removal.go
+++ b/pkg/claim/removal.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 const (
@@ -105,7 +105,7 @@
 			break
 		}
 		err = m.options.Store.Delete(ctx, object.Kind, object.Name, object.Version)
-		if err != nil && !platform.IsKind(err, platform.KindNotFound) && !platform.IsKind(err, platform.KindConflict) {
+		if err != nil && !objectstore.IsKind(err, objectstore.KindNotFound) && !objectstore.IsKind(err, objectstore.KindConflict) {
 			return removed, err
 		}
 		removed++
@@ -144,7 +144,7 @@
 // and one that cannot be read may be there.
 func (m *Manager) settleAbandoned(ctx context.Context, nonce string, entry abandoned) bool {
 	object, err := m.options.Store.Get(ctx, entry.kind, entry.name)
-	if err != nil && !platform.IsKind(err, platform.KindNotFound) {
+	if err != nil && !objectstore.IsKind(err, objectstore.KindNotFound) {
 		return false
 	}
 	if err == nil {
--- a/pkg/cli/local.go
+++ b/pkg/cli/local.go
@@ -15,7 +15,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/config"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -93,8 +93,8 @@
 	if err != nil {
 		return err
 	}
-	p.SetInstance(platform.Instance{
-		ID: fmt.Sprintf("engine-%d", n), Role: platform.RoleEngine, Address: address,
+	p.SetInstance(objectstore.Instance{
+		ID: fmt.Sprintf("engine-%d", n), Role: objectstore.RoleEngine, Address: address,
 		Zone: "local", Labels: map[string]string{"app": "engine"},
 	})
 	return nil
--- a/pkg/cli/tables.go
+++ b/pkg/cli/tables.go
@@ -7,7 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"lacewingwheel.example/lacewingwheel/pkg/config"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/tablestore"
 )
 
--- a/pkg/control/configuration.go
+++ b/pkg/control/configuration.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -26,7 +26,7 @@
 // Configuration puts accepted configurations in force. A generation lower than
 // the one in force is ignored, whoever offers it.
 type Configuration struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Spared reports whether enough other instances watch the platform, from
 	// which changes spread to this one; nil means never. A watch at the design
 	// scale brings each of 3,000 changes a day in full.
@@ -156,7 +156,7 @@
 	return true, ctx.Err()
 }
 
-func (c *Configuration) offerObject(object platform.Object) {
+func (c *Configuration) offerObject(object objectstore.Object) {
 	if object.Name != NameAccepted {
 		return
 	}
--- a/pkg/control/configuration_test.go
+++ b/pkg/control/configuration_test.go
@@ -9,17 +9,17 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
 // watchCounter counts the watches of a store.
 type watchCounter struct {
-	platform.Store
+	objectstore.Store
 	watches atomic.Int64
 }
 
-func (s *watchCounter) Watch(ctx context.Context, kind string, after uint64) ([]platform.Event, uint64, error) {
+func (s *watchCounter) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Event, uint64, error) {
 	s.watches.Add(1)
 	return s.Store.Watch(ctx, kind, after)
 }
@@ -32,7 +32,7 @@
 		a := accepted(generation, "test")
 		value, err := a.Encode()
 		assert.NilError(t, err)
-		var object platform.Object
+		var object objectstore.Object
 		if version == 0 {
 			object, err = store.Create(t.Context(), KindConfiguration, NameAccepted, value)
 		} else {
--- a/pkg/control/instances.go
+++ b/pkg/control/instances.go
@@ -11,8 +11,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
 const (
@@ -118,7 +118,7 @@
 
 // Merge takes over the routers of the instance list. The address of a router's
 // row is the one that it listens on for peers.
-func (c *Instances) Merge(rows []platform.Instance) {
+func (c *Instances) Merge(rows []objectstore.Instance) {
 	c.change(func(peers map[string]*Peer) {
 		for address, p := range peers {
 			unlisted := *p
@@ -126,7 +126,7 @@
 			peers[address] = &unlisted
 		}
 		for _, row := range rows {
-			if row.Role != platform.RoleRouter || row.Address == "" || row.ID == c.Self.ID {
+			if row.Role != objectstore.RoleRouter || row.Address == "" || row.ID == c.Self.ID {
 				continue
 			}
 			next := c.known(peers, row.Address)
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // kindLease is the kind of lease objects in the store.
@@ -27,7 +27,7 @@
 // before it sent its write, the others from when they first saw that write. No
 // two machines' clocks are compared, and a paused holder finds its lease over.
 type Lease struct {
-	Store       platform.Store
+	Store       objectstore.Store
 	Clock       clock.Clock
 	Name        string
 	Instance    string
@@ -59,7 +59,7 @@
 // Reconcile renews the lease, or takes it if it is free.
 func (l *Lease) Reconcile(ctx context.Context) error {
 	object, err := l.Store.Get(ctx, kindLease, l.Name)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if objectstore.IsKind(err, objectstore.KindNotFound) {
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
 	}
 	if err != nil {
@@ -95,13 +95,13 @@
 	// Set before the write: if its answer is lost and it cannot be read back,
 	// the next round finds the lease as its own and must still know this.
 	l.takeover = takeover
-	var object platform.Object
+	var object objectstore.Object
 	if version == 0 {
 		object, err = l.Store.Create(ctx, kindLease, l.Name, value)
 	} else {
 		object, err = l.Store.Update(ctx, kindLease, l.Name, value, version)
 	}
-	if platform.IsKind(err, platform.KindUnknown) {
+	if objectstore.IsKind(err, objectstore.KindUnknown) {
 		object, err = l.readBack(ctx, record.Nonce, err)
 	}
 	if err != nil {
@@ -114,7 +114,7 @@
 }
 
 // readBack finds out whether a write without an answer took effect.
-func (l *Lease) readBack(ctx context.Context, nonce string, lost error) (platform.Object, error) {
+func (l *Lease) readBack(ctx context.Context, nonce string, lost error) (objectstore.Object, error) {
 	object, err := l.Store.Get(ctx, kindLease, l.Name)
 	if err != nil {
 		return object, err
--- a/pkg/control/listing.go
+++ b/pkg/control/listing.go
@@ -11,8 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
 const (
@@ -36,9 +36,9 @@
 
 // Listing keeps the newest known instance list: from the platform, or from a
 // peer while the platform does not answer. It implements
-// platform.InstanceList from memory.
+// objectstore.InstanceList from memory.
 type Listing struct {
-	List platform.InstanceList
+	List objectstore.InstanceList
 	// Caller and Peers reach other instances. Caller is nil without peers.
 	Caller peer.Caller
 	Peers  func(limit int) []string
@@ -51,20 +51,20 @@
 	current   atomic.Pointer[knownList]
 	known     chan struct{}
 	contacts  chan string // addresses of peers that have just answered
-	listeners []func([]platform.Instance)
+	listeners []func([]objectstore.Instance)
 	down      atomic.Bool
 }
 
 // knownList is an instance list and when the platform gave it.
 type knownList struct {
-	rows      []platform.Instance
+	rows      []objectstore.Instance
 	encoded   []byte
 	digest    uint64
 	confirmed time.Time
 }
 
 // NewListing returns a listing that knows nothing yet.
-func NewListing(list platform.InstanceList, log hclog.Logger) *Listing {
+func NewListing(list objectstore.InstanceList, log hclog.Logger) *Listing {
 	return &Listing{List: list, Log: log, known: make(chan struct{}), contacts: make(chan string, maxContacts)}
 }
 
@@ -79,10 +79,10 @@
 }
 
 // OnChange registers a function that gets each changed list. Register before Run.
-func (l *Listing) OnChange(f func([]platform.Instance)) { l.listeners = append(l.listeners, f) }
+func (l *Listing) OnChange(f func([]objectstore.Instance)) { l.listeners = append(l.listeners, f) }
 
-// Instances implements platform.InstanceList. It waits until a list is known.
-func (l *Listing) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements objectstore.InstanceList. It waits until a list is known.
+func (l *Listing) Instances(ctx context.Context) ([]objectstore.Instance, error) {
 	select {
 	case <-l.known:
 		return l.current.Load().rows, nil
@@ -207,17 +207,17 @@
 	l.put(rows, confirmed)
 }
 
-func unpackRows(packed []byte) ([]platform.Instance, error) {
+func unpackRows(packed []byte) ([]objectstore.Instance, error) {
 	data, err := decompress(packed, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
-	var rows []platform.Instance
+	var rows []objectstore.Instance
 	return rows, json.Unmarshal(data, &rows)
 }
 
 // put makes a list current unless a newer one is known.
-func (l *Listing) put(rows []platform.Instance, confirmed time.Time) {
+func (l *Listing) put(rows []objectstore.Instance, confirmed time.Time) {
 	encoded, err := json.Marshal(rows)
 	if err != nil {
 		l.Log.Error("instance list cannot be encoded", "cause", err)
--- a/pkg/control/orders.go
+++ b/pkg/control/orders.go
@@ -9,7 +9,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -60,7 +60,7 @@
 }
 
 // NewOrders returns the controller of an instance.
-func NewOrders(store platform.Store, c clock.Clock, instance, incarnation string) *Orders {
+func NewOrders(store objectstore.Store, c clock.Clock, instance, incarnation string) *Orders {
 	return &Orders{
 		Clock: c, pending: make(map[string]time.Duration),
 		Lease: &Lease{
@@ -156,7 +156,7 @@
 }
 
 func (o *Orders) needsOrder(t *target.Target, pool *tables.Pool) bool {
-	if _, ordered := o.pending[t.ID]; ordered || t.Role != platform.RoleEngine {
+	if _, ordered := o.pending[t.ID]; ordered || t.Role != objectstore.RoleEngine {
 		return false
 	}
 	if t.Leaving || !t.Reachable || runs(t, pool) {
--- a/pkg/control/orders_test.go
+++ b/pkg/control/orders_test.go
@@ -11,7 +11,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -52,7 +52,7 @@
 	var list []*target.Target
 	for n := range targets {
 		list = append(list, &target.Target{
-			ID: fmt.Sprint("engine-", n), Role: platform.RoleEngine, Reachable: true, Model: "demo", WeightVersion: "1",
+			ID: fmt.Sprint("engine-", n), Role: objectstore.RoleEngine, Reachable: true, Model: "demo", WeightVersion: "1",
 			Labels: map[string]string{"app": "engine"}, Live: &target.Live{},
 		})
 	}
@@ -60,7 +60,7 @@
 	return f
 }
 
-func (f *orderFixture) controller(t *testing.T, name string, store platform.Store) *Orders {
+func (f *orderFixture) controller(t *testing.T, name string, store objectstore.Store) *Orders {
 	t.Helper()
 	parsed, err := tables.Parse(tables.Source{Routes: []byte("[route a]\npath = /v1/completions\npool = demo\n"), Pools: []byte(f.pools)})
 	assert.NilError(t, err)
@@ -121,11 +121,11 @@
 }
 
 // lossyStore loses the answer of writes that took effect.
-type lossyStore struct{ platform.Store }
+type lossyStore struct{ objectstore.Store }
 
-func (s lossyStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
+func (s lossyStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 	_, _ = s.Store.Create(ctx, kind, name, value)
-	return platform.Object{}, &platform.Error{Kind: platform.KindUnknown, Call: "create", Cause: context.DeadlineExceeded}
+	return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnknown, Call: "create", Cause: context.DeadlineExceeded}
 }
 
 // Guards against a lease that is held in the store while its holder does not
@@ -140,24 +140,24 @@
 
 // unreadableStore loses the answer of an update and then fails one read.
 type unreadableStore struct {
-	platform.Store
+	objectstore.Store
 	lose bool
 	fail bool
 }
 
-func (s *unreadableStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
+func (s *unreadableStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
 	object, err := s.Store.Update(ctx, kind, name, value, version)
 	if s.lose {
 		s.lose, s.fail = false, true
-		return platform.Object{}, &platform.Error{Kind: platform.KindUnknown, Call: "update", Cause: context.DeadlineExceeded}
+		return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnknown, Call: "update", Cause: context.DeadlineExceeded}
 	}
 	return object, err
 }
 
-func (s *unreadableStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *unreadableStore) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
 	if s.fail {
 		s.fail = false
-		return platform.Object{}, &platform.Error{Kind: platform.KindUnavailable, Call: "get", Cause: context.DeadlineExceeded}
+		return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "get", Cause: context.DeadlineExceeded}
 	}
 	return s.Store.Get(ctx, kind, name)
 }
--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -11,7 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/quota"
 )
 
@@ -73,8 +73,8 @@
 // can reach the platform either: it cannot tell an outage from its own
 // disconnection, during which another instance may take the share.
 type QuotaLease struct {
-	Store  platform.Store
-	List   platform.InstanceList
+	Store  objectstore.Store
+	List   objectstore.InstanceList
 	Prober Prober
 	Ledger *quota.Ledger
 	Clock  clock.Clock
@@ -87,7 +87,7 @@
 
 	mu       sync.Mutex
 	views    []shareView
-	listed   []platform.Instance
+	listed   []objectstore.Instance
 	live     []string                // ids, this instance included
 	gone     map[string]goneInstance // by id
 	evenWait time.Duration
@@ -190,7 +190,7 @@
 	}
 	c.live = []string{c.Self.ID}
 	for _, row := range c.listed {
-		if row.Role == platform.RoleRouter && !row.Leaving && row.ID != c.Self.ID && !c.isGone(ctx, row.ID) {
+		if row.Role == objectstore.RoleRouter && !row.Leaving && row.ID != c.Self.ID && !c.isGone(ctx, row.ID) {
 			c.live = append(c.live, row.ID)
 		}
 	}
@@ -255,14 +255,14 @@
 	}
 	v := &c.views[share]
 	name := strconv.Itoa(share)
-	var object platform.Object
+	var object objectstore.Object
 	if v.version == 0 {
 		object, err = c.Store.Create(ctx, KindQuotaShare, name, value)
 	} else {
 		object, err = c.Store.Update(ctx, KindQuotaShare, name, value, v.version)
 	}
 	if err != nil {
-		c.Log.Debug("quota share not written", "share", share, "kind", platform.KindOf(err))
+		c.Log.Debug("quota share not written", "share", share, "kind", objectstore.KindOf(err))
 		return err
 	}
 	c.observe(share, object.Version, record, c.Clock.Elapsed())
--- a/pkg/control/quotalease_test.go
+++ b/pkg/control/quotalease_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/quota"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
@@ -33,32 +33,32 @@
 	late   []func()
 }
 
-func (s *faultyStore) do(write func() (platform.Object, error)) (platform.Object, error) {
+func (s *faultyStore) do(write func() (objectstore.Object, error)) (objectstore.Object, error) {
 	s.writes++
 	switch s.fault() {
 	case "lost answer":
 		_, _ = write()
-		return platform.Object{}, &platform.Error{Kind: platform.KindUnknown, Call: "write", Cause: errFault}
+		return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnknown, Call: "write", Cause: errFault}
 	case "late":
 		s.late = append(s.late, func() { _, _ = write() })
-		return platform.Object{}, &platform.Error{Kind: platform.KindUnknown, Call: "write", Cause: errFault}
+		return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnknown, Call: "write", Cause: errFault}
 	case "down":
-		return platform.Object{}, &platform.Error{Kind: platform.KindUnavailable, Call: "write", Cause: errFault}
+		return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "write", Cause: errFault}
 	}
 	return write()
 }
 
-func (s *faultyStore) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
-	return s.do(func() (platform.Object, error) { return s.Store.Create(ctx, kind, name, value) })
+func (s *faultyStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
+	return s.do(func() (objectstore.Object, error) { return s.Store.Create(ctx, kind, name, value) })
 }
 
-func (s *faultyStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
-	return s.do(func() (platform.Object, error) { return s.Store.Update(ctx, kind, name, value, version) })
+func (s *faultyStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
+	return s.do(func() (objectstore.Object, error) { return s.Store.Update(ctx, kind, name, value, version) })
 }
 
-func (s *faultyStore) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+func (s *faultyStore) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	if s.fault() == "down" {
-		return nil, 0, &platform.Error{Kind: platform.KindUnavailable, Call: "list", Cause: errFault}
+		return nil, 0, &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "list", Cause: errFault}
 	}
 	return s.Store.List(ctx, kind)
 }
@@ -101,10 +101,10 @@
 }
 
 // Instances lags: it shows crashed instances too.
-func (f *leaseFleet) Instances(context.Context) ([]platform.Instance, error) {
-	var rows []platform.Instance
+func (f *leaseFleet) Instances(context.Context) ([]objectstore.Instance, error) {
+	var rows []objectstore.Instance
 	for i := range f.nodes {
-		rows = append(rows, platform.Instance{ID: fmt.Sprint("i", i), Role: platform.RoleRouter})
+		rows = append(rows, objectstore.Instance{ID: fmt.Sprint("i", i), Role: objectstore.RoleRouter})
 	}
 	return rows, nil
 }
--- a/pkg/control/quotaobserve.go
+++ b/pkg/control/quotaobserve.go
@@ -4,13 +4,13 @@
 	"strconv"
 	"time"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/quota"
 )
 
 // observeAll notes all records. It reports whether a share of another size is
 // still held: shares of two sizes could sum to more than the burst.
-func (c *QuotaLease) observeAll(objects []platform.Object, shares int) (blocked bool) {
+func (c *QuotaLease) observeAll(objects []objectstore.Object, shares int) (blocked bool) {
 	if c.views == nil {
 		c.views = make([]shareView, shares)
 	}
--- a/pkg/control/spread.go
+++ b/pkg/control/spread.go
@@ -10,8 +10,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
 const (
@@ -33,7 +33,7 @@
 	maxOffers = 64
 	// maxAcceptedBytes bounds a configuration from a peer. The platform's limit is
 	// half of it; encoding it again can escape more than its editor did.
-	maxAcceptedBytes = 2 * platform.MaxValueBytes
+	maxAcceptedBytes = 2 * objectstore.MaxValueBytes
 )
 
 // Spread passes configurations between instances, so that a change reaches all
--- a/pkg/control/spread_test.go
+++ b/pkg/control/spread_test.go
@@ -18,8 +18,8 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -36,7 +36,7 @@
 // deadList is an instance list of a platform that does not answer.
 type deadList struct{}
 
-func (deadList) Instances(context.Context) ([]platform.Instance, error) {
+func (deadList) Instances(context.Context) ([]objectstore.Instance, error) {
 	return nil, errors.New("outage")
 }
 
@@ -188,9 +188,9 @@
 func TestInstanceListFromPeer(t *testing.T) {
 	authority := certstest.NewAuthority(t)
 	first := newNode(t, authority).run(t)
-	rows := []platform.Instance{
-		{ID: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:1"},
-		{ID: "r9", Role: platform.RoleRouter, Address: "127.0.0.1:9", Zone: "b", Leaving: true},
+	rows := []objectstore.Instance{
+		{ID: "engine-1", Role: objectstore.RoleEngine, Address: "127.0.0.1:1"},
+		{ID: "r9", Role: objectstore.RoleRouter, Address: "127.0.0.1:9", Zone: "b", Leaving: true},
 	}
 	const age = time.Minute
 	first.listing.put(rows, time.Now().Add(-age))
@@ -284,7 +284,7 @@
 	authority := certstest.NewAuthority(t)
 	first := newNode(t, authority).run(t)
 	assert.Assert(t, first.configuration.Offer(accepted(3, "first"), "test"))
-	first.listing.put([]platform.Instance{{ID: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:1"}}, time.Now())
+	first.listing.put([]objectstore.Instance{{ID: "engine-1", Role: objectstore.RoleEngine, Address: "127.0.0.1:1"}}, time.Now())
 	seeds := []string{first.transport.Address()}
 	for len(seeds) < fanOut {
 		silent, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -309,7 +309,7 @@
 	var pools strings.Builder
 	pools.WriteString(large.Pools)
 	random := rand.New(rand.NewPCG(1, 2))
-	for n := 0; pools.Len() < platform.MaxValueBytes*9/10; n++ {
+	for n := 0; pools.Len() < objectstore.MaxValueBytes*9/10; n++ {
 		var digest [32]byte
 		for i := range digest {
 			digest[i] = byte(random.Uint32())
--- a/pkg/control/targets.go
+++ b/pkg/control/targets.go
@@ -12,7 +12,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
@@ -47,7 +47,7 @@
 // Targets observes the targets. The instance list says which there are; each
 // engine's own state says what it is and whether it is leaving, and is newer.
 type Targets struct {
-	List   platform.InstanceList
+	List   objectstore.InstanceList
 	Client engine.Client
 	// Spread divides the reads with the peers. Without it, all targets are read.
 	Spread *TargetSpread
@@ -61,7 +61,7 @@
 	observers observers // used by the goroutine that calls Reconcile only
 
 	mu       sync.Mutex // guards the rest, and serialises publishing
-	rows     []platform.Instance
+	rows     []objectstore.Instance
 	live     map[string]*target.Live // by target id
 	listed   map[string]time.Time    // when a target was first listed
 	observed map[string]bool         // ids of the targets read here, nil for all
@@ -101,7 +101,7 @@
 	c.init()
 	var group sync.WaitGroup
 	defer group.Wait()
-	var rows []platform.Instance
+	var rows []objectstore.Instance
 	for ctx.Err() == nil {
 		listed, err := c.List.Instances(ctx)
 		if err == nil {
@@ -121,7 +121,7 @@
 }
 
 // start gets the states that peers know, and reads the others at once.
-func (c *Targets) start(ctx context.Context, rows []platform.Instance, group *sync.WaitGroup) {
+func (c *Targets) start(ctx context.Context, rows []objectstore.Instance, group *sync.WaitGroup) {
 	if c.Spread == nil {
 		return
 	}
@@ -157,13 +157,13 @@
 // stale returns the engines whose state has not been confirmed for staleAfter
 // and that have been listed for a grace period, in which their observers
 // usually read them.
-func (c *Targets) stale(grace time.Duration) []platform.Instance {
+func (c *Targets) stale(grace time.Duration) []objectstore.Instance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	var rows []platform.Instance
+	var rows []objectstore.Instance
 	for _, row := range c.rows {
-		if row.Role != platform.RoleEngine || now.Sub(c.listed[row.ID]) < grace {
+		if row.Role != objectstore.RoleEngine || now.Sub(c.listed[row.ID]) < grace {
 			continue
 		}
 		if _, confirmed := c.table.view(row.ID); now.Sub(confirmed) > staleAfter {
@@ -174,7 +174,7 @@
 }
 
 // Reconcile reads the state of the observed targets and publishes a new set.
-func (c *Targets) Reconcile(ctx context.Context, rows []platform.Instance) {
+func (c *Targets) Reconcile(ctx context.Context, rows []objectstore.Instance) {
 	c.init()
 	c.take(rows)
 	c.readStates(ctx, c.choose(rows))
@@ -182,12 +182,12 @@
 }
 
 // take notes the rows of targets.
-func (c *Targets) take(rows []platform.Instance) {
+func (c *Targets) take(rows []objectstore.Instance) {
 	now := time.Now()
-	var targets []platform.Instance
+	var targets []objectstore.Instance
 	listed := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		if row.Role != platform.RoleRouter {
+		if row.Role != objectstore.RoleRouter {
 			targets = append(targets, row)
 			listed[row.ID] = true
 		}
@@ -220,11 +220,11 @@
 }
 
 // choose returns the engines that this instance observes.
-func (c *Targets) choose(rows []platform.Instance) []platform.Instance {
-	var engines []platform.Instance
+func (c *Targets) choose(rows []objectstore.Instance) []objectstore.Instance {
+	var engines []objectstore.Instance
 	var ids []string
 	for _, row := range rows {
-		if row.Role == platform.RoleEngine {
+		if row.Role == objectstore.RoleEngine {
 			engines = append(engines, row)
 			ids = append(ids, row.ID)
 		}
@@ -236,7 +236,7 @@
 	c.mu.Lock()
 	c.observed = own
 	c.mu.Unlock()
-	var chosen []platform.Instance
+	var chosen []objectstore.Instance
 	for _, row := range engines {
 		if own[row.ID] {
 			chosen = append(chosen, row)
@@ -245,7 +245,7 @@
 	return chosen
 }
 
-func (c *Targets) readStates(ctx context.Context, rows []platform.Instance) {
+func (c *Targets) readStates(ctx context.Context, rows []objectstore.Instance) {
 	var group sync.WaitGroup
 	slots := make(chan struct{}, maxStateReads)
 	for _, row := range rows {
@@ -259,7 +259,7 @@
 }
 
 // readState reads the state of a target and passes a change on.
-func (c *Targets) readState(ctx context.Context, row platform.Instance) {
+func (c *Targets) readState(ctx context.Context, row objectstore.Instance) {
 	attempts := stateAttempts
 	if known, _ := c.table.view(row.ID); known.Version > 0 && !known.Reachable {
 		// A frozen target must not delay the reads of the others twice as long.
@@ -328,13 +328,13 @@
 	c.set.Store(target.NewSet(targets))
 }
 
-func (c *Targets) fromRow(row platform.Instance) *target.Target {
+func (c *Targets) fromRow(row objectstore.Instance) *target.Target {
 	t := &target.Target{
 		ID: row.ID, Role: row.Role, Address: row.Address, Zone: row.Zone,
 		Labels: row.Labels, Leaving: row.Leaving, Live: c.liveLocked(row.ID),
-		Reachable: row.Role == platform.RoleService,
+		Reachable: row.Role == objectstore.RoleService,
 	}
-	if row.Role != platform.RoleEngine {
+	if row.Role != objectstore.RoleEngine {
 		return t
 	}
 	record, _ := c.table.view(row.ID)
--- a/pkg/control/targetspread_test.go
+++ b/pkg/control/targetspread_test.go
@@ -13,8 +13,8 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 )
 
 // fakeEngines are the states of engines, by address, and the reads of them.
@@ -30,7 +30,7 @@
 	for n := range count {
 		id := fmt.Sprint("engine-", n)
 		f.states[id] = engine.State{Incarnation: "1", Model: "m"}
-		rows = append(rows, platform.Instance{ID: id, Role: platform.RoleEngine, Address: id})
+		rows = append(rows, objectstore.Instance{ID: id, Role: objectstore.RoleEngine, Address: id})
 	}
 	return f, rows
 }
@@ -48,9 +48,9 @@
 }
 
 // fixedList is an instance list that does not change.
-type fixedList []platform.Instance
+type fixedList []objectstore.Instance
 
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l fixedList) Instances(context.Context) ([]objectstore.Instance, error) { return l, nil }
 
 // fakeReader is the way of one instance to the engines.
 type fakeReader struct {
@@ -212,7 +212,7 @@
 // fakePeer is a peer that answers from a table and does not read by itself. It
 // returns its row in the instance list. It has no handler for updates: an answer
 // of unknown_type must not make it look gone.
-func fakePeer(t *testing.T, authority *certstest.Authority, id string, source *targetTable, before func(context.Context) error) platform.Instance {
+func fakePeer(t *testing.T, authority *certstest.Authority, id string, source *targetTable, before func(context.Context) error) objectstore.Instance {
 	registry := peer.NewRegistry()
 	fake, err := peer.Listen("127.0.0.1:0", newIdentity(t, authority), registry, hclog.NewNullLogger())
 	assert.NilError(t, err)
@@ -229,7 +229,7 @@
 		return peer.TargetsFetchAnswer{Records: source.records(nil)}, err
 	})
 	go fake.Serve()
-	return platform.Instance{ID: id, Role: platform.RoleRouter, Address: fake.Address()}
+	return objectstore.Instance{ID: id, Role: objectstore.RoleRouter, Address: fake.Address()}
 }
 
 // Guards against a mass restart in which each instance reads all targets
@@ -240,17 +240,17 @@
 	authority := certstest.NewAuthority(t)
 	full := newTargetTable()
 	answer := func(context.Context) error { return nil }
-	gone := platform.Instance{ID: "gone", Role: platform.RoleRouter, Address: closedUDP(t)}
+	gone := objectstore.Instance{ID: "gone", Role: objectstore.RoleRouter, Address: closedUDP(t)}
 	for _, c := range []struct {
 		name    string
-		peers   []platform.Instance
+		peers   []objectstore.Instance
 		readAll bool
 	}{
-		{"gone", []platform.Instance{gone}, true},
-		{"just started", []platform.Instance{
+		{"gone", []objectstore.Instance{gone}, true},
+		{"just started", []objectstore.Instance{
 			gone, fakePeer(t, authority, "a", newTargetTable(), answer), fakePeer(t, authority, "b", newTargetTable(), answer),
 		}, true},
-		{"knowing", []platform.Instance{
+		{"knowing", []objectstore.Instance{
 			gone, fakePeer(t, authority, "c", full, answer), fakePeer(t, authority, "d", newTargetTable(), answer),
 		}, false},
 	} {
@@ -309,7 +309,7 @@
 		}
 		return nil
 	}
-	m.instances.Merge([]platform.Instance{fakePeer(t, authority, "a", source, before), fakePeer(t, authority, "b", source, before)})
+	m.instances.Merge([]objectstore.Instance{fakePeer(t, authority, "a", source, before), fakePeer(t, authority, "b", source, before)})
 	m.start(t)
 	waitFor(t, 5*time.Second, "not ready", m.targets.Ready)
 	var id string
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -22,8 +22,8 @@
 	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -208,7 +208,7 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	s.Target = &target.Target{
-		ID: id, Role: platform.RoleService, Address: server.Listener.Addr().String(), Reachable: true, Live: &target.Live{},
+		ID: id, Role: objectstore.RoleService, Address: server.Listener.Addr().String(), Reachable: true, Live: &target.Live{},
 	}
 	return s
 }
--- a/pkg/gateway/key_test.go
+++ b/pkg/gateway/key_test.go
@@ -18,7 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/burn"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -106,14 +106,14 @@
 
 // addTarget adds a target that the one stand-in engine answers for. Call it
 // before the first request.
-func (f *keyFixture) addTarget(id, app string, role platform.Role) {
+func (f *keyFixture) addTarget(id, app string, role objectstore.Role) {
 	f.set = target.NewSet(append(f.set.Targets, &target.Target{
 		ID: id, Role: role, Address: f.address, Model: "demo", CanResume: true,
 		Labels: map[string]string{"app": app}, Reachable: true, Live: &target.Live{},
 	}))
 }
 
-func (f *keyFixture) addEngine(id string) { f.addTarget(id, "engine", platform.RoleEngine) }
+func (f *keyFixture) addEngine(id string) { f.addTarget(id, "engine", objectstore.RoleEngine) }
 
 func parseSnapshot(t *testing.T, generation uint64, pools string) *tables.Snapshot {
 	t.Helper()
@@ -137,8 +137,8 @@
 	f.sender = NewSender()
 	f.address = targetServer.Listener.Addr().String()
 	f.set = target.NewSet(nil)
-	f.addTarget("engine-1", "engine", platform.RoleEngine)
-	f.addTarget("plain-1", "plain", platform.RoleService)
+	f.addTarget("engine-1", "engine", objectstore.RoleEngine)
+	f.addTarget("plain-1", "plain", objectstore.RoleService)
 	picker := &leastLoaded{Targets: f}
 	log := hclog.New(&hclog.LoggerOptions{Output: &f.log, Level: hclog.Trace})
 	f.server = httptest.NewServer(NewChain(log, RequestID{},
--- a/pkg/gateway/limit_measure_test.go
+++ b/pkg/gateway/limit_measure_test.go
@@ -14,7 +14,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/quota"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -36,7 +36,7 @@
 var phases = [...]float64{0, 2, 7, 20, 22, 25, 28, 31.5, 38}
 
 var schemes = [...]string{"shares", "fixed split", "one owner"}
-var errUnreachable = &platform.Error{Kind: platform.KindUnavailable, Call: "call", Cause: context.DeadlineExceeded}
+var errUnreachable = &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "call", Cause: context.DeadlineExceeded}
 
 type measureNode struct {
 	limit        *Limit
@@ -73,7 +73,7 @@
 }
 
 // List fails in an outage, and then no write is tried either.
-func (f *measureFleet) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+func (f *measureFleet) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	f.reads++
 	if f.outage {
 		return nil, 0, errUnreachable
@@ -81,11 +81,11 @@
 	return f.Store.List(ctx, kind)
 }
 
-func (f *measureFleet) Instances(context.Context) ([]platform.Instance, error) {
+func (f *measureFleet) Instances(context.Context) ([]objectstore.Instance, error) {
 	f.reads++
-	var rows []platform.Instance
+	var rows []objectstore.Instance
 	for i := range f.nodes {
-		rows = append(rows, platform.Instance{ID: fmt.Sprint(i), Role: platform.RoleRouter})
+		rows = append(rows, objectstore.Instance{ID: fmt.Sprint(i), Role: objectstore.RoleRouter})
 	}
 	return rows, nil
 }
--- a/pkg/gateway/load_test.go
+++ b/pkg/gateway/load_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -20,7 +20,7 @@
 	server := httptest.NewServer(standin.NewEngine(standin.DefaultEngineOptions("m")).Handler())
 	t.Cleanup(server.Close)
 	e := &target.Target{
-		ID: "e", Role: platform.RoleEngine, Address: server.Listener.Addr().String(), Reachable: true, Model: "m", Live: &target.Live{},
+		ID: "e", Role: objectstore.RoleEngine, Address: server.Listener.Addr().String(), Reachable: true, Model: "m", Live: &target.Live{},
 	}
 	r := newRouter(t, standin.NewPlatform(), e)
 	r.serve()
--- a/pkg/platform/httpapi/client.go
+++ b/pkg/objectstore/httpapi/client.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 const (
@@ -30,8 +30,8 @@
 	idleConnections  = 8
 )
 
-// Client calls the platform over HTTP. It implements platform.Store and
-// platform.InstanceList.
+// Client calls the platform over HTTP. It implements objectstore.Store and
+// objectstore.InstanceList.
 type Client struct {
 	base string
 	http *http.Client
@@ -50,57 +50,57 @@
 
 // WatchResponse is the body of a watch response.
 type WatchResponse struct {
-	Events   []platform.Event `json:"events"`
-	Revision uint64           `json:"revision"`
+	Events   []objectstore.Event `json:"events"`
+	Revision uint64              `json:"revision"`
 }
 
 // ListResponse is the body of a list response.
 type ListResponse struct {
-	Objects  []platform.Object `json:"objects"`
-	Revision uint64            `json:"revision"`
+	Objects  []objectstore.Object `json:"objects"`
+	Revision uint64               `json:"revision"`
 }
 
 // ErrorResponse is the body of an error response.
 type ErrorResponse struct {
-	Kind    platform.ErrorKind `json:"kind"`
-	Message string             `json:"message"`
+	Kind    objectstore.ErrorKind `json:"kind"`
+	Message string                `json:"message"`
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	var out platform.Object
+// Get implements objectstore.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
+	var out objectstore.Object
 	err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, &out)
 	return out, err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (c *Client) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	var out ListResponse
 	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/objects/" + url.PathEscape(kind)}, &out)
 	return out.Objects, out.Revision, err
 }
 
-// Create implements platform.Store.
-func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (platform.Object, error) {
-	var out platform.Object
+// Create implements objectstore.Store.
+func (c *Client) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
+	var out objectstore.Object
 	err := c.call(ctx, request{method: http.MethodPost, path: objectPath(kind, name), body: value, write: true}, &out)
 	return out, err
 }
 
-// Update implements platform.Store.
-func (c *Client) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
-	var out platform.Object
+// Update implements objectstore.Store.
+func (c *Client) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
+	var out objectstore.Object
 	err := c.call(ctx, request{method: http.MethodPut, path: objectPath(kind, name), body: value, version: version, write: true}, &out)
 	return out, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	return c.call(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, write: true}, nil)
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, kind string, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements objectstore.Store.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Event, uint64, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {watchWait.String()}}
 	var out WatchResponse
 	err := c.call(ctx, request{
@@ -111,9 +111,9 @@
 	return out.Events, out.Revision, err
 }
 
-// Instances implements platform.InstanceList.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
-	var out []platform.Instance
+// Instances implements objectstore.InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]objectstore.Instance, error) {
+	var out []objectstore.Instance
 	err := c.call(ctx, request{method: http.MethodGet, path: "/v1/instances"}, &out)
 	return out, err
 }
@@ -133,8 +133,8 @@
 
 func (c *Client) call(ctx context.Context, r request, out any) error {
 	name := r.method + " " + r.path
-	if len(r.body) > platform.MaxValueBytes {
-		return &platform.Error{Kind: platform.KindTooLarge, Call: name, Cause: fmt.Errorf("value has %d bytes, the limit is %d", len(r.body), platform.MaxValueBytes)}
+	if len(r.body) > objectstore.MaxValueBytes {
+		return &objectstore.Error{Kind: objectstore.KindTooLarge, Call: name, Cause: fmt.Errorf("value has %d bytes, the limit is %d", len(r.body), objectstore.MaxValueBytes)}
 	}
 	timeout := r.timeout
 	if timeout == 0 {
@@ -144,12 +144,12 @@
 	defer cancel()
 	resp, err := c.send(ctx, r)
 	if err != nil {
-		return &platform.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
+		return &objectstore.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return &platform.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
+		return &objectstore.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return statusError(name, resp.StatusCode, body, r.write)
@@ -158,7 +158,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(body, out); err != nil {
-		return &platform.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
+		return &objectstore.Error{Kind: transportKind(err, r.write), Call: name, Cause: err}
 	}
 	return nil
 }
@@ -183,28 +183,28 @@
 
 // transportKind classifies an error without an answer. A write is known not to
 // have taken effect only when no connection was made.
-func transportKind(err error, write bool) platform.ErrorKind {
+func transportKind(err error, write bool) objectstore.ErrorKind {
 	if !write {
-		return platform.KindUnavailable
+		return objectstore.KindUnavailable
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return platform.KindUnavailable
+		return objectstore.KindUnavailable
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return platform.KindUnavailable
+		return objectstore.KindUnavailable
 	}
-	return platform.KindUnknown
+	return objectstore.KindUnknown
 }
 
 func statusError(call string, status int, body []byte, write bool) error {
 	var doc ErrorResponse
 	if err := json.Unmarshal(body, &doc); err == nil && doc.Kind != "" {
-		return &platform.Error{Kind: doc.Kind, Call: call, Cause: errors.New(doc.Message)}
+		return &objectstore.Error{Kind: doc.Kind, Call: call, Cause: errors.New(doc.Message)}
 	}
-	kind := platform.KindUnavailable
+	kind := objectstore.KindUnavailable
 	if write {
-		kind = platform.KindUnknown
+		kind = objectstore.KindUnknown
 	}
-	return &platform.Error{Kind: kind, Call: call, Cause: fmt.Errorf("status %d", status)}
+	return &objectstore.Error{Kind: kind, Call: call, Cause: fmt.Errorf("status %d", status)}
 }
--- a/pkg/platform/platform.go
+++ b/pkg/objectstore/objectstore.go
@@ -1,8 +1,8 @@
-// Package platform defines what the router needs of the platform: an object
+// Package objectstore defines what the router needs of the platform: an object
 // store with versions, conditional updates and watches, and the list of
 // instances. The wire protocol is in a package of its own, so that another
 // dialect replaces only that package.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -18,8 +18,8 @@
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/gateway"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -28,7 +28,7 @@
 	settings *config.Settings
 	log      hclog.Logger
 
-	store         platform.Store
+	store         objectstore.Store
 	configuration *control.Configuration
 	listing       *control.Listing
 	targets       *control.Targets
--- a/pkg/server/server_test.go
+++ b/pkg/server/server_test.go
@@ -19,7 +19,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/config"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
@@ -37,8 +37,8 @@
 	engine := httptest.NewServer(standin.NewEngine(options).Handler())
 	t.Cleanup(engine.Close)
 	p := standin.NewPlatform()
-	p.SetInstance(platform.Instance{
-		ID: "engine-1", Role: platform.RoleEngine, Address: engine.Listener.Addr().String(), Labels: map[string]string{"app": "engine"},
+	p.SetInstance(objectstore.Instance{
+		ID: "engine-1", Role: objectstore.RoleEngine, Address: engine.Listener.Addr().String(), Labels: map[string]string{"app": "engine"},
 	})
 	api := httptest.NewServer(p.Handler())
 	t.Cleanup(api.CloseClientConnections)
--- a/pkg/standin/platform.go
+++ b/pkg/standin/platform.go
@@ -12,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 )
 
 // PlatformFaults make the platform fail. The zero value is a sound platform.
@@ -32,7 +32,7 @@
 
 	mu        sync.Mutex
 	faults    PlatformFaults
-	instances map[string]platform.Instance
+	instances map[string]objectstore.Instance
 	history   []listing
 	frozenAt  time.Time
 
@@ -43,12 +43,12 @@
 // listing is the instance list as it was at a time.
 type listing struct {
 	at   time.Time
-	rows []platform.Instance
+	rows []objectstore.Instance
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{Store: NewStore(), instances: make(map[string]platform.Instance)}
+	return &Platform{Store: NewStore(), instances: make(map[string]objectstore.Instance)}
 }
 
 // PlatformCounts are the calls that the platform has received.
@@ -73,7 +73,7 @@
 }
 
 // SetInstance adds or replaces a row of the instance list.
-func (p *Platform) SetInstance(row platform.Instance) {
+func (p *Platform) SetInstance(row objectstore.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.instances[row.ID] = row
@@ -89,7 +89,7 @@
 }
 
 func (p *Platform) record() {
-	rows := make([]platform.Instance, 0, len(p.instances))
+	rows := make([]objectstore.Instance, 0, len(p.instances))
 	for _, row := range p.instances {
 		rows = append(rows, row)
 	}
@@ -98,14 +98,14 @@
 }
 
 // list returns the instance list as old as the lag says.
-func (p *Platform) list() []platform.Instance {
+func (p *Platform) list() []objectstore.Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := time.Now().Add(-time.Duration(p.faults.ListLagMs) * time.Millisecond)
 	if p.faults.FreezeList {
 		limit = p.frozenAt
 	}
-	rows := []platform.Instance{}
+	rows := []objectstore.Instance{}
 	for _, entry := range p.history {
 		if entry.at.After(limit) {
 			break
@@ -139,7 +139,7 @@
 		faults := p.takeFaults(r.Method != http.MethodGet)
 		time.Sleep(time.Duration(faults.DelayMillis) * time.Millisecond)
 		if faults.Down {
-			writeJSON(w, http.StatusServiceUnavailable, httpapi.ErrorResponse{Kind: platform.KindUnavailable, Message: "outage"})
+			writeJSON(w, http.StatusServiceUnavailable, httpapi.ErrorResponse{Kind: objectstore.KindUnavailable, Message: "outage"})
 			return
 		}
 		result, err := call(r)
@@ -147,7 +147,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		if err != nil {
-			kind := platform.KindOf(err)
+			kind := objectstore.KindOf(err)
 			writeJSON(w, statusOf(kind), httpapi.ErrorResponse{Kind: kind, Message: err.Error()})
 			return
 		}
@@ -241,7 +241,7 @@
 }
 
 func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
-	var row platform.Instance
+	var row objectstore.Instance
 	if err := json.NewDecoder(r.Body).Decode(&row); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -249,17 +249,17 @@
 	p.SetInstance(row)
 }
 
-func statusOf(kind platform.ErrorKind) int {
+func statusOf(kind objectstore.ErrorKind) int {
 	switch kind {
-	case platform.KindNotFound:
+	case objectstore.KindNotFound:
 		return http.StatusNotFound
-	case platform.KindExists, platform.KindConflict:
+	case objectstore.KindExists, objectstore.KindConflict:
 		return http.StatusConflict
-	case platform.KindTooLarge:
+	case objectstore.KindTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case platform.KindCompacted:
+	case objectstore.KindCompacted:
 		return http.StatusGone
-	case platform.KindRateLimited:
+	case objectstore.KindRateLimited:
 		return http.StatusTooManyRequests
 	default:
 		return http.StatusServiceUnavailable
--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -6,18 +6,18 @@
 	"sort"
 	"sync"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // maxEvents bounds the history that watches can read. Older revisions are
 // compacted, as in a real object API.
 const maxEvents = 4096
 
-// Store is an object store in memory. It implements platform.Store.
+// Store is an object store in memory. It implements objectstore.Store.
 type Store struct {
 	mu       sync.Mutex
-	objects  map[objectKey]platform.Object
-	events   []platform.Event
+	objects  map[objectKey]objectstore.Object
+	events   []objectstore.Event
 	revision uint64
 	changed  chan struct{} // closed and replaced at each change
 }
@@ -26,25 +26,25 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: make(map[objectKey]platform.Object), changed: make(chan struct{})}
+	return &Store{objects: make(map[objectKey]objectstore.Object), changed: make(chan struct{})}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(_ context.Context, kind, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[objectKey{kind, name}]
 	if !ok {
-		return platform.Object{}, storeError("get", platform.KindNotFound)
+		return objectstore.Object{}, storeError("get", objectstore.KindNotFound)
 	}
 	return object, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind string) ([]platform.Object, uint64, error) {
+// List implements objectstore.Store.
+func (s *Store) List(_ context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	objects := []platform.Object{}
+	objects := []objectstore.Object{}
 	for key, object := range s.objects {
 		if key.kind == kind {
 			objects = append(objects, object)
@@ -54,49 +54,49 @@
 	return objects, s.revision, nil
 }
 
-// Create implements platform.Store.
-func (s *Store) Create(_ context.Context, kind, name string, value []byte) (platform.Object, error) {
+// Create implements objectstore.Store.
+func (s *Store) Create(_ context.Context, kind, name string, value []byte) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[objectKey{kind, name}]; ok {
-		return platform.Object{}, storeError("create", platform.KindExists)
+		return objectstore.Object{}, storeError("create", objectstore.KindExists)
 	}
 	return s.put(kind, name, value)
 }
 
-// Update implements platform.Store.
-func (s *Store) Update(_ context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
+// Update implements objectstore.Store.
+func (s *Store) Update(_ context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[objectKey{kind, name}]
 	if !ok {
-		return platform.Object{}, storeError("update", platform.KindNotFound)
+		return objectstore.Object{}, storeError("update", objectstore.KindNotFound)
 	}
 	if object.Version != version {
-		return platform.Object{}, storeError("update", platform.KindConflict)
+		return objectstore.Object{}, storeError("update", objectstore.KindConflict)
 	}
 	return s.put(kind, name, value)
 }
 
-// Delete implements platform.Store.
+// Delete implements objectstore.Store.
 func (s *Store) Delete(_ context.Context, kind, name string, version uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := objectKey{kind, name}
 	object, ok := s.objects[key]
 	if !ok {
-		return storeError("delete", platform.KindNotFound)
+		return storeError("delete", objectstore.KindNotFound)
 	}
 	if object.Version != version {
-		return storeError("delete", platform.KindConflict)
+		return storeError("delete", objectstore.KindConflict)
 	}
 	delete(s.objects, key)
-	s.publish(platform.Event{Object: platform.Object{Kind: kind, Name: name, Version: version}, Deleted: true})
+	s.publish(objectstore.Event{Object: objectstore.Object{Kind: kind, Name: name, Version: version}, Deleted: true})
 	return nil
 }
 
-// Watch implements platform.Store. It returns when ctx ends, without events.
-func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]platform.Event, uint64, error) {
+// Watch implements objectstore.Store. It returns when ctx ends, without events.
+func (s *Store) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Event, uint64, error) {
 	for {
 		events, revision, changed, err := s.since(kind, after)
 		if err != nil || len(events) > 0 {
@@ -110,13 +110,13 @@
 	}
 }
 
-func (s *Store) since(kind string, after uint64) ([]platform.Event, uint64, chan struct{}, error) {
+func (s *Store) since(kind string, after uint64) ([]objectstore.Event, uint64, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.events) == maxEvents && after+1 < s.events[0].Revision {
-		return nil, 0, nil, storeError("watch", platform.KindCompacted)
+		return nil, 0, nil, storeError("watch", objectstore.KindCompacted)
 	}
-	var events []platform.Event
+	var events []objectstore.Event
 	for _, event := range s.events {
 		if event.Revision > after && event.Object.Kind == kind {
 			events = append(events, event)
@@ -125,17 +125,17 @@
 	return events, s.revision, s.changed, nil
 }
 
-func (s *Store) put(kind, name string, value []byte) (platform.Object, error) {
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, storeError("put", platform.KindTooLarge)
+func (s *Store) put(kind, name string, value []byte) (objectstore.Object, error) {
+	if len(value) > objectstore.MaxValueBytes {
+		return objectstore.Object{}, storeError("put", objectstore.KindTooLarge)
 	}
-	object := platform.Object{Kind: kind, Name: name, Version: s.revision + 1, Value: append([]byte(nil), value...)}
+	object := objectstore.Object{Kind: kind, Name: name, Version: s.revision + 1, Value: append([]byte(nil), value...)}
 	s.objects[objectKey{kind, name}] = object
-	s.publish(platform.Event{Object: object})
+	s.publish(objectstore.Event{Object: object})
 	return object, nil
 }
 
-func (s *Store) publish(event platform.Event) {
+func (s *Store) publish(event objectstore.Event) {
 	s.revision++
 	event.Revision = s.revision
 	s.events = append(s.events, event)
@@ -146,6 +146,6 @@
 	s.changed = make(chan struct{})
 }
 
-func storeError(call string, kind platform.ErrorKind) error {
-	return &platform.Error{Kind: kind, Call: call, Cause: errors.New(string(kind))}
+func storeError(call string, kind objectstore.ErrorKind) error {
+	return &objectstore.Error{Kind: kind, Call: call, Cause: errors.New(string(kind))}
 }
--- a/pkg/tablestore/editor.go
+++ b/pkg/tablestore/editor.go
@@ -9,13 +9,13 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 // Editor reads and edits the accepted configuration.
 type Editor struct {
-	Store platform.Store
+	Store objectstore.Store
 	Name  string // of the operator, shown to others
 	Log   hclog.Logger
 	// ReadBackWait is the first wait between reads after a lost answer. It
@@ -31,7 +31,7 @@
 
 func (e *Editor) current(ctx context.Context) (*current, error) {
 	object, err := e.Store.Get(ctx, control.KindConfiguration, control.NameAccepted)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if objectstore.IsKind(err, objectstore.KindNotFound) {
 		return &current{}, nil
 	}
 	if err != nil {
--- a/pkg/tablestore/errors.go
+++ b/pkg/tablestore/errors.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // ErrorKind classifies a failed operation.
@@ -85,7 +85,7 @@
 
 // readError turns a failed read of the platform into an error of this package.
 func readError(what string, cause error) error {
-	if platform.IsKind(cause, platform.KindNotFound) {
+	if objectstore.IsKind(cause, objectstore.KindNotFound) {
 		return invalid(what+" does not exist", cause, "list the generations with 'tables history'")
 	}
 	return &Error{Kind: KindUnavailable, Problem: what + " could not be read", Cause: cause, Remedy: "check the address of the platform and try again; no file was changed"}
--- a/pkg/tablestore/history.go
+++ b/pkg/tablestore/history.go
@@ -8,7 +8,7 @@
 	"strconv"
 
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // HistoryLength is the number of accepted configurations that are kept.
@@ -69,7 +69,7 @@
 	if err == nil {
 		_, err = e.Store.Create(ctx, control.KindHistory, historyName(a.Generation), value)
 	}
-	if err != nil && !platform.IsKind(err, platform.KindExists) {
+	if err != nil && !objectstore.IsKind(err, objectstore.KindExists) {
 		e.Log.Warn("the edit is accepted, but not in the history", "generation", a.Generation, "cause", err)
 	}
 	if err := e.prune(ctx); err != nil {
@@ -85,7 +85,7 @@
 		return err
 	}
 	type kept struct {
-		object     platform.Object
+		object     objectstore.Object
 		generation uint64
 	}
 	var entries []kept
@@ -100,7 +100,7 @@
 	}
 	for _, entry := range entries[HistoryLength:] {
 		err := e.Store.Delete(ctx, control.KindHistory, entry.object.Name, entry.object.Version)
-		if err != nil && !platform.IsKind(err, platform.KindNotFound) {
+		if err != nil && !objectstore.IsKind(err, objectstore.KindNotFound) {
 			return err
 		}
 	}
--- a/pkg/tablestore/put.go
+++ b/pkg/tablestore/put.go
@@ -11,7 +11,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -61,7 +61,7 @@
 	if err != nil {
 		return 0, failed("the tables cannot be encoded", err, "")
 	}
-	var object platform.Object
+	var object objectstore.Object
 	if version == 0 {
 		object, err = e.Store.Create(ctx, control.KindConfiguration, control.NameAccepted, value)
 	} else {
@@ -70,14 +70,14 @@
 	if err == nil {
 		return object.Version, nil
 	}
-	switch platform.KindOf(err) {
-	case platform.KindConflict, platform.KindExists:
+	switch objectstore.KindOf(err) {
+	case objectstore.KindConflict, objectstore.KindExists:
 		return e.afterConflict(ctx, a)
-	case platform.KindNotFound:
+	case objectstore.KindNotFound:
 		return 0, &Error{Kind: KindConflict, Problem: "the accepted configuration was deleted", Cause: err, Remedy: remedyConflict}
-	case platform.KindTooLarge:
+	case objectstore.KindTooLarge:
 		return 0, invalid("both tables together exceed the largest value of the platform", err, "shorten them, for example by removing comments")
-	case platform.KindUnavailable, platform.KindRateLimited:
+	case objectstore.KindUnavailable, objectstore.KindRateLimited:
 		return 0, &Error{Kind: KindUnavailable, Problem: "the platform did not take the edit", Cause: err, Remedy: "nothing was changed; try again later"}
 	default:
 		return e.afterLostAnswer(ctx, a, version, err)
--- a/pkg/tablestore/tablestore_test.go
+++ b/pkg/tablestore/tablestore_test.go
@@ -17,8 +17,8 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
@@ -144,21 +144,21 @@
 
 // hookStore runs a function in place of the next update.
 type hookStore struct {
-	platform.Store
+	objectstore.Store
 	update func(value []byte, version uint64) error
 }
 
-func (s *hookStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (platform.Object, error) {
+func (s *hookStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
 	if s.update == nil {
 		return s.Store.Update(ctx, kind, name, value, version)
 	}
-	return platform.Object{}, s.update(value, version)
+	return objectstore.Object{}, s.update(value, version)
 }
 
 // Guards against a wrong verdict on a write whose answer was lost while another
 // operator's edit arrived before or after it, or while nothing changed.
 func TestLostAnswerAndAnotherEdit(t *testing.T) {
-	lost := &platform.Error{Kind: platform.KindUnknown, Call: "update", Cause: errors.New("connection reset")}
+	lost := &objectstore.Error{Kind: objectstore.KindUnknown, Call: "update", Cause: errors.New("connection reset")}
 	tests := []struct {
 		name   string
 		lands  bool // the write takes effect
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // Load is what a target reports about itself. It lags behind reality.
@@ -18,7 +18,7 @@
 // Target is one target as last observed. It is immutable apart from Live.
 type Target struct {
 	ID            string
-	Role          platform.Role
+	Role          objectstore.Role
 	Address       string
 	Zone          string
 	Labels        map[string]string
--- a/test/bench/overhead_test.go
+++ b/test/bench/overhead_test.go
@@ -14,7 +14,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/config"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -72,8 +72,8 @@
 
 func startRouter(b *testing.B, engineAddress string) (string, func()) {
 	p := standin.NewPlatform()
-	p.SetInstance(platform.Instance{
-		ID: "engine-1", Role: platform.RoleEngine, Address: engineAddress, Zone: "a",
+	p.SetInstance(objectstore.Instance{
+		ID: "engine-1", Role: objectstore.RoleEngine, Address: engineAddress, Zone: "a",
 		Labels: map[string]string{"app": "engine"},
 	})
 	accepted := control.Accepted{Generation: 1, Routes: routes, Pools: pools + tables.FormatDigest(tables.DigestKey(key)) + "\n"}
--- a/test/bench/slope_test.go
+++ b/test/bench/slope_test.go
@@ -20,7 +20,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/burn"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
@@ -135,10 +135,10 @@
 	defer server.Close()
 	for _, targets := range []int{20, 200, 620} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
-			var rows []platform.Instance
+			var rows []objectstore.Instance
 			for n := range targets {
-				rows = append(rows, platform.Instance{
-					ID: fmt.Sprintf("engine-%d", n), Role: platform.RoleEngine, Zone: "a",
+				rows = append(rows, objectstore.Instance{
+					ID: fmt.Sprintf("engine-%d", n), Role: objectstore.RoleEngine, Zone: "a",
 					Address: server.Listener.Addr().String(), Labels: map[string]string{"app": "engine"},
 				})
 			}
--- a/test/bench/states_test.go
+++ b/test/bench/states_test.go
@@ -19,8 +19,8 @@
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
@@ -96,7 +96,7 @@
 	return ages
 }
 
-func newFakeFleet(b *testing.B, identity *peer.Identity, rows []platform.Instance, state engine.State) *fakeFleet {
+func newFakeFleet(b *testing.B, identity *peer.Identity, rows []objectstore.Instance, state engine.State) *fakeFleet {
 	f := &fakeFleet{}
 	for _, row := range rows {
 		f.records = append(f.records, peer.TargetRecord{
@@ -150,10 +150,10 @@
 	s := &shareBench{handler: &countingHandler{next: standin.NewEngine(standin.DefaultEngineOptions("demo")).Handler()}}
 	server := httptest.NewServer(s.handler)
 	b.Cleanup(server.Close)
-	var rows []platform.Instance
+	var rows []objectstore.Instance
 	for n := range targets {
-		rows = append(rows, platform.Instance{
-			ID: fmt.Sprintf("engine-%d", n), Role: platform.RoleEngine, Zone: "a", Address: server.Listener.Addr().String(),
+		rows = append(rows, objectstore.Instance{
+			ID: fmt.Sprintf("engine-%d", n), Role: objectstore.RoleEngine, Zone: "a", Address: server.Listener.Addr().String(),
 		})
 	}
 	log := hclog.NewNullLogger()
@@ -174,10 +174,10 @@
 		Self:      control.Self{ID: "r0", Address: transport.Address(), Incarnation: "r0"},
 		Transport: transport, Generation: func() uint64 { return 1 }, Log: log,
 	}
-	var routers []platform.Instance
+	var routers []objectstore.Instance
 	for n := 1; n < instances; n++ {
 		r := newRelay(b, s.fleet.transport.Address(), &s.fleet.bytes)
-		routers = append(routers, platform.Instance{ID: fmt.Sprint("r", n), Role: platform.RoleRouter, Address: r.socket.LocalAddr().String()})
+		routers = append(routers, objectstore.Instance{ID: fmt.Sprint("r", n), Role: objectstore.RoleRouter, Address: r.socket.LocalAddr().String()})
 	}
 	all.Merge(routers)
 	s.spread = control.NewTargetSpread(all, transport, log)
@@ -187,9 +187,9 @@
 	return s
 }
 
-type listOf []platform.Instance
+type listOf []objectstore.Instance
 
-func (l listOf) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l listOf) Instances(context.Context) ([]objectstore.Instance, error) { return l, nil }
 
 func newIdentity(b *testing.B) *peer.Identity {
 	authority := certstest.NewAuthority(b)
--- a/test/e2e/idle_bench_test.go
+++ b/test/e2e/idle_bench_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
@@ -28,11 +28,11 @@
 	for b.Loop() {
 		f := harness.New(b)
 		authority := certstest.NewAuthority(b)
-		e := f.Target("engine-1", platform.RoleEngine, "engine")
+		e := f.Target("engine-1", objectstore.RoleEngine, "engine")
 		for n := 2; n <= idleTargets; n++ {
 			// One process answers for all targets; only the routers are measured.
-			f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/instances", platform.Instance{
-				ID: fmt.Sprint("engine-", n), Role: platform.RoleEngine, Address: e.Addresses["address"], Zone: "a",
+			f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/instances", objectstore.Instance{
+				ID: fmt.Sprint("engine-", n), Role: objectstore.RoleEngine, Address: e.Addresses["address"], Zone: "a",
 				Labels: map[string]string{"app": "engine"},
 			})
 		}
--- a/test/e2e/observers_test.go
+++ b/test/e2e/observers_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/test/harness"
@@ -63,7 +63,7 @@
 	engines := make(map[string]*harness.Process)
 	for n := range 5 {
 		id := fmt.Sprint("engine-", n)
-		engines[id] = f.Target(id, platform.RoleEngine, "engine")
+		engines[id] = f.Target(id, objectstore.RoleEngine, "engine")
 	}
 	authority := certstest.NewAuthority(t)
 	routers := []*harness.Process{f.PeerRouter(harness.PeerOptions{ID: "r0", Authority: authority})}
--- a/test/e2e/quota_test.go
+++ b/test/e2e/quota_test.go
@@ -14,7 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/test/harness"
 )
@@ -48,7 +48,7 @@
 		phase       = 700 * time.Millisecond
 	)
 	f := harness.New(t)
-	f.Target("engine-1", platform.RoleEngine, "engine", "--token-interval", "0s")
+	f.Target("engine-1", objectstore.RoleEngine, "engine", "--token-interval", "0s")
 	f.PutTables(2, harness.Routes, fmt.Sprintf(quotaPools, rate, burst, tables.FormatDigest(tables.DigestKey(f.Key))))
 	first := f.Router("r1", 1)
 	routers := []*harness.Process{first, f.Router("r2", 1), f.Router("r3", 1), f.Router("r4", 1)}
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -19,7 +19,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/server"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -151,9 +151,9 @@
 	s.edits = 1
 	s.edit()
 	for n := range soakEngines {
-		s.engines = append(s.engines, s.Target(fmt.Sprint("engine-", n), platform.RoleEngine, "engine", "--token-interval", "3ms"))
+		s.engines = append(s.engines, s.Target(fmt.Sprint("engine-", n), objectstore.RoleEngine, "engine", "--token-interval", "3ms"))
 	}
-	s.service = s.Target("booking-1", platform.RoleService, "booking")
+	s.service = s.Target("booking-1", objectstore.RoleService, "booking")
 	authority := certstest.NewAuthority(b)
 	var seeds []string
 	for n := range soakRouters {
--- a/test/e2e/spread_bench_test.go
+++ b/test/e2e/spread_bench_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/test/harness"
 )
 
@@ -33,7 +33,7 @@
 func measureSpread(b *testing.B, reaching int) {
 	f := harness.New(b)
 	authority := certstest.NewAuthority(b)
-	f.Target("engine-1", platform.RoleEngine, "engine")
+	f.Target("engine-1", objectstore.RoleEngine, "engine")
 	var routers []*harness.Process
 	var seeds []string
 	for n := range spreadInstances {
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -23,8 +23,8 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs/certstest"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
-	"lacewingwheel.example/lacewingwheel/pkg/platform"
-	"lacewingwheel.example/lacewingwheel/pkg/platform/httpapi"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore/httpapi"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -190,10 +190,10 @@
 }
 
 // Target starts a stand-in and puts it on the instance list.
-func (f *Fleet) Target(id string, role platform.Role, app string, args ...string) *Process {
+func (f *Fleet) Target(id string, role objectstore.Role, app string, args ...string) *Process {
 	f.T.Helper()
 	p := Start(f.T, "standin", append([]string{string(role)}, args...)...)
-	f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/instances", platform.Instance{
+	f.Admin(http.MethodPut, f.Platform.Addresses["address"], "/admin/instances", objectstore.Instance{
 		ID: id, Role: role, Address: p.Addresses["address"], Zone: "a", Labels: map[string]string{"app": app},
 	})
 	return p
