--- /dev/null
+++ b/cmd/lacewingwheel/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // links the program to the C library, as the platform's machines need
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -40,6 +40,7 @@
 	version  uint64        // last version seen
 	seenAt   time.Duration // when that version was first seen
 	takeover bool          // the previous holder did not release
+	waited   time.Duration // how long the version taken over had been seen
 }
 
 // Held reports whether the lease is held now. Call it right before each act
@@ -49,6 +50,10 @@
 // Remaining returns how long the lease is still held.
 func (l *Lease) Remaining() time.Duration { return l.expires - l.Clock.Elapsed() }
 
+// Waited returns how long ago the version of the lease that this instance took
+// over was first seen: the holder before has not renewed it since.
+func (l *Lease) Waited() time.Duration { return l.waited }
+
 // Fence returns the fencing number of the lease that is held.
 func (l *Lease) Fence() uint64 { return l.fence }
 
@@ -72,6 +77,9 @@
 	if object.Version != l.version {
 		l.version, l.seenAt = object.Version, l.Clock.Elapsed()
 	}
+	if record.Holder != l.Incarnation {
+		l.waited = l.Clock.Elapsed() - l.seenAt
+	}
 	switch {
 	case record.Holder == l.Incarnation:
 		return l.write(ctx, leaseRecord{Fence: record.Fence}, object.Version, l.takeover)
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/follow"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/relay"
+	"lacewingwheel.example/lacewingwheel/pkg/rollout"
+	"lacewingwheel.example/lacewingwheel/pkg/share"
+	"lacewingwheel.example/lacewingwheel/pkg/state"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
+)
+
+const (
+	// dialTimeout bounds opening a connection to a target. Source: zones are
+	// about a millisecond apart; a lost packet is sent again after longer.
+	dialTimeout = 250 * time.Millisecond
+	// unackedTimeout ends connections to partitioned targets.
+	unackedTimeout = 2 * time.Second
+	// sweepInterval is the time between looks at idle connections and lapsed entries.
+	sweepInterval = time.Second
+	// readyProofShare is the part of the bound for withdrawn keys up to which an
+	// instance is ready. Source: beyond it, requests with keys count as not owed.
+	readyProofShare = 0.55
+	// keyProofMargin is kept from that bound, for the way to the target.
+	keyProofMargin = 300 * time.Millisecond
+	// retryShare is the part of the fleet's retry budget that instances use.
+	// The rest covers instances that disagree about their number.
+	retryShare = 0.75
+	// memoryLimitShare is the part of the memory at which the runtime collects
+	// garbage harder.
+	memoryLimitShare = 0.7
+)
+
+// Platform is what differs between platforms.
+type Platform struct {
+	Store        objectstore.Store
+	Dialect      relay.Dialect
+	Orders       rollout.Client
+	ParseTables  func([]byte) (*tables.Snapshot, error)
+	ParseTarget  func(id string, value []byte) (*target.Target, error)
+	ParseWeights func([]byte) (model, version string, err error)
+	// Kinds of the store's objects, and the name of the configuration.
+	ConfigurationKind, ConfigurationName, TargetKind, WeightsKind string
+}
+
+// Daemon is one router process.
+type Daemon struct {
+	settings func() *Settings
+	log      hclog.Logger
+	clock    clock.Clock
+
+	configuration *state.Configuration
+	targets       *state.Targets
+	weights       *state.Weights
+	members       *state.Members
+	rollout       *rollout.Rollout
+	buckets       *share.Buckets
+	conns         *targetconn.Pool
+	placer        *placement.Placer
+	metrics       *expvar.Map
+	callers       *http.Server
+	idle          *idleTimeouts
+	stopping      atomic.Bool
+}
+
+// New assembles a daemon.
+func New(settings func() *Settings, p Platform, log hclog.Logger) *Daemon {
+	s := settings()
+	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init()}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
+	}
+	incarnation := uuid.NewString()
+	link := &follow.Link{Clock: d.clock, Log: log}
+	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log}
+	d.weights = &state.Weights{Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Link: link, Log: log}
+	d.members = &state.Members{Store: p.Store, Clock: d.clock, Instance: s.Instance, Incarnation: incarnation, Log: log}
+	d.buckets = &share.Buckets{
+		Limits: func() share.Limits {
+			return share.Limits{Overage: settings().QuotaOverage, Slack: settings().QuotaSlack}
+		},
+		Instances: d.members.Live, FirstStart: s.FirstStart, Now: d.clock.Elapsed,
+	}
+	d.idle = newIdleTimeouts()
+	d.configuration = &state.Configuration{
+		Store: p.Store, Kind: p.ConfigurationKind, Name: p.ConfigurationName, Parse: p.ParseTables,
+		Changed: d.configured, Clock: d.clock, Link: link, Log: log,
+	}
+	d.rollout = &rollout.Rollout{
+		Lease: &control.Lease{
+			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
+			Duration: rollout.LeaseDuration, Guard: time.Second,
+		},
+		Clock: d.clock, Source: d.targets, Client: p.Orders, Holder: s.Instance, Handover: s.OrderLease, Log: log,
+	}
+	d.conns = targetconn.NewPool(dialTimeout, unackedTimeout)
+	d.placer = placement.New(placement.DefaultParams(), s.Zone)
+	d.callers = &http.Server{
+		Handler:           d.chain(p.Dialect),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeoutMarker,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       relay.WithConnection,
+		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	d.publish()
+	return d
+}
+
+func (d *Daemon) configured(snapshot *tables.Snapshot) {
+	d.buckets.Configure(snapshot.Tables.Organisations)
+	d.idle.set(snapshot.Tables.Limits.IdleTimeout)
+}
+
+func (d *Daemon) chain(dialect relay.Dialect) http.Handler {
+	journal := &relay.Journal{Log: d.log, Metrics: d.metrics}
+	key := &relay.Key{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
+	forward := &relay.Forward{
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.conns, Key: key, Journal: journal,
+		Budget: relay.NewRetryBudget(d.retryLimits), Instances: d.members.Live,
+	}
+	chain := relay.NewChain(dialect, journal,
+		&relay.Route{Configuration: d.configuration}, key, relay.Body{}, &relay.Limit{Quota: d.buckets}, forward)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		chain.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) maxProofAge() time.Duration {
+	within := d.settings().RevokeWithin
+	if within <= 0 {
+		return 0
+	}
+	return within - keyProofMargin
+}
+
+func (d *Daemon) retryLimits() relay.RetryLimits {
+	s := d.settings()
+	return relay.RetryLimits{
+		Ratio: retryShare * s.RetryRatio, Window: s.RetryWindow,
+		Extra: retryShare * s.RetryExtra / float64(d.members.Live()),
+	}
+}
+
+// ready reports why the instance takes no new callers, or "".
+func (d *Daemon) ready() string {
+	switch {
+	case d.stopping.Load():
+		return "stopping"
+	case d.configuration.Snapshot() == nil:
+		return "no configuration"
+	case !d.targets.Listed():
+		return "no list of targets"
+	}
+	if within := d.settings().RevokeWithin; within > 0 && float64(d.configuration.ProofAge()) > readyProofShare*float64(within) {
+		return "configuration not confirmed"
+	}
+	return ""
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	s := d.settings()
+	callers, err := net.Listen("tcp4", s.CallerListen)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp4", s.ReadyListen)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	var group sync.WaitGroup
+	for _, run := range []func(context.Context){
+		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.sweep, d.logReadiness,
+	} {
+		group.Go(func() { run(background) })
+	}
+	probes := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 3)
+	go func() { failed <- d.callers.Serve(d.idle.listener(callers)) }()
+	go func() { failed <- probes.Serve(ready) }()
+	d.serveMetrics(s.MetricsListen)
+	d.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", s.CallerListen, "ready", s.ReadyListen,
+		"metrics", s.MetricsListen, "first_start", s.FirstStart)
+	select {
+	case <-ctx.Done():
+		err = d.stop(s)
+	case err = <-failed:
+	}
+	stopBackground()
+	group.Wait()
+	d.log.Info("stopped", "cause", err)
+	return errors.Join(err, probes.Close())
+}
+
+func (d *Daemon) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepInterval) {
+		d.targets.Expire()
+		d.conns.Sweep(d.targets.Known)
+		d.placer.Sweep(d.targets.Known)
+	}
+}
+
+// logReadiness notes each change of readiness with its reason.
+func (d *Daemon) logReadiness(ctx context.Context) {
+	last := "starting"
+	for clock.Sleep(ctx, sweepInterval/4) {
+		if reason := d.ready(); reason != last {
+			d.log.Info("readiness changed", "ready", reason == "", "reason", reason, "before", last, "proof_age", d.configuration.ProofAge())
+			last = reason
+		}
+	}
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := d.ready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/pkg/daemon/settings.go
@@ -0,0 +1,33 @@
+// Package daemon assembles a router that takes its settings, configuration and
+// targets from a platform.
+package daemon
+
+import "time"
+
+// Settings are the settings of one process.
+type Settings struct {
+	Instance      string
+	Zone          string
+	CallerListen  string
+	ReadyListen   string
+	MetricsListen string
+	StoreAddress  string
+	FirstStart    bool // no instance has run before
+	MemoryBytes   int64
+	Descriptors   int
+
+	Heartbeat     time.Duration // between writes of a target's entry
+	LeaveWithin   time.Duration // from a target's leaving to its last request
+	StopWithin    time.Duration // from SIGTERM to the end of the process
+	ApplyWithin   time.Duration // from an accepted configuration to its use
+	RevokeWithin  time.Duration // from a withdrawn key to its last request; zero: not bound
+	RolloutWithin time.Duration // from named weights to their use
+	OrderLease    time.Duration // between orders of two instances
+
+	RetryRatio   float64 // repeats for each request, over all instances
+	RetryExtra   float64 // repeats beside the ratio, over all instances
+	RetryWindow  time.Duration
+	QuotaWindow  time.Duration
+	QuotaOverage float64 // part of a limit by which it may be exceeded
+	QuotaSlack   float64 // tokens by which it may be exceeded beside that
+}
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,371 @@
+// Package placement decides which target of a pool gets a request. It does no
+// I/O; the caller passes the time in.
+//
+// Instances do not talk about placement. They agree because requests with the
+// same shared prompt parts prefer targets in the order of a rendezvous hash,
+// which is the same everywhere. A request leaves that order where queueing,
+// memory or weights make another target finish it sooner.
+package placement
+
+import (
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what placement needs to know of a request.
+type Request struct {
+	// Parts of the prompt in order. The last one belongs to the request itself.
+	Parts  []Part
+	Tokens int // of the prompt
+	Output int // longest answer, in tokens
+	// Bytes of the body, which count where they cross zones.
+	Bytes int
+	// NewestVersion of the model's weights; empty if there is none.
+	NewestVersion string
+	// Salt separates cached parts that must not be shared.
+	Salt string
+	// Spread orders the targets of a request without shared parts, so that such
+	// requests do not all prefer the same one.
+	Spread string
+}
+
+// Params are the weights of a choice.
+type Params struct {
+	// PrefillPerToken is the time an engine takes per prompt token that it has
+	// not cached. Source: the engines' sheet, 92 tokens per millisecond.
+	PrefillPerToken time.Duration
+	// StepPerRequest is how much a running request slows each token of another.
+	// Source: the engines' sheet, 0.12 ms per step and request.
+	StepPerRequest time.Duration
+	// ServiceTime is the time that a request of a plain service takes.
+	ServiceTime time.Duration
+	// ZoneCost is the cost of a target in another zone, and ZoneCostPerByte
+	// that of the bytes that cross. Source: the one-way delay between zones and
+	// the price of traffic between them against that of a late answer.
+	ZoneCost        time.Duration
+	ZoneCostPerByte time.Duration
+	// OldWeights is the cost of a target whose weights are not the newest. A
+	// request on old weights is worth a fifth less.
+	OldWeights time.Duration
+	// Failure is the cost for each recent failure of a target.
+	Failure time.Duration
+	// FailureFade is the time after which a failure counts for 1/e.
+	FailureFade time.Duration
+	// MemoryShare is the part of an engine's memory up to which requests do
+	// not slow each other by displacing cached parts.
+	MemoryShare float64
+	// MemoryCost is the cost of a target whose memory is full.
+	MemoryCost time.Duration
+	// CacheLifetime is how long a part is expected to stay cached unused.
+	CacheLifetime time.Duration
+	// LoadAge is the age up to which a target's report of its load counts.
+	LoadAge time.Duration
+	// FirstOpen is how long a target is passed over after a failed connection.
+	// It doubles up to MaxOpen with each further one.
+	FirstOpen, MaxOpen time.Duration
+}
+
+// DefaultParams returns the parameters of the engines in use.
+func DefaultParams() Params {
+	return Params{
+		PrefillPerToken: 11 * time.Microsecond,
+		StepPerRequest:  1200 * time.Microsecond,
+		ServiceTime:     20 * time.Millisecond,
+		ZoneCost:        time.Millisecond,
+		ZoneCostPerByte: 500 * time.Nanosecond,
+		OldWeights:      120 * time.Millisecond,
+		Failure:         60 * time.Millisecond,
+		FailureFade:     3 * time.Second,
+		MemoryShare:     0.8,
+		MemoryCost:      400 * time.Millisecond,
+		CacheLifetime:   20 * time.Second,
+		LoadAge:         time.Second,
+		FirstOpen:       250 * time.Millisecond,
+		MaxOpen:         3 * time.Second,
+	}
+}
+
+// Placer chooses targets and remembers what it sent where. It is safe for
+// concurrent use.
+type Placer struct {
+	Params Params
+	Zone   string
+
+	mu     sync.Mutex
+	states map[string]*state // by target key
+}
+
+// state is what a placer remembers of one target and incarnation.
+type state struct {
+	cached      map[uint64]time.Time // part to its last use
+	failures    float64
+	failedAt    time.Time
+	openUntil   time.Time
+	openFor     time.Duration
+	busyUntil   time.Time // it loads weights until about then
+	prefill     float64   // own prompt tokens sent whose first event has not come
+	seen        time.Time
+	ownAtReport int64
+	reportedAt  time.Time
+}
+
+// New returns a placer for an instance in a zone.
+func New(params Params, zone string) *Placer {
+	return &Placer{Params: params, Zone: zone, states: make(map[string]*state)}
+}
+
+func (p *Placer) state(t *target.Target) *state {
+	key := t.Key()
+	s := p.states[key]
+	if s == nil {
+		s = &state{cached: make(map[uint64]time.Time)}
+		p.states[key] = s
+	}
+	return s
+}
+
+// Choice is a chosen target and what decided it.
+type Choice struct {
+	Target  *target.Target
+	Missing int           // prompt tokens that are expected to be read again
+	Cost    time.Duration // expected delay, with costs of other kinds in it
+	Rank    int           // place of the target in the order of the prompt's hash
+}
+
+// Pick returns the cheapest target, or a Choice without a target if none can
+// take the request. Targets for which excluded returns true are passed over.
+func (p *Placer) Pick(candidates []*target.Target, r *Request, excluded func(*target.Target) bool, now time.Time) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := Choice{Cost: math.MaxInt64}
+	affinity := affinityKey(r)
+	first, firstHash := (*target.Target)(nil), uint64(0)
+	for _, t := range candidates {
+		if h := rendezvous(affinity, t.ID); first == nil || h > firstHash {
+			first, firstHash = t, h
+		}
+	}
+	for pass := 0; pass < 2 && best.Target == nil; pass++ {
+		for _, t := range candidates {
+			if t.Leaving || excluded != nil && excluded(t) {
+				continue
+			}
+			s := p.state(t)
+			// An open circuit counts only while another target is left.
+			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil)) {
+				continue
+			}
+			missing := p.missing(t, s, r, t == first, now)
+			cost := p.cost(t, s, r, missing, now)
+			// Spread requests without a shared prompt by the hash.
+			cost += time.Duration(float64(tieBreak) * (1 - unit(rendezvous(affinity, t.ID))))
+			if cost < best.Cost {
+				best = Choice{Target: t, Missing: missing, Cost: cost}
+			}
+		}
+	}
+	if best.Target != nil && best.Target != first {
+		best.Rank = 1
+	}
+	return best
+}
+
+// tieBreak is the largest cost that the order of the hash itself adds, so that
+// a prompt that leaves its first target goes to the same second one everywhere.
+const tieBreak = 15 * time.Millisecond
+
+// unknownCacheShare is the part of the shared tokens that the first target of
+// the hash is expected to have cached by requests of other instances.
+const unknownCacheShare = 0.9
+
+// missing is the number of prompt tokens that a target is expected to read.
+func (p *Placer) missing(t *target.Target, s *state, r *Request, first bool, now time.Time) int {
+	cached, shared := 0, 0
+	known := true
+	for i, part := range r.Parts {
+		if i == len(r.Parts)-1 {
+			break
+		}
+		shared += part.Tokens
+		at, ok := s.cached[partKey(r, t, part)]
+		known = known && ok && now.Sub(at) < p.Params.CacheLifetime
+		if known {
+			cached += part.Tokens
+		}
+	}
+	if first {
+		cached = max(cached, int(unknownCacheShare*float64(shared)))
+	}
+	return max(0, r.Tokens-cached)
+}
+
+func (p *Placer) cost(t *target.Target, s *state, r *Request, missing int, now time.Time) time.Duration {
+	params := &p.Params
+	running := t.Live.InFlight.Load()
+	others := int64(0)
+	if load, at := t.NewestLoad(); now.Sub(at) < params.LoadAge {
+		if at != s.reportedAt {
+			s.reportedAt, s.ownAtReport = at, running
+		}
+		others = max(0, int64(load.Running+load.Waiting)-s.ownAtReport)
+	}
+	busy := running + others
+	var cost time.Duration
+	if t.Engine {
+		cost += time.Duration(float64(missing)+s.prefill) * params.PrefillPerToken
+		cost += time.Duration(busy) * params.StepPerRequest
+		cost += p.memoryCost(t, r, others)
+	} else {
+		cost += time.Duration(busy) * params.ServiceTime / time.Duration(max(1, t.Slots))
+	}
+	if over := busy + 1 - int64(t.Slots); t.Slots > 0 && over > 0 {
+		cost += time.Duration(over) * params.ServiceTime
+	}
+	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion {
+		cost += params.OldWeights
+	}
+	if t.Zone != p.Zone {
+		cost += params.ZoneCost + time.Duration(r.Bytes)*params.ZoneCostPerByte
+	}
+	return cost + time.Duration(s.recentFailures(params, now)*float64(params.Failure))
+}
+
+// meanRequestTokens stands for requests of other instances, whose size is not known.
+const meanRequestTokens = 5000
+
+func (p *Placer) memoryCost(t *target.Target, r *Request, others int64) time.Duration {
+	if t.CacheTokens == 0 {
+		return 0
+	}
+	used := float64(t.Live.InFlightTokens.Load()+others*meanRequestTokens) + float64(r.Tokens+r.Output)
+	over := used/float64(t.CacheTokens) - p.Params.MemoryShare
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / (1 - p.Params.MemoryShare) * float64(p.Params.MemoryCost))
+}
+
+func (s *state) recentFailures(params *Params, now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	return s.failures * math.Exp(-float64(now.Sub(s.failedAt))/float64(params.FailureFade))
+}
+
+// Sent notes that a request goes to a target.
+func (p *Placer) Sent(t *target.Target, r *Request, missing int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t)
+	s.prefill += float64(missing)
+	for _, part := range r.Parts {
+		s.cached[partKey(r, t, part)] = now
+	}
+	if len(s.cached) > maxRememberedParts {
+		s.forget(now, p.Params.CacheLifetime)
+	}
+}
+
+// maxRememberedParts bounds the memory for each target.
+const maxRememberedParts = 2000
+
+func (s *state) forget(now time.Time, lifetime time.Duration) {
+	for key, at := range s.cached {
+		if now.Sub(at) > lifetime/2 {
+			delete(s.cached, key)
+		}
+	}
+	if len(s.cached) > maxRememberedParts {
+		clear(s.cached)
+	}
+}
+
+// Started notes that a request that was sent has its first event, or has ended.
+func (p *Placer) Started(t *target.Target, missing int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t)
+	s.prefill = max(0, s.prefill-float64(missing))
+}
+
+// Succeeded notes a complete answer.
+func (p *Placer) Succeeded(t *target.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t)
+	s.openFor, s.openUntil = 0, time.Time{}
+}
+
+// Failed notes an answer that did not come or did not end.
+func (p *Placer) Failed(t *target.Target, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t)
+	s.failures = s.recentFailures(&p.Params, now) + 1
+	s.failedAt = now
+}
+
+// Unreachable notes a connection that could not be opened, and returns how long
+// the target is passed over.
+func (p *Placer) Unreachable(t *target.Target, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(t)
+	if now.Before(s.openUntil) {
+		return s.openUntil.Sub(now)
+	}
+	s.openFor = min(max(2*s.openFor, p.Params.FirstOpen), p.Params.MaxOpen)
+	s.openUntil = now.Add(s.openFor)
+	return s.openFor
+}
+
+// Busy notes that a target refuses work for about d.
+func (p *Placer) Busy(t *target.Target, d time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(t).busyUntil = now.Add(d)
+}
+
+// Sweep forgets targets that keep does not contain.
+func (p *Placer) Sweep(keep func(key string) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key := range p.states {
+		if !keep(key) {
+			delete(p.states, key)
+		}
+	}
+}
+
+// affinityKey names the deepest shared part of the prompt.
+func affinityKey(r *Request) string {
+	if len(r.Parts) < 2 {
+		return r.Spread
+	}
+	return r.Parts[len(r.Parts)-2].ID
+}
+
+func partKey(r *Request, t *target.Target, part Part) uint64 {
+	return xxhash.Sum64String(r.Salt + "\x00" + t.WeightVersion + "\x00" + part.ID + "\x00" + strconv.Itoa(part.Tokens))
+}
+
+func rendezvous(key, id string) uint64 {
+	h := xxhash.Sum64String(key + "\x00" + id)
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	return h ^ h>>33
+}
+
+func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
--- /dev/null
+++ b/pkg/relay/attempt.go
@@ -0,0 +1,216 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
+)
+
+// errSilent ends an attempt whose target sends nothing, where another target
+// can take the request over.
+var errSilent = errors.New("the target sent nothing for too long")
+
+const (
+	// silenceFactor is the number of objectives after which a repeatable
+	// request is taken to another target. Source: callers abandon a stream
+	// after four times the objective, so half of that leaves time for one more.
+	silenceFactor = 2
+	// gapFactor is the number of the route's longest pauses after which a
+	// stream that has begun is taken to another target. Source: callers
+	// abandon a stream after eight such pauses.
+	gapFactor = 4
+	// defaultObjective stands for routes that state none.
+	defaultObjective = time.Second
+)
+
+// attempt sends the request to one target. It returns nil once the caller has a
+// whole answer.
+func (f *Forward) attempt(ex *Exchange, r *placement.Request, choice placement.Choice) *failure {
+	t := choice.Target
+	ctx, cancel := context.WithCancelCause(ex.Context())
+	defer cancel(nil)
+	silence := f.silenceTimer(ex, cancel)
+	defer silence.stop()
+
+	now := time.Now()
+	t.Live.InFlight.Add(1)
+	t.Live.InFlightTokens.Add(int64(r.Tokens + r.Output))
+	f.Placer.Sent(t, r, choice.Missing, now)
+	started := false
+	start := func() {
+		if !started {
+			started = true
+			f.Placer.Started(t, choice.Missing)
+		}
+	}
+	defer func() {
+		start()
+		t.Live.InFlight.Add(-1)
+		t.Live.InFlightTokens.Add(-int64(r.Tokens + r.Output))
+	}()
+
+	before := ex.MayHaveRun
+	ex.MayHaveRun = true
+	ex.Attempts++
+	response, err := f.Conns.Do(ctx, f.destination(ex, t), f.outgoing(ex, t))
+	if err != nil {
+		failed := f.connectionFailed(t, err)
+		if !failed.sent {
+			ex.MayHaveRun = before
+			ex.Attempts--
+		}
+		return failed
+	}
+	defer response.Release()
+	answer := f.Dialect.ReadAnswer(response.StatusCode, response.Header)
+	f.learn(t, answer)
+	if answer.NotRun {
+		ex.MayHaveRun = before
+		return f.refused(ex, t, response, answer)
+	}
+	if !answer.Signed || response.Header.Get("Content-Encoding") != "" {
+		f.Placer.Failed(t, time.Now())
+		return &failure{sent: true, ran: true, elsewhere: true, reason: "response without the target's signature"}
+	}
+	var failed *failure
+	if ex.Route.Streaming && response.StatusCode == http.StatusOK {
+		failed = f.relayEvents(ex, response, silence, start)
+	} else {
+		failed = f.relayWhole(ex, response)
+	}
+	if failed == nil {
+		f.Placer.Succeeded(t)
+	} else {
+		f.Placer.Failed(t, time.Now())
+	}
+	return failed
+}
+
+// destination gives this instance its part of the connections that the target
+// accepts from all instances.
+func (f *Forward) destination(ex *Exchange, t *target.Target) targetconn.Destination {
+	limit := 0
+	if ex.Pool.MaxConnections > 0 {
+		limit = max(1, ex.Pool.MaxConnections/max(1, f.Instances()))
+	}
+	return targetconn.Destination{Key: t.Key(), Address: t.Address, Limit: limit}
+}
+
+func (f *Forward) outgoing(ex *Exchange, t *target.Target) *targetconn.Request {
+	i := &Instruction{
+		Remaining:  time.Until(ex.Deadline),
+		InstanceID: t.ID,
+		LastEvent:  ex.Call.LastEvent,
+	}
+	if ex.Organisation != nil {
+		i.Organisation = ex.Organisation.Name
+	}
+	if t.Engine && t.WeightVersion != "" && ex.Call.Model == t.Model {
+		i.WeightVersion = t.WeightVersion
+		i.CacheSalt = t.WeightVersion + "." + isolation(ex)
+	}
+	path := ex.Request.RequestURI
+	if path == "" || path[0] != '/' {
+		path = ex.Request.URL.RequestURI()
+	}
+	id := ex.Call.ID
+	return &targetconn.Request{
+		Method: ex.Request.Method, Path: path, Host: ex.Request.Host,
+		Header: f.Dialect.ForTarget(ex.Request.Header, i), Body: ex.Body,
+		Matches: func(h http.Header) bool {
+			return f.Dialect.ReadAnswer(0, h).RequestID == id
+		},
+	}
+}
+
+// connectionFailed judges a request that got no response header.
+func (f *Forward) connectionFailed(t *target.Target, err error) *failure {
+	var failed *targetconn.Error
+	if errors.As(err, &failed) && failed.Stage == targetconn.StageConnect {
+		wait := time.Duration(0)
+		if !errors.Is(err, targetconn.ErrTooManyConnections) && !errors.Is(err, context.Canceled) {
+			wait = f.Placer.Unreachable(t, time.Now())
+		}
+		return &failure{elsewhere: true, reason: "no connection", cause: err, wait: wait}
+	}
+	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		f.Placer.Failed(t, time.Now())
+	}
+	return &failure{sent: true, ran: true, elsewhere: true, reason: "no response", cause: err}
+}
+
+// refused judges a response that states that the request has not run.
+func (f *Forward) refused(ex *Exchange, t *target.Target, response *targetconn.Response, answer Answer) *failure {
+	drain(response)
+	failed := &failure{sent: true, elsewhere: true, wait: busyPause, reason: "refused by the target"}
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		ex.Attempts--
+		failed.reason = "the target has other weights"
+		if answer.InstanceID != "" && answer.InstanceID != t.ID {
+			failed.reason = "another target has the address"
+			f.Targets.Unused(t)
+		}
+		f.Placer.Busy(t, busyPause, time.Now())
+		return failed
+	}
+	if response.StatusCode == http.StatusBadRequest {
+		failed.elsewhere = false
+		return failed
+	}
+	f.Placer.Busy(t, busyPause, time.Now())
+	return failed
+}
+
+// learn takes in what every response says about its target.
+func (f *Forward) learn(t *target.Target, answer Answer) {
+	if answer.Load != nil {
+		t.Live.ReportLoad(*answer.Load, time.Now())
+	}
+	if answer.Version != "" && t.Engine {
+		f.Targets.RunsVersion(t, answer.Version)
+	}
+}
+
+// silence ends an attempt whose target sends nothing.
+type silence struct {
+	timer *time.Timer
+	gap   time.Duration
+}
+
+// silenceTimer returns the timer of an attempt. Requests that no other target
+// may take over wait until their deadline.
+func (f *Forward) silenceTimer(ex *Exchange, cancel context.CancelCauseFunc) *silence {
+	limit := ex.Route.MaxAttempts
+	if !ex.Repeatable() || limit != 0 && ex.Attempts+1 >= limit {
+		return &silence{}
+	}
+	objective := ex.Route.Objective.FirstToken
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	s := &silence{gap: gapFactor * ex.Route.EventGap}
+	s.timer = time.AfterFunc(silenceFactor*objective, func() { cancel(errSilent) })
+	return s
+}
+
+// heard restarts the timer for the next event.
+func (s *silence) heard() {
+	if s.timer != nil && s.gap > 0 {
+		s.timer.Reset(s.gap)
+	}
+}
+
+func (s *silence) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// engineOf reports whether a pool's targets generate from prompts.
+func engineOf(pool *tables.Pool) bool { return pool.Kind == tables.PoolEngine }
--- /dev/null
+++ b/pkg/relay/dialect.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// Call is what a caller's header says of its request.
+type Call struct {
+	ID     string
+	Key    string
+	HasKey bool
+	// Patience is how long the caller waits; zero if it does not say.
+	Patience  time.Duration
+	Model     string
+	Parts     []placement.Part // of the prompt, in order
+	Tokens    int              // of the prompt
+	Output    int              // longest answer, in tokens
+	HasTokens bool
+	LastEvent string // the caller has the events up to this one
+}
+
+// Instruction is what the router adds to a request for a target.
+type Instruction struct {
+	Remaining     time.Duration // the target stops work after it
+	InstanceID    string        // any other instance refuses the request
+	Organisation  string
+	CacheSalt     string
+	WeightVersion string // a target with other weights refuses the request
+	LastEvent     string
+	Priority      int // of Urgencies; zero leaves it to the target
+	FetchFrom     string
+	SaveTo        string
+}
+
+// Answer is what a target's response header says beside the response itself.
+type Answer struct {
+	RequestID  string
+	InstanceID string
+	Signed     bool // it is the response of a target, not of something else
+	NotRun     bool // the target did not run the request and never will
+	Load       *target.Load
+	Slots      int
+	Version    string // of the weights; empty if it does not say
+}
+
+// Dialect reads and writes the headers that callers and targets use.
+type Dialect interface {
+	ReadCall(h http.Header) Call
+	// ForTarget returns the header that a target receives: the caller's
+	// without its key, without what concerns one connection and without what
+	// only the router may set.
+	ForTarget(caller http.Header, i *Instruction) http.Header
+	ReadAnswer(status int, h http.Header) Answer
+	// RequestIDHeader is the canonical name of the header with the request id.
+	RequestIDHeader() string
+}
--- /dev/null
+++ b/pkg/relay/journal.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/placement"
+)
+
+// Journal writes a line for each decision about a request and counts them.
+type Journal struct {
+	Log     hclog.Logger
+	Metrics *expvar.Map
+}
+
+func age(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return time.Since(t).Round(time.Millisecond).String()
+}
+
+// Served notes a whole answer.
+func (j *Journal) Served(ex *Exchange) {
+	j.Metrics.Add("served", 1)
+	took := time.Since(ex.Start)
+	late := ex.Route.Objective.FirstToken > 0 && !ex.FirstEvent.IsZero() && ex.FirstEvent.Sub(ex.Start) > ex.Route.Objective.FirstToken
+	paused := ex.Route.EventGap > 0 && ex.WorstGap > ex.Route.EventGap
+	if !late && !paused && ex.Attempts <= 1 && ex.Status < 400 {
+		return
+	}
+	if late || paused {
+		j.Metrics.Add("late", 1)
+	}
+	j.Log.Info("request answered late or with trouble", "request_id", ex.Call.ID, "route", ex.RouteName(),
+		"organisation", ex.OrganisationName(), "status", ex.Status, "target", targetID(ex), "attempts", ex.Attempts,
+		"first_event", ex.FirstEvent.Sub(ex.Start), "took", took, "events", ex.Events, "worst_gap", ex.WorstGap,
+		"objective", ex.Route.Objective.FirstToken)
+}
+
+func targetID(ex *Exchange) string {
+	if ex.Target == nil {
+		return ""
+	}
+	return ex.Target.ID
+}
+
+// Failed notes a request that ended without a whole answer.
+func (j *Journal) Failed(ex *Exchange, e *apierr.Error) {
+	j.Metrics.Add("failed_"+string(e.Code), 1)
+	args := []any{"request_id", ex.Call.ID, "route", ex.RouteName(), "organisation", ex.OrganisationName(),
+		"code", e.Code, "status", e.Status, "outcome", e.Outcome, "attempts", ex.Attempts, "target", targetID(ex),
+		"took", time.Since(ex.Start), "retry_after", e.RetryAfter, "events", ex.Events, "proof_age", ex.ProofAge}
+	if ex.Snapshot != nil {
+		args = append(args, "configuration", ex.Snapshot.Generation)
+	}
+	if ex.Organisation != nil {
+		args = append(args, "tokens", ex.Cost)
+	}
+	if e.Cause != nil {
+		args = append(args, "cause", e.Cause)
+	}
+	j.Log.Warn("request failed", args...)
+}
+
+// AttemptFailed notes an attempt that gave no whole answer.
+func (j *Journal) AttemptFailed(ex *Exchange, choice placement.Choice, last *failure) {
+	j.Metrics.Add("attempts_failed", 1)
+	_, reported := choice.Target.NewestLoad()
+	j.Log.Info("attempt failed", "request_id", ex.Call.ID, "target", choice.Target.ID, "address", choice.Target.Address,
+		"attempt", ex.Attempts, "reason", last.reason, "may_have_run", last.ran, "cause", last.cause,
+		"weights", choice.Target.WeightVersion, "in_flight", choice.Target.Live.InFlight.Load(), "load_age", age(reported),
+		"missing_tokens", choice.Missing, "expected_delay", choice.Cost)
+}
+
+// NoRepeat notes why a request was not sent once more.
+func (j *Journal) NoRepeat(ex *Exchange, last *failure, reason string) {
+	j.Metrics.Add("repeats_denied", 1)
+	j.Log.Info("request not sent again", "request_id", ex.Call.ID, "reason", reason, "after", last.reason, "pool", ex.Pool.Name)
+}
--- /dev/null
+++ b/pkg/relay/limit.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+)
+
+// Quota decides whether an organisation may spend tokens now.
+type Quota interface {
+	// Take spends tokens, or returns the time after which they may be available.
+	Take(organisation string, tokens int64) (ok bool, wait time.Duration)
+	// Return gives back tokens of a request that has not run.
+	Return(organisation string, tokens int64)
+}
+
+// Limit holds organisations to their rate and burst.
+type Limit struct {
+	Quota Quota
+}
+
+// Handle implements Filter.
+func (f *Limit) Handle(ex *Exchange, next Handler) error {
+	if ex.Organisation == nil || ex.Organisation.Rate <= 0 {
+		return next(ex)
+	}
+	ex.Cost = cost(ex)
+	ok, wait := f.Quota.Take(ex.Organisation.Name, ex.Cost)
+	if !ok {
+		return notRun(ex, apierr.CodeRateLimited, http.StatusTooManyRequests,
+			"the organisation is over its rate", "send fewer tokens per second, or ask the operators for a higher rate", wait)
+	}
+	err := next(ex)
+	if err != nil && !ex.MayHaveRun {
+		f.Quota.Return(ex.Organisation.Name, ex.Cost)
+	}
+	return err
+}
+
+func cost(ex *Exchange) int64 {
+	if ex.Call.HasTokens {
+		return int64(ex.Call.Tokens + ex.Call.Output)
+	}
+	return ex.Organisation.DefaultCost
+}
--- /dev/null
+++ b/pkg/state/members.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+)
+
+const (
+	// kindMembers is the kind of the instances' own entries.
+	kindMembers = "lacewingwheel-instances"
+	// beatInterval is the time between writes of the own entry.
+	beatInterval = 2 * time.Second
+	// MemberGone is the age from which an entry no longer counts. An instance
+	// stops taking limited work before, because it cannot confirm the
+	// configuration either.
+	MemberGone = 8 * time.Second
+)
+
+// memberRecord is the entry of an instance.
+type memberRecord struct {
+	Incarnation string `json:"incarnation"`
+	Beat        uint64 `json:"beat"`
+}
+
+// Members counts the instances that share limits.
+type Members struct {
+	Store       objectstore.Store
+	Clock       clock.Clock
+	Instance    string
+	Incarnation string
+	Log         hclog.Logger
+
+	mu      sync.Mutex
+	seen    map[string]memberSeen
+	version uint64 // of the own entry
+	beat    uint64
+	live    atomic.Int64
+}
+
+// memberSeen is when an entry was last seen to change, on the own clock.
+type memberSeen struct {
+	version uint64
+	at      time.Duration
+}
+
+// Live returns the number of instances, this one included.
+func (m *Members) Live() int { return max(1, int(m.live.Load())) }
+
+// Run writes the own entry and reads those of others until ctx ends.
+func (m *Members) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m.round(ctx)
+		clock.Sleep(ctx, beatInterval*3/4+clock.Jitter(beatInterval)/4)
+	}
+}
+
+func (m *Members) round(ctx context.Context) {
+	if err := m.write(ctx); err != nil && ctx.Err() == nil {
+		m.Log.Debug("own entry not written", "cause", err)
+	}
+	objects, _, err := m.Store.List(ctx, kindMembers)
+	if err != nil {
+		m.Log.Debug("entries of instances not read", "cause", err)
+		return
+	}
+	m.count(objects)
+}
+
+func (m *Members) write(ctx context.Context) error {
+	m.beat++
+	value, err := json.Marshal(memberRecord{Incarnation: m.Incarnation, Beat: m.beat})
+	if err != nil {
+		return err
+	}
+	if m.version == 0 {
+		object, err := m.Store.Get(ctx, kindMembers, m.Instance)
+		if objectstore.IsKind(err, objectstore.KindNotFound) {
+			object, err = m.Store.Create(ctx, kindMembers, m.Instance, value)
+			m.version = object.Version
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		m.version = object.Version
+	}
+	object, err := m.Store.Update(ctx, kindMembers, m.Instance, value, m.version)
+	// Zero makes the next round read the entry again.
+	m.version = object.Version
+	if err != nil {
+		m.version = 0
+	}
+	return err
+}
+
+func (m *Members) count(objects []objectstore.Object) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.seen == nil {
+		m.seen = make(map[string]memberSeen)
+	}
+	now := m.Clock.Elapsed()
+	live, listed := int64(0), make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Name] = true
+		if known, ok := m.seen[o.Name]; !ok || o.Version != known.version {
+			m.seen[o.Name] = memberSeen{o.Version, now}
+		}
+		if now-m.seen[o.Name].at < MemberGone {
+			live++
+		}
+	}
+	for name := range m.seen {
+		if !listed[name] {
+			delete(m.seen, name)
+		}
+	}
+	if before := m.live.Swap(live); before != live {
+		m.Log.Info("instances that share limits", "instances", live, "before", before)
+	}
+}
--- /dev/null
+++ b/pkg/state/targets.go
@@ -0,0 +1,278 @@
+package state
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/follow"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+)
+
+// returnTime is how long a target whose entry is missing is still used after
+// the store came back: entries that lapsed meanwhile are written again within
+// about two seconds. Source: the platform's service discovery.
+const returnTime = 2200 * time.Millisecond
+
+// Targets holds the targets as the store lists them.
+type Targets struct {
+	Store objectstore.Store
+	Kind  string
+	Parse func(id string, value []byte) (*target.Target, error)
+	Clock clock.Clock
+	Link  *follow.Link
+	Log   hclog.Logger
+
+	mu       sync.Mutex
+	entries  map[string]*entry
+	versions map[string]string // newest weights by model
+	set      atomic.Pointer[view]
+}
+
+// entry is one target with what was learned about it beside the list.
+type entry struct {
+	target   *target.Target // nil while the entry names no usable target
+	revision uint64
+	gone     bool          // no longer listed; kept because the store was away
+	unused   bool          // another target has its address
+	stated   string        // weights that a response stated since the last change of the entry
+	lapsedAt time.Duration // when it was first missing
+}
+
+// view is an immutable list of targets by pool.
+type view struct {
+	pools    map[string][]*target.Target
+	keys     map[string]bool
+	versions map[string]string
+}
+
+// InPool returns the targets of a pool.
+func (t *Targets) InPool(name string) []*target.Target {
+	if v := t.set.Load(); v != nil {
+		return v.pools[name]
+	}
+	return nil
+}
+
+// Known reports whether a target with the key is listed.
+func (t *Targets) Known(key string) bool {
+	v := t.set.Load()
+	return v != nil && v.keys[key]
+}
+
+// Listed reports whether the list has been read.
+func (t *Targets) Listed() bool { return t.set.Load() != nil }
+
+// Pools calls f for each pool that has targets.
+func (t *Targets) Pools(f func(pool string, targets []*target.Target)) {
+	if v := t.set.Load(); v != nil {
+		for pool, targets := range v.pools {
+			f(pool, targets)
+		}
+	}
+}
+
+// NewestVersion returns the newest weights named for a model, or "".
+func (t *Targets) NewestVersion(model string) string {
+	if v := t.set.Load(); v != nil {
+		return v.versions[model]
+	}
+	return ""
+}
+
+// Run follows the list until ctx ends.
+func (t *Targets) Run(ctx context.Context) {
+	t.mu.Lock()
+	if t.entries == nil {
+		t.entries = make(map[string]*entry)
+	}
+	t.mu.Unlock()
+	f := follow.Follower{Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, Link: t.Link, Log: t.Log}
+	f.Run(ctx)
+}
+
+func (t *Targets) replace(objects []objectstore.Object) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		listed[o.Name] = true
+		t.take(o)
+	}
+	for id, e := range t.entries {
+		if !listed[id] && !e.gone {
+			t.remove(id, e)
+		}
+	}
+	t.publish()
+}
+
+func (t *Targets) apply(event objectstore.Event) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[event.Object.Name]
+	if event.Deleted {
+		if e != nil && event.Object.Version >= e.revision {
+			t.remove(event.Object.Name, e)
+		}
+	} else {
+		t.take(event.Object)
+	}
+	t.publish()
+}
+
+// take takes in a listed entry if it is newer than the known one.
+func (t *Targets) take(o objectstore.Object) {
+	e := t.entries[o.Name]
+	if e != nil && o.Version <= e.revision {
+		e.gone = e.gone && o.Version < e.revision
+		return
+	}
+	parsed, err := t.Parse(o.Name, o.Value)
+	if err != nil {
+		t.Log.Warn("entry of the target list cannot be used", "entry", o.Name, "revision", o.Version, "cause", err)
+		t.entries[o.Name] = &entry{revision: o.Version}
+		return
+	}
+	next := &entry{target: parsed, revision: o.Version}
+	if e != nil && e.target != nil && e.target.Incarnation == parsed.Incarnation {
+		parsed.Live = e.target.Live
+		next.unused = e.unused && e.target.Address == parsed.Address
+		// A restart keeps the id; within one incarnation a target that is
+		// leaving does not come back.
+		parsed.Leaving = parsed.Leaving || e.target.Leaving
+		if e.stated != "" && newer(e.stated, parsed.WeightVersion) {
+			next.stated = e.stated
+		}
+		t.logChange(e.target, parsed)
+	} else {
+		parsed.Live = &target.Live{}
+		t.Log.Info("target listed", "target", o.Name, "incarnation", parsed.Incarnation, "address", parsed.Address,
+			"pool", parsed.Pool, "zone", parsed.Zone, "leaving", parsed.Leaving, "weights", parsed.WeightVersion)
+	}
+	t.entries[o.Name] = next
+}
+
+func (t *Targets) logChange(old, now *target.Target) {
+	if old.Leaving != now.Leaving || old.WeightVersion != now.WeightVersion || old.Address != now.Address {
+		t.Log.Info("target changed", "target", now.ID, "leaving", now.Leaving, "weights", now.WeightVersion,
+			"weights_before", old.WeightVersion, "address", now.Address)
+	}
+}
+
+// newer reports whether weight version a is newer than b. Versions are whole
+// numbers, so the longer one is the larger.
+func newer(a, b string) bool {
+	if len(a) != len(b) {
+		return len(a) > len(b)
+	}
+	return a > b
+}
+
+// remove drops a target that is no longer listed. While the store is away, and
+// shortly after, entries lapse that are only late.
+func (t *Targets) remove(id string, e *entry) {
+	if e.target != nil && t.Link.Unsettled(returnTime) {
+		e.gone, e.lapsedAt = true, t.Clock.Elapsed()
+		t.Log.Info("target missing after the store was away; kept for now", "target", id)
+		return
+	}
+	delete(t.entries, id)
+	t.Log.Info("target gone", "target", id)
+}
+
+// Expire drops targets whose entries did not come back. Call it from time to time.
+func (t *Targets) Expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Link.Unsettled(returnTime) {
+		return
+	}
+	dropped := false
+	for id, e := range t.entries {
+		if e.gone {
+			delete(t.entries, id)
+			dropped = true
+			t.Log.Info("target gone", "target", id, "missing_for", t.Clock.Elapsed()-e.lapsedAt)
+		}
+	}
+	if dropped {
+		t.publish()
+	}
+}
+
+// Unused notes that another target has the address of this one.
+func (t *Targets) Unused(known *target.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[known.ID]
+	if e == nil || e.target == nil || e.unused || e.target.Key() != known.Key() {
+		return
+	}
+	e.unused = true
+	t.Log.Info("another target has the address; the target is not used until its entry changes", "target", known.ID, "address", known.Address)
+	t.publish()
+}
+
+// RunsVersion notes the weights that a target stated itself.
+func (t *Targets) RunsVersion(known *target.Target, version string) {
+	if known.WeightVersion == version {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[known.ID]
+	if e == nil || e.target == nil || e.target.Key() != known.Key() || !newer(version, e.target.WeightVersion) {
+		return
+	}
+	if e.stated != "" && !newer(version, e.stated) {
+		return
+	}
+	e.stated = version
+	t.Log.Info("target states newer weights than its entry", "target", known.ID, "weights", version, "entry", e.target.WeightVersion)
+	t.publish()
+}
+
+// NameVersion notes that weights were named for a model.
+func (t *Targets) NameVersion(model, version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.versions[model] != "" && !newer(version, t.versions[model]) {
+		return
+	}
+	if t.versions == nil {
+		t.versions = make(map[string]string)
+	}
+	t.Log.Info("weights named", "model", model, "weights", version, "before", t.versions[model])
+	t.versions[model] = version
+	if t.set.Load() != nil {
+		t.publish()
+	}
+}
+
+// publish makes the view that the request path reads.
+func (t *Targets) publish() {
+	v := &view{pools: make(map[string][]*target.Target), keys: make(map[string]bool), versions: make(map[string]string)}
+	for model, version := range t.versions {
+		v.versions[model] = version
+	}
+	for _, e := range t.entries {
+		if e.target == nil || e.unused {
+			continue
+		}
+		shown := e.target
+		if e.stated != "" {
+			copied := *e.target
+			copied.WeightVersion = e.stated
+			shown = &copied
+		}
+		v.pools[shown.Pool] = append(v.pools[shown.Pool], shown)
+		v.keys[shown.Key()] = true
+	}
+	t.set.Store(v)
+}
--- a/pkg/tables/types.go
+++ b/pkg/tables/types.go
@@ -10,6 +10,15 @@
 	Routes        []Route
 	Pools         []Pool
 	Organisations []Organisation
+	Limits        CallerLimits
+}
+
+// CallerLimits bound what a caller may send. Zero values mean no limit.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // PoolSettings are values of the pools table that concern all pools.
@@ -42,6 +51,26 @@
 	Priority      int
 	Weight        int
 	Objective     Objective
+
+	// Split divides the requests between pools by weight. If it is empty, all
+	// go to Pool.
+	Split []WeightedPool
+	// MaxAttempts bounds the targets that one request is sent to; zero leaves
+	// it to the router.
+	MaxAttempts int
+	// Streaming says that responses are streams of events.
+	Streaming bool
+	// Affinity says that requests name the parts of their prompt, which
+	// targets cache.
+	Affinity bool
+	// EventGap is the longest pause between events of a good response.
+	EventGap time.Duration
+}
+
+// WeightedPool is one part of a route's split.
+type WeightedPool struct {
+	Pool   string
+	Weight int
 }
 
 // Objective is the service-level objective of a route.
@@ -83,6 +112,29 @@
 	CheckRequestID bool
 	Fencing        bool // targets refuse orders with an old fencing token
 	LoadLimit      int  // targets that may load weights at the same time
+
+	// MaxConnections is how many connections each target accepts from all
+	// instances together; zero means no stated limit.
+	MaxConnections int
+	// Engine describes the engines of an engine pool, if that is known.
+	Engine *EngineLimits
+	// CacheStore is set on a pool that is a store of cached prompt parts. It
+	// has an address of its own and no targets.
+	CacheStore *CacheStore
+}
+
+// EngineLimits describe the engines of a pool.
+type EngineLimits struct {
+	Slots       int
+	CacheTokens int // memory that running requests and cached parts share
+	Models      []string
+}
+
+// CacheStore is a store of cached prompt parts.
+type CacheStore struct {
+	Address     string
+	Zone        string
+	CacheTokens int
 }
 
 // Organisation has keys, a rate and a burst.
@@ -92,6 +144,13 @@
 	Burst  float64 // tokens over all instances
 	Weight int     // weight in fair queueing
 	Keys   []Key
+
+	// Isolated keeps cached prompt parts apart from those of all others.
+	Isolated bool
+	// Priority replaces that of the route if it is set; 0 is the most urgent.
+	Priority *int
+	// DefaultCost is what a request without stated token numbers counts as.
+	DefaultCost int64
 }
 
 // Key is the digest of a caller's key. The key itself is never stored.
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -29,10 +29,17 @@
 	Adapter       string
 	CanResume     bool
 	Reachable     bool
-	Load          Load // newest known when the snapshot was made; see NewestLoad
+	Engine        bool   // it generates from prompts, with a cache of their parts
+	Slots         int    // requests that it runs at once; zero if not known
+	CacheTokens   int    // memory that running requests and cached parts share; zero if not known
+	Pool          string // set where the list of targets names the pool
+	Load          Load   // newest known when the snapshot was made; see NewestLoad
 	Live          *Live
 }
 
+// Key names the target and its incarnation.
+func (t *Target) Key() string { return t.ID + "/" + t.Incarnation }
+
 // Live holds what changes without a new snapshot: this instance's own work on a
 // target, and the target's newest load. It is shared by all snapshots of the
 // same target.
