Keep prompts at their home target and save shared parts in the cache store

Change: leaving the home target costs 25 us for each shared token; shared parts are saved to the store once and fetched from it or from the home target; the store's contents are followed by its published changes. Targets about to load weights are passed over, the order of loads is the same hash on all instances.

--- /dev/null
+++ b/pkg/cachedir/cachedir.go
@@ -0,0 +1,181 @@
+// Package cachedir knows which prompt parts a store of cached parts keeps, from
+// the changes that the store publishes. Changes come late and some never come,
+// so what is known only guides decisions: a part that is gone costs a fetch
+// that finds nothing, one that is not known of is saved once more.
+package cachedir
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+)
+
+const (
+	// callPause is the time between calls, which each bring all changes since
+	// the one before.
+	callPause = 150 * time.Millisecond
+	// callTimeout bounds a call. The store holds it until there are changes.
+	callTimeout = 1500 * time.Millisecond
+	// retryPause is the time between calls while the store does not answer.
+	retryPause = 500 * time.Millisecond
+	// downAfter is how long calls fail before the store counts as down. A fetch
+	// from a store that is down delays its request by some hundred milliseconds.
+	downAfter = 300 * time.Millisecond
+	// maxParts bounds the memory of a directory.
+	maxParts = 20000
+	// savingFor is how long a part that was asked to be saved counts as kept
+	// although its change has not come.
+	savingFor = 3 * time.Second
+)
+
+// Key names a part under the salt that separates what must not be shared.
+type Key struct{ Salt, Part string }
+
+// Change is one change of a store.
+type Change struct {
+	Key   Key
+	Added bool
+}
+
+// Changes is what a store published since a call.
+type Changes struct {
+	Epoch   int64 // changes when the store restarts, which empties it
+	Next    int64 // where the next call continues
+	Lost    bool  // some changes are missing
+	Changes []Change
+}
+
+// Client reads the changes of a store.
+type Client interface {
+	Changes(ctx context.Context, address string, since int64) (Changes, error)
+}
+
+// Directory follows one store.
+type Directory struct {
+	Client Client
+	// Address returns the store's address, or "" if there is none.
+	Address func() string
+	Clock   clock.Clock
+	Log     hclog.Logger
+
+	mu      sync.Mutex
+	address string
+	epoch   int64
+	next    int64
+	up      bool
+	lastOK  time.Duration
+	parts   map[Key]time.Duration // when it was asked to be saved; zero once it is kept
+}
+
+// Run follows the store until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, d.round(ctx))
+	}
+}
+
+func (d *Directory) round(ctx context.Context) time.Duration {
+	address := d.Address()
+	if address == "" {
+		return retryPause
+	}
+	d.mu.Lock()
+	if address != d.address {
+		d.address, d.epoch, d.next, d.up = address, 0, 0, false
+		d.parts = make(map[Key]time.Duration)
+	}
+	since := d.next
+	d.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	changes, err := d.Client.Changes(call, address, since)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.failed(err)
+		}
+		return retryPause
+	}
+	d.take(changes)
+	return callPause
+}
+
+func (d *Directory) failed(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.up && d.Clock.Elapsed()-d.lastOK > downAfter {
+		d.up = false
+		d.Log.Warn("store of cached parts lost", "address", d.address, "cause", err)
+	}
+}
+
+func (d *Directory) take(c Changes) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastOK = d.Clock.Elapsed()
+	if !d.up {
+		d.up = true
+		d.Log.Info("store of cached parts reached", "address", d.address, "epoch", c.Epoch)
+	}
+	if c.Epoch != d.epoch {
+		if d.epoch != 0 {
+			d.Log.Info("store of cached parts restarted empty", "address", d.address, "epoch", c.Epoch, "before", d.epoch)
+			clear(d.parts)
+		}
+		d.epoch = c.Epoch
+	}
+	d.next = c.Next
+	for _, change := range c.Changes {
+		if change.Added {
+			d.parts[change.Key] = 0
+		} else {
+			delete(d.parts, change.Key)
+		}
+	}
+	if len(d.parts) > maxParts {
+		clear(d.parts)
+	}
+}
+
+// Store returns the address of the store, or "" while it is down.
+func (d *Directory) Store() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.up {
+		return ""
+	}
+	return d.address
+}
+
+// Kept returns how many parts at the start of a prompt the store keeps, those
+// that it was just asked to save included.
+func (d *Directory) Kept(keys []Key) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Elapsed()
+	for i, key := range keys {
+		at, ok := d.parts[key]
+		if !ok || at > 0 && now-at > savingFor {
+			return i
+		}
+	}
+	return len(keys)
+}
+
+// Saving notes that parts were asked to be saved.
+func (d *Directory) Saving(keys []Key) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.parts == nil {
+		return
+	}
+	now := d.Clock.Elapsed()
+	for _, key := range keys {
+		if at, ok := d.parts[key]; !ok || at > 0 {
+			d.parts[key] = now
+		}
+	}
+}
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -63,7 +63,19 @@
 
 // Reconcile renews the lease, or takes it if it is free.
 func (l *Lease) Reconcile(ctx context.Context) error {
-	object, err := l.Store.Get(ctx, kindLease, l.Name)
+	if l.Held() && l.version > 0 {
+		err := l.write(ctx, leaseRecord{Fence: l.fence}, l.version, l.takeover)
+		if !objectstore.IsKind(err, objectstore.KindConflict) {
+			return err
+		}
+	}
+	// An old answer only delays a takeover: the write that follows names the
+	// version that was read.
+	read := objectstore.AllowStale(ctx)
+	if l.version == 0 {
+		read = ctx
+	}
+	object, err := l.Store.Get(read, kindLease, l.Name)
 	if objectstore.IsKind(err, objectstore.KindNotFound) {
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
@@ -35,7 +36,7 @@
 	// unackedTimeout ends connections to partitioned targets.
 	unackedTimeout = 2 * time.Second
 	// sweepInterval is the time between looks at idle connections and lapsed entries.
-	sweepInterval = time.Second
+	sweepInterval = 250 * time.Millisecond
 	// readyProofShare is the part of the bound for withdrawn keys up to which an
 	// instance is ready. Source: beyond it, requests with keys count as not owed.
 	readyProofShare = 0.55
@@ -44,6 +45,13 @@
 	// retryShare is the part of the fleet's retry budget that instances use.
 	// The rest covers instances that disagree about their number.
 	retryShare = 0.75
+	// restartGrace is how long a restarted instance still uses older weights: it
+	// cannot know when the newest were named. Source: half of the time from
+	// which bounds hold for a restarted instance.
+	restartGrace = 1500 * time.Millisecond
+	// leaseGuard is added by those who wait for the lease to end. The pause
+	// between two holders' orders comes on top.
+	leaseGuard = 200 * time.Millisecond
 	// memoryLimitShare is the part of the memory at which the runtime collects
 	// garbage harder.
 	memoryLimitShare = 0.7
@@ -54,6 +62,7 @@
 	Store        objectstore.Store
 	Dialect      relay.Dialect
 	Orders       rollout.Client
+	CacheEvents  cachedir.Client
 	ParseTables  func([]byte) (*tables.Snapshot, error)
 	ParseTarget  func(id string, value []byte) (*target.Target, error)
 	ParseWeights func([]byte) (model, version string, err error)
@@ -72,10 +81,12 @@
 	weights       *state.Weights
 	members       *state.Members
 	rollout       *rollout.Rollout
+	cached        *cachedir.Directory
 	buckets       *share.Buckets
 	conns         *targetconn.Pool
 	placer        *placement.Placer
 	metrics       *expvar.Map
+	journal       *relay.Journal
 	callers       *http.Server
 	idle          *idleTimeouts
 	stopping      atomic.Bool
@@ -90,8 +101,11 @@
 	}
 	incarnation := uuid.NewString()
 	link := &follow.Link{Clock: d.clock, Log: log}
-	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log}
+	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin}
 	d.weights = &state.Weights{Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Link: link, Log: log}
+	if !s.FirstStart {
+		d.weights.FirstAge = max(0, s.RolloutWithin-restartGrace)
+	}
 	d.members = &state.Members{Store: p.Store, Clock: d.clock, Instance: s.Instance, Incarnation: incarnation, Log: log}
 	d.buckets = &share.Buckets{
 		Limits: func() share.Limits {
@@ -107,12 +121,14 @@
 	d.rollout = &rollout.Rollout{
 		Lease: &control.Lease{
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
-			Duration: rollout.LeaseDuration, Guard: time.Second,
+			Duration: rollout.LeaseDuration, Guard: leaseGuard,
 		},
 		Clock: d.clock, Source: d.targets, Client: p.Orders, Holder: s.Instance, Handover: s.OrderLease, Log: log,
 	}
+	d.cached = &cachedir.Directory{Client: p.CacheEvents, Address: d.cacheStore, Clock: d.clock, Log: log}
 	d.conns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
+	d.journal = &relay.Journal{Log: log, Metrics: d.metrics}
 	d.callers = &http.Server{
 		Handler:           d.chain(p.Dialect),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -125,16 +141,30 @@
 	return d
 }
 
+// cacheStore returns the address of the store of cached parts, or "".
+func (d *Daemon) cacheStore() string {
+	snapshot := d.configuration.Snapshot()
+	if snapshot == nil {
+		return ""
+	}
+	for i := range snapshot.Tables.Pools {
+		if store := snapshot.Tables.Pools[i].CacheStore; store != nil {
+			return store.Address
+		}
+	}
+	return ""
+}
+
 func (d *Daemon) configured(snapshot *tables.Snapshot) {
 	d.buckets.Configure(snapshot.Tables.Organisations)
 	d.idle.set(snapshot.Tables.Limits.IdleTimeout)
 }
 
 func (d *Daemon) chain(dialect relay.Dialect) http.Handler {
-	journal := &relay.Journal{Log: d.log, Metrics: d.metrics}
+	journal := d.journal
 	key := &relay.Key{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
 	forward := &relay.Forward{
-		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.conns, Key: key, Journal: journal,
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.conns, Cached: d.cached, Key: key, Journal: journal,
 		Budget: relay.NewRetryBudget(d.retryLimits), Instances: d.members.Live,
 	}
 	chain := relay.NewChain(dialect, journal,
@@ -194,7 +224,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.sweep, d.logReadiness,
+		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.journal.Run, d.sweep, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
@@ -227,7 +257,7 @@
 // logReadiness notes each change of readiness with its reason.
 func (d *Daemon) logReadiness(ctx context.Context) {
 	last := "starting"
-	for clock.Sleep(ctx, sweepInterval/4) {
+	for clock.Sleep(ctx, sweepInterval) {
 		if reason := d.ready(); reason != last {
 			d.log.Info("readiness changed", "ready", reason == "", "reason", reason, "before", last, "proof_age", d.configuration.ProofAge())
 			last = reason
--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -42,6 +42,17 @@
 	Watch(ctx context.Context, kind string, after uint64) ([]Event, uint64, error)
 }
 
+type staleKey struct{}
+
+// AllowStale lets reads with the context return data that is seconds old, which
+// costs the platform less.
+func AllowStale(ctx context.Context) context.Context {
+	return context.WithValue(ctx, staleKey{}, true)
+}
+
+// StaleAllowed reports whether a read may return old data.
+func StaleAllowed(ctx context.Context) bool { return ctx.Value(staleKey{}) != nil }
+
 // Role says what an instance of the platform runs.
 type Role string
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -49,6 +49,13 @@
 	// StepPerRequest is how much a running request slows each token of another.
 	// Source: the engines' sheet, 0.12 ms per step and request.
 	StepPerRequest time.Duration
+	// OtherRequest is the delay by a request of another instance, whose
+	// progress is not known: part of a prompt to be read, and a running request.
+	OtherRequest time.Duration
+	// FetchCost and FetchPerToken are the cost of fetching cached parts from
+	// another target. Source: the engines' links, and the price of moved memory
+	// against that of a late answer.
+	FetchCost, FetchPerToken time.Duration
 	// ServiceTime is the time that a request of a plain service takes.
 	ServiceTime time.Duration
 	// ZoneCost is the cost of a target in another zone, and ZoneCostPerByte
@@ -82,9 +89,12 @@
 	return Params{
 		PrefillPerToken: 11 * time.Microsecond,
 		StepPerRequest:  1200 * time.Microsecond,
+		OtherRequest:    8 * time.Millisecond,
+		FetchCost:       5 * time.Millisecond,
+		FetchPerToken:   25 * time.Microsecond,
 		ServiceTime:     20 * time.Millisecond,
 		ZoneCost:        time.Millisecond,
-		ZoneCostPerByte: 500 * time.Nanosecond,
+		ZoneCostPerByte: 100 * time.Nanosecond,
 		OldWeights:      120 * time.Millisecond,
 		Failure:         60 * time.Millisecond,
 		FailureFade:     3 * time.Second,
@@ -103,8 +113,9 @@
 	Params Params
 	Zone   string
 
-	mu     sync.Mutex
-	states map[string]*state // by target key
+	mu      sync.Mutex
+	scratch []group
+	states  map[string]*state // by target key
 }
 
 // state is what a placer remembers of one target and incarnation.
@@ -139,9 +150,18 @@
 // Choice is a chosen target and what decided it.
 type Choice struct {
 	Target  *target.Target
-	Missing int           // prompt tokens that are expected to be read again
-	Cost    time.Duration // expected delay, with costs of other kinds in it
-	Rank    int           // place of the target in the order of the prompt's hash
+	Source  *target.Target // keeps cached parts that the target can fetch; may be nil
+	Missing int            // prompt tokens that the target is expected to read
+	Cost    time.Duration  // expected delay, with costs of other kinds in it
+	Home    bool           // the target is the first in the order of the prompt's hash
+}
+
+// group is the part of the candidates that have the same weights and so can
+// share cached parts.
+type group struct {
+	version               string
+	first, second         *target.Target
+	firstHash, secondHash uint64
 }
 
 // Pick returns the cheapest target, or a Choice without a target if none can
@@ -149,55 +169,100 @@
 func (p *Placer) Pick(candidates []*target.Target, r *Request, excluded func(*target.Target) bool, now time.Time) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best := Choice{Cost: math.MaxInt64}
 	affinity := affinityKey(r)
-	first, firstHash := (*target.Target)(nil), uint64(0)
-	for _, t := range candidates {
-		if h := rendezvous(affinity, t.ID); first == nil || h > firstHash {
-			first, firstHash = t, h
-		}
-	}
+	groups := p.groups(candidates, affinity, now)
+	best := Choice{Cost: math.MaxInt64}
+	// Targets with an open circuit, or that are about to load weights, count
+	// only while no other is left.
 	for pass := 0; pass < 2 && best.Target == nil; pass++ {
 		for _, t := range candidates {
 			if t.Leaving || excluded != nil && excluded(t) {
 				continue
 			}
 			s := p.state(t)
-			// An open circuit counts only while another target is left.
-			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil)) {
+			if pass == 0 && (t.AboutToLoad || now.Before(s.openUntil) || now.Before(s.busyUntil)) {
 				continue
 			}
-			missing := p.missing(t, s, r, t == first, now)
-			cost := p.cost(t, s, r, missing, now)
-			// Spread requests without a shared prompt by the hash.
-			cost += time.Duration(float64(tieBreak) * (1 - unit(rendezvous(affinity, t.ID))))
-			if cost < best.Cost {
-				best = Choice{Target: t, Missing: missing, Cost: cost}
+			choice := p.consider(t, s, groupOf(groups, t), r, now)
+			choice.Cost += time.Duration(float64(tieBreak) * (1 - unit(rendezvous(affinity, t.ID))))
+			if choice.Cost < best.Cost {
+				best = choice
 			}
 		}
 	}
-	if best.Target != nil && best.Target != first {
-		best.Rank = 1
-	}
 	return best
 }
 
+// groups finds the first two targets of each weight version in the order of the
+// hash: the home of the prompt's shared parts and the one that takes over.
+func (p *Placer) groups(candidates []*target.Target, affinity string, now time.Time) []group {
+	groups := p.scratch[:0]
+	for _, t := range candidates {
+		if t.Leaving || t.AboutToLoad || now.Before(p.state(t).openUntil) {
+			continue
+		}
+		g := groupOf(groups, t)
+		if g == nil {
+			groups = append(groups, group{version: t.WeightVersion})
+			g = &groups[len(groups)-1]
+		}
+		h := rendezvous(affinity, t.ID)
+		switch {
+		case g.first == nil || h > g.firstHash:
+			g.second, g.secondHash = g.first, g.firstHash
+			g.first, g.firstHash = t, h
+		case g.second == nil || h > g.secondHash:
+			g.second, g.secondHash = t, h
+		}
+	}
+	p.scratch = groups
+	return groups
+}
+
+func groupOf(groups []group, t *target.Target) *group {
+	for i := range groups {
+		if groups[i].version == t.WeightVersion {
+			return &groups[i]
+		}
+	}
+	return nil
+}
+
+// consider works out what a request costs on a target.
+func (p *Placer) consider(t *target.Target, s *state, g *group, r *Request, now time.Time) Choice {
+	choice := Choice{Target: t, Missing: r.Tokens}
+	fetched := 0
+	if t.Engine && g != nil && len(r.Parts) > 1 {
+		shared, cached := p.cachedTokens(t, s, r, now)
+		choice.Home = t == g.first
+		switch {
+		case cached == shared:
+			choice.Missing -= cached
+		case choice.Home:
+			choice.Source = g.second
+			choice.Missing -= shared
+		default:
+			choice.Source = g.first
+			choice.Missing -= shared
+			fetched = shared - cached
+		}
+	}
+	choice.Cost = p.cost(t, s, r, choice.Missing, now)
+	if fetched > 0 {
+		choice.Cost += p.Params.FetchCost + time.Duration(fetched)*p.Params.FetchPerToken
+	}
+	return choice
+}
+
 // tieBreak is the largest cost that the order of the hash itself adds, so that
 // a prompt that leaves its first target goes to the same second one everywhere.
-const tieBreak = 15 * time.Millisecond
+const tieBreak = 8 * time.Millisecond
 
-// unknownCacheShare is the part of the shared tokens that the first target of
-// the hash is expected to have cached by requests of other instances.
-const unknownCacheShare = 0.9
-
-// missing is the number of prompt tokens that a target is expected to read.
-func (p *Placer) missing(t *target.Target, s *state, r *Request, first bool, now time.Time) int {
-	cached, shared := 0, 0
+// cachedTokens returns the tokens of the shared parts, and how many of them
+// this instance knows to be cached on the target.
+func (p *Placer) cachedTokens(t *target.Target, s *state, r *Request, now time.Time) (shared, cached int) {
 	known := true
-	for i, part := range r.Parts {
-		if i == len(r.Parts)-1 {
-			break
-		}
+	for _, part := range r.Parts[:len(r.Parts)-1] {
 		shared += part.Tokens
 		at, ok := s.cached[partKey(r, t, part)]
 		known = known && ok && now.Sub(at) < p.Params.CacheLifetime
@@ -205,10 +270,7 @@
 			cached += part.Tokens
 		}
 	}
-	if first {
-		cached = max(cached, int(unknownCacheShare*float64(shared)))
-	}
-	return max(0, r.Tokens-cached)
+	return shared, cached
 }
 
 func (p *Placer) cost(t *target.Target, s *state, r *Request, missing int, now time.Time) time.Duration {
@@ -225,7 +287,7 @@
 	var cost time.Duration
 	if t.Engine {
 		cost += time.Duration(float64(missing)+s.prefill) * params.PrefillPerToken
-		cost += time.Duration(busy) * params.StepPerRequest
+		cost += time.Duration(running)*params.StepPerRequest + time.Duration(others)*params.OtherRequest
 		cost += p.memoryCost(t, r, others)
 	} else {
 		cost += time.Duration(busy) * params.ServiceTime / time.Duration(max(1, t.Slots))
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -58,7 +59,7 @@
 	before := ex.MayHaveRun
 	ex.MayHaveRun = true
 	ex.Attempts++
-	response, err := f.Conns.Do(ctx, f.destination(ex, t), f.outgoing(ex, t))
+	response, err := f.Conns.Do(ctx, f.destination(ex, t), f.outgoing(ex, choice))
 	if err != nil {
 		failed := f.connectionFailed(t, err)
 		if !failed.sent {
@@ -102,7 +103,8 @@
 	return targetconn.Destination{Key: t.Key(), Address: t.Address, Limit: limit}
 }
 
-func (f *Forward) outgoing(ex *Exchange, t *target.Target) *targetconn.Request {
+func (f *Forward) outgoing(ex *Exchange, choice placement.Choice) *targetconn.Request {
+	t := choice.Target
 	i := &Instruction{
 		Remaining:  time.Until(ex.Deadline),
 		InstanceID: t.ID,
@@ -114,7 +116,9 @@
 	if t.Engine && t.WeightVersion != "" && ex.Call.Model == t.Model {
 		i.WeightVersion = t.WeightVersion
 		i.CacheSalt = t.WeightVersion + "." + isolation(ex)
+		f.useCaches(ex, choice, i)
 	}
+	f.Journal.Placed(choice, i)
 	path := ex.Request.RequestURI
 	if path == "" || path[0] != '/' {
 		path = ex.Request.URL.RequestURI()
@@ -129,6 +133,42 @@
 	}
 }
 
+// useCaches says where the target finds cached parts of the prompt, and whether
+// it shall save them. Only prompts whose shared parts the store lacks are
+// saved: their last part is saved with them and takes room.
+func (f *Forward) useCaches(ex *Exchange, choice placement.Choice, i *Instruction) {
+	if len(ex.Call.Parts) < 2 {
+		return
+	}
+	if choice.Source != nil {
+		i.FetchFrom = choice.Source.Address
+	}
+	store := f.Cached.Store()
+	if store == "" {
+		return
+	}
+	shared := ex.Call.Parts[:len(ex.Call.Parts)-1]
+	keys := make([]cachedir.Key, len(shared))
+	tokens := 0
+	for n, part := range shared {
+		keys[n] = cachedir.Key{Salt: i.CacheSalt, Part: part.ID}
+		tokens += part.Tokens
+	}
+	switch kept := f.Cached.Kept(keys); {
+	case kept == len(keys):
+		if choice.Home || choice.Source == nil {
+			i.FetchFrom = store
+		}
+	case tokens >= minSavedTokens:
+		i.SaveTo = store
+		f.Cached.Saving(keys)
+	}
+}
+
+// minSavedTokens is the size of the shared parts from which they are saved:
+// smaller ones are read again faster than they are fetched.
+const minSavedTokens = 600
+
 // connectionFailed judges a request that got no response header.
 func (f *Forward) connectionFailed(t *target.Target, err error) *failure {
 	var failed *targetconn.Error
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -32,6 +33,7 @@
 	Targets TargetSource
 	Placer  *placement.Placer
 	Conns   *targetconn.Pool
+	Cached  *cachedir.Directory // of the store of cached parts
 	Budget  *RetryBudget
 	Key     *Key
 	Journal *Journal
@@ -72,7 +74,7 @@
 		if err := f.mayStart(ex); err != nil {
 			return err
 		}
-		choice := f.Placer.Pick(f.Targets.InPool(ex.Pool.Name), r, func(t *target.Target) bool { return tried[t.Key()] }, time.Now())
+		choice := f.Placer.Pick(f.Targets.InPool(ex.Pool.Name), r, func(t *target.Target) bool { return t.TooOld || tried[t.Key()] }, time.Now())
 		if choice.Target == nil {
 			break
 		}
--- a/pkg/relay/journal.go
+++ b/pkg/relay/journal.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"context"
 	"expvar"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 )
 
@@ -81,3 +83,41 @@
 	j.Metrics.Add("repeats_denied", 1)
 	j.Log.Info("request not sent again", "request_id", ex.Call.ID, "reason", reason, "after", last.reason, "pool", ex.Pool.Name)
 }
+
+// Placed counts where a request was sent and where its cached parts come from.
+func (j *Journal) Placed(choice placement.Choice, i *Instruction) {
+	if !choice.Target.Engine {
+		return
+	}
+	count := func(name string, on bool) {
+		if on {
+			j.Metrics.Add(name, 1)
+		}
+	}
+	count("placed_home", choice.Home)
+	count("placed_away", !choice.Home)
+	count("cache_fetches", i.FetchFrom != "")
+	count("cache_saves", i.SaveTo != "")
+}
+
+// summaryInterval is the time between lines that sum up what got no line of its own.
+const summaryInterval = 5 * time.Second
+
+// Run writes a summary of the counters from time to time until ctx ends.
+func (j *Journal) Run(ctx context.Context) {
+	last := make(map[string]int64)
+	for clock.Sleep(ctx, summaryInterval) {
+		args := []any{"seconds", int(summaryInterval / time.Second)}
+		j.Metrics.Do(func(v expvar.KeyValue) {
+			counter, ok := v.Value.(*expvar.Int)
+			if !ok {
+				return
+			}
+			if n := counter.Value() - last[v.Key]; n != 0 {
+				args = append(args, v.Key, n)
+				last[v.Key] = counter.Value()
+			}
+		})
+		j.Log.Info("summary", args...)
+	}
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -17,11 +17,11 @@
 	// LeaseDuration is how long one instance may give orders without renewal.
 	// Source: with the pause between holders and the loads themselves it must
 	// fit into the bound for new weights.
-	LeaseDuration = 2 * time.Second
+	LeaseDuration = 1500 * time.Millisecond
 	// holderTick is the time between renewals, so that one may fail.
-	holderTick = 700 * time.Millisecond
+	holderTick = 500 * time.Millisecond
 	// standbyTick is the time between looks of the others at the lease.
-	standbyTick = 1200 * time.Millisecond
+	standbyTick = 500 * time.Millisecond
 	// workTick is the time between looks at the targets while orders are open.
 	workTick = 150 * time.Millisecond
 	// orderTimeout bounds one call to a target.
@@ -31,9 +31,6 @@
 	loadTime = 1250 * time.Millisecond
 	// lateOrder is how long an order without an answer may still be carried out.
 	lateOrder = 2 * time.Second
-	// parallelShare is the part of a pool's targets that load at the same time.
-	// Source: the engines' sheet; more at a time load more slowly.
-	parallelShare = 5
 	// handoverSlack is added to the pause between two holders.
 	handoverSlack = 300 * time.Millisecond
 )
@@ -160,7 +157,7 @@
 			return
 		}
 		pending = true
-		limit := max(1, engines/parallelShare)
+		limit := Parallel(engines)
 		for _, t := range behind {
 			if loading >= limit {
 				return
@@ -200,6 +197,7 @@
 		}
 		behind = append(behind, t)
 	}
+	Queue(behind)
 	return behind, loading, engines
 }
 
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -17,11 +17,11 @@
 	// kindMembers is the kind of the instances' own entries.
 	kindMembers = "lacewingwheel-instances"
 	// beatInterval is the time between writes of the own entry.
-	beatInterval = 2 * time.Second
+	beatInterval = 3 * time.Second
 	// MemberGone is the age from which an entry no longer counts. An instance
 	// stops taking limited work before, because it cannot confirm the
 	// configuration either.
-	MemberGone = 8 * time.Second
+	MemberGone = 10 * time.Second
 )
 
 // memberRecord is the entry of an instance.
@@ -66,7 +66,7 @@
 	if err := m.write(ctx); err != nil && ctx.Err() == nil {
 		m.Log.Debug("own entry not written", "cause", err)
 	}
-	objects, _, err := m.Store.List(ctx, kindMembers)
+	objects, _, err := m.Store.List(objectstore.AllowStale(ctx), kindMembers)
 	if err != nil {
 		m.Log.Debug("entries of instances not read", "cause", err)
 		return
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -11,6 +11,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/rollout"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
@@ -27,11 +28,20 @@
 	Clock clock.Clock
 	Link  *follow.Link
 	Log   hclog.Logger
+	// RolloutWithin is the time from named weights to the last request on older
+	// ones; zero means no bound.
+	RolloutWithin time.Duration
 
-	mu       sync.Mutex
-	entries  map[string]*entry
-	versions map[string]string // newest weights by model
-	set      atomic.Pointer[view]
+	mu      sync.Mutex
+	entries map[string]*entry
+	named   map[string][]named // weights by model, in the order of their names
+	set     atomic.Pointer[view]
+}
+
+// named is one version of a model's weights and when its name was seen.
+type named struct {
+	version string
+	at      time.Duration
 }
 
 // entry is one target with what was learned about it beside the list.
@@ -186,14 +196,18 @@
 	t.Log.Info("target gone", "target", id)
 }
 
-// Expire drops targets whose entries did not come back. Call it from time to time.
+// Expire takes in what changes with time alone: targets whose entries did not
+// come back, and weights that have become too old. Call it from time to time.
 func (t *Targets) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	dropped := t.set.Load() != nil && len(t.named) > 0
 	if t.Link.Unsettled(returnTime) {
+		if dropped {
+			t.publish()
+		}
 		return
 	}
-	dropped := false
 	for id, e := range t.entries {
 		if e.gone {
 			delete(t.entries, id)
@@ -238,41 +252,97 @@
 	t.publish()
 }
 
-// NameVersion notes that weights were named for a model.
-func (t *Targets) NameVersion(model, version string) {
+// NameVersion notes that weights were named for a model. The age is how long
+// ago that may have been.
+func (t *Targets) NameVersion(model, version string, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.versions[model] != "" && !newer(version, t.versions[model]) {
-		return
+	known := t.named[model]
+	before := ""
+	if len(known) > 0 {
+		before = known[len(known)-1].version
+		if !newer(version, before) {
+			return
+		}
+	}
+	if t.named == nil {
+		t.named = make(map[string][]named)
 	}
-	if t.versions == nil {
-		t.versions = make(map[string]string)
+	t.Log.Info("weights named", "model", model, "weights", version, "before", before, "age", age)
+	known = append(known, named{version, t.Clock.Elapsed() - age})
+	if len(known) > namedVersions {
+		known = known[1:]
 	}
-	t.Log.Info("weights named", "model", model, "weights", version, "before", t.versions[model])
-	t.versions[model] = version
+	t.named[model] = known
 	if t.set.Load() != nil {
 		t.publish()
 	}
 }
 
-// publish makes the view that the request path reads.
+// namedVersions is the number of versions whose names are remembered.
+const namedVersions = 16
+
+// supersededFor returns how long newer weights than a version have been named.
+func (t *Targets) supersededFor(model, version string) time.Duration {
+	for _, n := range t.named[model] {
+		if newer(n.version, version) {
+			return t.Clock.Elapsed() - n.at
+		}
+	}
+	return 0
+}
+
+// rolloutMargin is kept from the bound for new weights: a request begins some
+// time after it was placed.
+const rolloutMargin = 900 * time.Millisecond
+
+// nextInLine is the number of targets beside those that load by now that are
+// kept free: the one that gives the orders may be ahead of what is listed.
+const nextInLine = 1
+
+// markRollout marks the engines of a pool that load weights, are next to, or
+// have weights that may not be used any more.
+func (t *Targets) markRollout(targets []*target.Target) {
+	var behind []*target.Target
+	engines := 0
+	for _, x := range targets {
+		if !x.Engine {
+			continue
+		}
+		engines++
+		late := t.supersededFor(x.Model, x.WeightVersion)
+		if late == 0 || x.Leaving {
+			continue
+		}
+		behind = append(behind, x)
+		x.TooOld = t.RolloutWithin > 0 && late > t.RolloutWithin-rolloutMargin
+	}
+	rollout.Queue(behind)
+	for i, x := range behind {
+		x.AboutToLoad = i < rollout.Parallel(engines)+nextInLine
+	}
+}
+
+// publish makes the view that the request path reads. Its targets are copies,
+// as the entries are marked anew for each view.
 func (t *Targets) publish() {
 	v := &view{pools: make(map[string][]*target.Target), keys: make(map[string]bool), versions: make(map[string]string)}
-	for model, version := range t.versions {
-		v.versions[model] = version
+	for model, known := range t.named {
+		v.versions[model] = known[len(known)-1].version
 	}
 	for _, e := range t.entries {
 		if e.target == nil || e.unused {
 			continue
 		}
-		shown := e.target
+		shown := *e.target
 		if e.stated != "" {
-			copied := *e.target
-			copied.WeightVersion = e.stated
-			shown = &copied
+			shown.WeightVersion = e.stated
 		}
-		v.pools[shown.Pool] = append(v.pools[shown.Pool], shown)
+		v.pools[shown.Pool] = append(v.pools[shown.Pool], &shown)
 		v.keys[shown.Key()] = true
 	}
+	for _, targets := range v.pools {
+		t.markRollout(targets)
+	}
 	t.set.Store(v)
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -30,6 +30,8 @@
 	CanResume     bool
 	Reachable     bool
 	Engine        bool   // it generates from prompts, with a cache of their parts
+	AboutToLoad   bool   // it loads weights now or is next to be ordered to
+	TooOld        bool   // newer weights were named so long ago that its own may not be used
 	Slots         int    // requests that it runs at once; zero if not known
 	CacheTokens   int    // memory that running requests and cached parts share; zero if not known
 	Pool          string // set where the list of targets names the pool
