--- a/pkg/cachedir/cachedir.go
+++ b/pkg/cachedir/cachedir.go
@@ -68,7 +68,13 @@
 	next    int64
 	up      bool
 	lastOK  time.Duration
-	parts   map[Key]time.Duration // when it was asked to be saved; zero once it is kept
+	parts   map[Key]part
+}
+
+// part is what is known of one part.
+type part struct {
+	kept  bool          // the store said so
+	asked time.Duration // when a target was asked to save it, if it is not kept
 }
 
 // Run follows the store until ctx ends.
@@ -86,7 +92,7 @@
 	d.mu.Lock()
 	if address != d.address {
 		d.address, d.epoch, d.next, d.up = address, 0, 0, false
-		d.parts = make(map[Key]time.Duration)
+		d.parts = make(map[Key]part)
 	}
 	since := d.next
 	d.mu.Unlock()
@@ -130,7 +136,7 @@
 	d.next = c.Next
 	for _, change := range c.Changes {
 		if change.Added {
-			d.parts[change.Key] = 0
+			d.parts[change.Key] = part{kept: true}
 		} else {
 			delete(d.parts, change.Key)
 		}
@@ -157,8 +163,8 @@
 	defer d.mu.Unlock()
 	now := d.Clock.Elapsed()
 	for i, key := range keys {
-		at, ok := d.parts[key]
-		if !ok || at > 0 && now-at > savingFor {
+		p, ok := d.parts[key]
+		if !ok || !p.kept && now-p.asked > savingFor {
 			return i
 		}
 	}
@@ -174,8 +180,8 @@
 	}
 	now := d.Clock.Elapsed()
 	for _, key := range keys {
-		if at, ok := d.parts[key]; !ok || at > 0 {
-			d.parts[key] = now
+		if !d.parts[key].kept {
+			d.parts[key] = part{asked: now}
 		}
 	}
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -40,6 +40,10 @@
 	// readyProofShare is the part of the bound for withdrawn keys up to which an
 	// instance is ready. Source: beyond it, requests with keys count as not owed.
 	readyProofShare = 0.55
+	// proofShare is the part of the bound for withdrawn keys that passes between
+	// reads that prove the configuration. Source: two of them fit into the bound,
+	// and each call has a price.
+	proofShare = 0.36
 	// keyProofMargin is kept from that bound, for the way to the target.
 	keyProofMargin = 300 * time.Millisecond
 	// retryShare is the part of the fleet's retry budget that instances use.
@@ -116,7 +120,7 @@
 	d.idle = newIdleTimeouts()
 	d.configuration = &state.Configuration{
 		Store: p.Store, Kind: p.ConfigurationKind, Name: p.ConfigurationName, Parse: p.ParseTables,
-		Changed: d.configured, Clock: d.clock, Link: link, Log: log,
+		Changed: d.configured, ProofInterval: proofInterval(s.RevokeWithin), Clock: d.clock, Link: link, Log: log,
 	}
 	d.rollout = &rollout.Rollout{
 		Lease: &control.Lease{
@@ -177,6 +181,14 @@
 	})
 }
 
+// proofInterval is the time between reads that prove the configuration.
+func proofInterval(revokeWithin time.Duration) time.Duration {
+	if revokeWithin <= 0 {
+		return state.DefaultProofInterval
+	}
+	return min(state.DefaultProofInterval, time.Duration(proofShare*float64(revokeWithin)))
+}
+
 func (d *Daemon) maxProofAge() time.Duration {
 	within := d.settings().RevokeWithin
 	if within <= 0 {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -9,7 +9,6 @@
 
 import (
 	"math"
-	"strconv"
 	"sync"
 	"time"
 
@@ -115,11 +114,16 @@
 
 	mu      sync.Mutex
 	scratch []group
-	states  map[string]*state // by target key
+	states  map[*target.Live]*state // one for each target and incarnation
+	parts   []uint64                // scratch: hashes of the prompt's parts
 }
 
 // state is what a placer remembers of one target and incarnation.
 type state struct {
+	key         string // of the target
+	idHash      uint64
+	version     string // of the weights that versionHash is of
+	versionHash uint64
 	cached      map[uint64]time.Time // part to its last use
 	failures    float64
 	failedAt    time.Time
@@ -134,15 +138,17 @@
 
 // New returns a placer for an instance in a zone.
 func New(params Params, zone string) *Placer {
-	return &Placer{Params: params, Zone: zone, states: make(map[string]*state)}
+	return &Placer{Params: params, Zone: zone, states: make(map[*target.Live]*state)}
 }
 
 func (p *Placer) state(t *target.Target) *state {
-	key := t.Key()
-	s := p.states[key]
+	s := p.states[t.Live]
 	if s == nil {
-		s = &state{cached: make(map[uint64]time.Time)}
-		p.states[key] = s
+		s = &state{key: t.Key(), idHash: xxhash.Sum64String(t.ID), cached: make(map[uint64]time.Time)}
+		p.states[t.Live] = s
+	}
+	if s.version != t.WeightVersion {
+		s.version, s.versionHash = t.WeightVersion, xxhash.Sum64String(t.WeightVersion)
 	}
 	return s
 }
@@ -169,7 +175,8 @@
 func (p *Placer) Pick(candidates []*target.Target, r *Request, excluded func(*target.Target) bool, now time.Time) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	affinity := affinityKey(r)
+	affinity := xxhash.Sum64String(affinityKey(r))
+	p.hashParts(r)
 	groups := p.groups(candidates, affinity, now)
 	best := Choice{Cost: math.MaxInt64}
 	// Targets with an open circuit, or that are about to load weights, count
@@ -184,7 +191,7 @@
 				continue
 			}
 			choice := p.consider(t, s, groupOf(groups, t), r, now)
-			choice.Cost += time.Duration(float64(tieBreak) * (1 - unit(rendezvous(affinity, t.ID))))
+			choice.Cost += time.Duration(float64(tieBreak) * (1 - unit(mix(affinity, s.idHash))))
 			if choice.Cost < best.Cost {
 				best = choice
 			}
@@ -195,10 +202,11 @@
 
 // groups finds the first two targets of each weight version in the order of the
 // hash: the home of the prompt's shared parts and the one that takes over.
-func (p *Placer) groups(candidates []*target.Target, affinity string, now time.Time) []group {
+func (p *Placer) groups(candidates []*target.Target, affinity uint64, now time.Time) []group {
 	groups := p.scratch[:0]
 	for _, t := range candidates {
-		if t.Leaving || t.AboutToLoad || now.Before(p.state(t).openUntil) {
+		s := p.state(t)
+		if t.Leaving || t.AboutToLoad || now.Before(s.openUntil) {
 			continue
 		}
 		g := groupOf(groups, t)
@@ -206,7 +214,7 @@
 			groups = append(groups, group{version: t.WeightVersion})
 			g = &groups[len(groups)-1]
 		}
-		h := rendezvous(affinity, t.ID)
+		h := mix(affinity, s.idHash)
 		switch {
 		case g.first == nil || h > g.firstHash:
 			g.second, g.secondHash = g.first, g.firstHash
@@ -233,7 +241,7 @@
 	choice := Choice{Target: t, Missing: r.Tokens}
 	fetched := 0
 	if t.Engine && g != nil && len(r.Parts) > 1 {
-		shared, cached := p.cachedTokens(t, s, r, now)
+		shared, cached := p.cachedTokens(s, r, now)
 		choice.Home = t == g.first
 		switch {
 		case cached == shared:
@@ -260,12 +268,15 @@
 
 // cachedTokens returns the tokens of the shared parts, and how many of them
 // this instance knows to be cached on the target.
-func (p *Placer) cachedTokens(t *target.Target, s *state, r *Request, now time.Time) (shared, cached int) {
-	known := true
-	for _, part := range r.Parts[:len(r.Parts)-1] {
+func (p *Placer) cachedTokens(s *state, r *Request, now time.Time) (shared, cached int) {
+	known := len(s.cached) > 0
+	for i, part := range r.Parts[:len(r.Parts)-1] {
 		shared += part.Tokens
-		at, ok := s.cached[partKey(r, t, part)]
-		known = known && ok && now.Sub(at) < p.Params.CacheLifetime
+		if !known {
+			continue
+		}
+		at, ok := s.cached[mix(p.parts[i], s.versionHash)]
+		known = ok && now.Sub(at) < p.Params.CacheLifetime
 		if known {
 			cached += part.Tokens
 		}
@@ -332,8 +343,9 @@
 	defer p.mu.Unlock()
 	s := p.state(t)
 	s.prefill += float64(missing)
-	for _, part := range r.Parts {
-		s.cached[partKey(r, t, part)] = now
+	p.hashParts(r)
+	for _, part := range p.parts {
+		s.cached[mix(part, s.versionHash)] = now
 	}
 	if len(s.cached) > maxRememberedParts {
 		s.forget(now, p.Params.CacheLifetime)
@@ -404,9 +416,9 @@
 func (p *Placer) Sweep(keep func(key string) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for key := range p.states {
-		if !keep(key) {
-			delete(p.states, key)
+	for live, s := range p.states {
+		if !keep(s.key) {
+			delete(p.states, live)
 		}
 	}
 }
@@ -419,14 +431,22 @@
 	return r.Parts[len(r.Parts)-2].ID
 }
 
-func partKey(r *Request, t *target.Target, part Part) uint64 {
-	return xxhash.Sum64String(r.Salt + "\x00" + t.WeightVersion + "\x00" + part.ID + "\x00" + strconv.Itoa(part.Tokens))
+// hashParts puts the hashes of the prompt's parts into the scratch space.
+func (p *Placer) hashParts(r *Request) {
+	salt := xxhash.Sum64String(r.Salt)
+	p.parts = p.parts[:0]
+	for _, part := range r.Parts {
+		p.parts = append(p.parts, mix(salt, xxhash.Sum64String(part.ID))+uint64(part.Tokens))
+	}
 }
 
-func rendezvous(key, id string) uint64 {
-	h := xxhash.Sum64String(key + "\x00" + id)
+// mix joins two hashes into one whose bits all depend on both.
+func mix(a, b uint64) uint64 {
+	h := a ^ b*0x9e3779b97f4a7c15
 	h ^= h >> 33
 	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
 	return h ^ h>>33
 }
 
--- /dev/null
+++ b/pkg/relay/harness_test.go
@@ -0,0 +1,238 @@
+package relay_test
+
+import (
+	"bufio"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/relay"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
+	"lacewingwheel.example/lacewingwheel/platform"
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
+)
+
+const (
+	testKey  = "key-of-one"
+	waitLong = 5 * time.Second
+)
+
+// fixture is a chain before stand-in targets.
+type fixture struct {
+	t       *testing.T
+	server  *httptest.Server
+	log     *lockedBuffer
+	metrics *expvar.Map
+
+	mu       sync.Mutex
+	snapshot *tables.Snapshot
+	proofAge time.Duration
+	targets  []*target.Target
+	newest   string
+	tokens   int64 // left in the quota; negative: no limit
+	limits   relay.RetryLimits
+	conns    *targetconn.Pool
+	placer   *placement.Placer
+}
+
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func newFixture(t *testing.T, runners ...*platformtest.Runner) *fixture {
+	t.Helper()
+	f := &fixture{
+		t: t, log: &lockedBuffer{}, metrics: new(expvar.Map).Init(), tokens: -1, newest: "",
+		limits: relay.RetryLimits{Ratio: 1, Extra: 100, Window: 10 * time.Second},
+		conns:  targetconn.NewPool(time.Second, time.Second), placer: placement.New(placement.DefaultParams(), "zone-a"),
+	}
+	organisation := tables.Organisation{Name: "one", Rate: 1, Burst: 1, DefaultCost: 10, Keys: []tables.Key{{Digest: tables.DigestKey(testKey)}}}
+	f.snapshot = tables.NewSnapshot(1, &tables.Tables{
+		Organisations: []tables.Organisation{organisation},
+		Limits:        tables.CallerLimits{HeaderBytes: 8 << 10, BodyBytes: 64 << 10},
+		Pools:         []tables.Pool{{Name: "pool", Kind: tables.PoolService}},
+		Routes: []tables.Route{
+			{Name: "idempotent", Path: "/idempotent/", Pool: "pool", Repeatable: true, MaxAttempts: 2, Deadline: 2 * time.Second, Objective: tables.Objective{FirstToken: 200 * time.Millisecond}},
+			{Name: "once", Path: "/once/", Pool: "pool", MaxAttempts: 1, Deadline: 2 * time.Second},
+			{Name: "resumable", Path: "/stream/resumable/", Pool: "pool", Repeatable: true, Streaming: true, MaxAttempts: 2, Deadline: 2 * time.Second, EventGap: 50 * time.Millisecond, Objective: tables.Objective{FirstToken: 200 * time.Millisecond}},
+			{Name: "stream-once", Path: "/stream/once/", Pool: "pool", Streaming: true, MaxAttempts: 1, Deadline: 2 * time.Second},
+			{Name: "open", Path: "/open/", Pool: "pool", Access: tables.AccessOpen, Deadline: 2 * time.Second},
+		},
+	})
+	for _, r := range runners {
+		f.targets = append(f.targets, &target.Target{ID: r.ID, Address: r.Address, Zone: "zone-a", Pool: "pool", Incarnation: "1", Slots: 8, Reachable: true, Live: &target.Live{}})
+	}
+	journal := &relay.Journal{Log: hclog.New(&hclog.LoggerOptions{Output: f.log}), Metrics: f.metrics}
+	key := &relay.Key{Configuration: f, MaxProofAge: func() time.Duration { return 4 * time.Second }}
+	directory := &cachedir.Directory{Address: func() string { return "" }, Clock: clock.System{}}
+	forward := &relay.Forward{
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, Cached: directory, Key: key, Journal: journal,
+		Budget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), Instances: func() int { return 1 },
+	}
+	chain := relay.NewChain(platform.Dialect{}, journal, &relay.Route{Configuration: f}, key, relay.Body{}, &relay.Limit{Quota: f}, forward)
+	f.server = httptest.NewUnstartedServer(chain)
+	f.server.Config.ConnContext = relay.WithConnection
+	f.server.Start()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) Snapshot() *tables.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+func (f *fixture) ProofAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.proofAge
+}
+
+func (f *fixture) InPool(string) []*target.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets
+}
+
+func (f *fixture) NewestVersion(string) string        { return f.newest }
+func (f *fixture) Unused(*target.Target)              {}
+func (f *fixture) RunsVersion(*target.Target, string) {}
+func (f *fixture) set(change func())                  { f.mu.Lock(); defer f.mu.Unlock(); change() }
+func (f *fixture) Return(_ string, tokens int64)      { f.set(func() { f.tokens += tokens }) }
+func (f *fixture) Take(_ string, tokens int64) (bool, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tokens < 0 {
+		return true, 0
+	}
+	if f.tokens < tokens {
+		return false, time.Hour
+	}
+	f.tokens -= tokens
+	return true, 0
+}
+
+// call is a request of a caller.
+type call struct {
+	path, id, key, body string
+	patience            time.Duration
+	header              map[string]string
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (f *fixture) call(c call) result {
+	f.t.Helper()
+	return f.callFrom(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, c)
+}
+
+func (f *fixture) callFrom(client *http.Client, c call) result {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, f.server.URL+c.path, strings.NewReader(c.body))
+	assert.NilError(f.t, err)
+	if c.id == "" {
+		c.id = "id-1"
+	}
+	if c.key == "" {
+		c.key = testKey
+	}
+	if c.patience == 0 {
+		c.patience = 1500 * time.Millisecond
+	}
+	request.Header.Set("Lacewingwheel-Request-Id", c.id)
+	request.Header.Set("Authorization", "Token "+c.key)
+	request.Header.Set("Lacewingwheel-Deadline-Ms", fmt.Sprint(c.patience.Milliseconds()))
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func startRunner(t *testing.T, id string) *platformtest.Runner {
+	t.Helper()
+	r, err := platformtest.StartRunner(id)
+	assert.NilError(t, err)
+	t.Cleanup(r.Stop)
+	return r
+}
+
+// ran counts the requests that the runners ran.
+func ran(runners ...*platformtest.Runner) int {
+	n := 0
+	for _, r := range runners {
+		for _, seen := range r.Requests() {
+			if seen.Ran {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLong); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(deadline), what)
+	}
+}
+
+// rawCall sends a request on a connection of its own and returns the connection.
+func (f *fixture) rawCall(path, id string) (net.Conn, *bufio.Reader) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	assert.NilError(f.t, err)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nLacewingwheel-Request-Id: %s\r\nAuthorization: Token %s\r\nContent-Length: 0\r\n\r\n", path, id, testKey)
+	assert.NilError(f.t, err)
+	return conn, bufio.NewReader(conn)
+}
+
+// first remembers the runner that got the first request.
+type first struct{ id atomic.Pointer[string] }
+
+// is reports whether the runner is the one that got the first request.
+func (f *first) is(id string) bool {
+	f.id.CompareAndSwap(nil, &id)
+	return *f.id.Load() == id
+}
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	// proofInterval is the time between reads that prove that the configuration
-	// is the newest. Source: two of them fit into the bound for withdrawn keys,
-	// and each call has a price.
-	proofInterval = 1800 * time.Millisecond
+	// DefaultProofInterval is the time between reads that prove that the
+	// configuration is the newest, where no bound asks for more of them.
+	DefaultProofInterval = 1800 * time.Millisecond
 	// proofRetry is the time between reads while there is no proof.
 	proofRetry = 250 * time.Millisecond
 )
@@ -33,9 +32,12 @@
 	Kind, Name string
 	Parse      func([]byte) (*tables.Snapshot, error)
 	Changed    func(*tables.Snapshot)
-	Clock      clock.Clock
-	Link       *follow.Link
-	Log        hclog.Logger
+	// ProofInterval is the time between reads that prove that the configuration
+	// is the newest.
+	ProofInterval time.Duration
+	Clock         clock.Clock
+	Link          *follow.Link
+	Log           hclog.Logger
 
 	mu       sync.Mutex
 	revision uint64
@@ -56,7 +58,7 @@
 // its age: a watch that reports nothing does not.
 func (c *Configuration) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := proofInterval
+		wait := c.ProofInterval
 		if !c.read(ctx) {
 			wait = proofRetry
 		}
