Gather changes of targets; open the circuit of targets that acknowledge nothing

Change: the pause after a watch with changes grows with the fleet (10 ms for each instance, up to 0.8 s); standbys of the orders' lease look less often in a large fleet; a connection without acknowledgements for 0.9 s opens the circuit.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -33,8 +33,14 @@
 	// dialTimeout bounds opening a connection to a target. Source: zones are
 	// about a millisecond apart; a lost packet is sent again after longer.
 	dialTimeout = 250 * time.Millisecond
-	// unackedTimeout ends connections to partitioned targets.
-	unackedTimeout = 2 * time.Second
+	// unackedTimeout ends connections to targets that acknowledge nothing.
+	// Source: several times the retransmission time on links of a millisecond.
+	unackedTimeout = 900 * time.Millisecond
+	// changesPause is the time between reads of changes of targets for each
+	// instance, up to maxChangesPause: the calls of the fleet stay the same.
+	// Source: 100 calls a second, and a third of the bound for leaving targets.
+	changesPause    = 10 * time.Millisecond
+	maxChangesPause = 800 * time.Millisecond
 	// sweepInterval is the time between looks at idle connections and lapsed entries.
 	sweepInterval = 250 * time.Millisecond
 	// readyProofShare is the part of the bound for withdrawn keys up to which an
@@ -106,6 +112,9 @@
 	incarnation := uuid.NewString()
 	link := &follow.Link{Clock: d.clock, Log: log}
 	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin}
+	d.targets.Pause = func() time.Duration {
+		return min(maxChangesPause, changesPause*time.Duration(d.members.Live()))
+	}
 	d.weights = &state.Weights{Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Link: link, Log: log}
 	if !s.FirstStart {
 		d.weights.FirstAge = max(0, s.RolloutWithin-restartGrace)
@@ -127,7 +136,7 @@
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
 			Duration: rollout.LeaseDuration, Guard: leaseGuard,
 		},
-		Clock: d.clock, Source: d.targets, Client: p.Orders, Holder: s.Instance, Handover: s.OrderLease, Log: log,
+		Clock: d.clock, Source: d.targets, Client: p.Orders, Holder: s.Instance, Handover: s.OrderLease, Instances: d.members.Live, Log: log,
 	}
 	d.cached = &cachedir.Directory{Client: p.CacheEvents, Address: d.cacheStore, Clock: d.clock, Log: log}
 	d.conns = targetconn.NewPool(dialTimeout, unackedTimeout)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -27,8 +27,12 @@
 	// Replace gets the whole list, Apply each later change.
 	Replace func([]objectstore.Object)
 	Apply   func(objectstore.Event)
-	Link    *Link
-	Log     hclog.Logger
+	// Pause returns the time between a watch that brought changes and the next
+	// one; nil means none. Changes gather meanwhile, so that the calls of a fleet
+	// do not grow with its changes.
+	Pause func() time.Duration
+	Link  *Link
+	Log   hclog.Logger
 }
 
 // Run follows until ctx ends.
@@ -80,6 +84,9 @@
 	for _, e := range events {
 		f.Apply(e)
 	}
+	if len(events) > 0 && f.Pause != nil {
+		clock.Sleep(ctx, f.Pause())
+	}
 	return max(after, revision), nil
 }
 
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -179,7 +179,10 @@
 		}
 		return &failure{elsewhere: true, reason: "no connection", cause: err, wait: wait}
 	}
-	if !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case failed != nil && failed.Unanswered():
+		f.Placer.Unreachable(t, time.Now())
+	case !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded):
 		f.Placer.Failed(t, time.Now())
 	}
 	return &failure{sent: true, ran: true, elsewhere: true, reason: "no response", cause: err}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -20,8 +20,10 @@
 	LeaseDuration = 1500 * time.Millisecond
 	// holderTick is the time between renewals, so that one may fail.
 	holderTick = 500 * time.Millisecond
-	// standbyTick is the time between looks of the others at the lease.
-	standbyTick = 500 * time.Millisecond
+	// standbyTick is the time between looks of the others at the lease, for up
+	// to standbyInstances of them. With more, each looks less often.
+	standbyTick      = 500 * time.Millisecond
+	standbyInstances = 8
 	// workTick is the time between looks at the targets while orders are open.
 	workTick = 150 * time.Millisecond
 	// orderTimeout bounds one call to a target.
@@ -84,7 +86,9 @@
 	Client   Client
 	Holder   string
 	Handover time.Duration // pause between the orders of two holders
-	Log      hclog.Logger
+	// Instances is the number of instances that stand by; nil means few.
+	Instances func() int
+	Log       hclog.Logger
 
 	holding    bool
 	quietUntil time.Duration
@@ -127,7 +131,7 @@
 			r.Log.Warn("lease for orders lost", "fence", r.Lease.Fence())
 		}
 		r.holding = false
-		return clock.Jitter(standbyTick)
+		return clock.Jitter(standbyTick * time.Duration(max(1, r.instances()/standbyInstances)))
 	}
 	if !r.holding {
 		r.holding = true
@@ -147,6 +151,13 @@
 	return workTick
 }
 
+func (r *Rollout) instances() int {
+	if r.Instances == nil {
+		return 1
+	}
+	return r.Instances()
+}
+
 // work checks open orders and gives new ones. It reports whether any target is
 // still on older weights.
 func (r *Rollout) work(ctx context.Context) bool {
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -28,6 +28,8 @@
 	Clock clock.Clock
 	Link  *follow.Link
 	Log   hclog.Logger
+	// Pause returns the time between reads of changes; nil means none.
+	Pause func() time.Duration
 	// RolloutWithin is the time from named weights to the last request on older
 	// ones; zero means no bound.
 	RolloutWithin time.Duration
@@ -102,7 +104,7 @@
 		t.entries = make(map[string]*entry)
 	}
 	t.mu.Unlock()
-	f := follow.Follower{Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, Link: t.Link, Log: t.Log}
+	f := follow.Follower{Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, Pause: t.Pause, Link: t.Link, Log: t.Log}
 	f.Run(ctx)
 }
 
@@ -296,9 +298,10 @@
 // time after it was placed.
 const rolloutMargin = 900 * time.Millisecond
 
-// nextInLine is the number of targets beside those that load by now that are
-// kept free: the one that gives the orders may be ahead of what is listed.
-const nextInLine = 1
+// nextInLine is the number of targets, of those that load at the same time,
+// that are kept free beside them as a divisor: the one that gives the orders may
+// be ahead of what is listed.
+const nextInLine = 3
 
 // markRollout marks the engines of a pool that load weights, are next to, or
 // have weights that may not be used any more.
@@ -318,8 +321,9 @@
 		x.TooOld = t.RolloutWithin > 0 && late > t.RolloutWithin-rolloutMargin
 	}
 	rollout.Queue(behind)
+	parallel := rollout.Parallel(engines)
 	for i, x := range behind {
-		x.AboutToLoad = i < rollout.Parallel(engines)+nextInLine
+		x.AboutToLoad = i < parallel+max(1, parallel/nextInLine)
 	}
 }
 
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -45,6 +46,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// Unanswered reports whether the peer acknowledged nothing for too long.
+func (e *Error) Unanswered() bool { return errors.Is(e.Cause, syscall.ETIMEDOUT) }
+
 // ErrTooManyConnections means that the pool's own limit for the target is reached.
 var ErrTooManyConnections = errors.New("all connections that this instance may open to the target are in use")
 
