Spread load reports, follow all cache stores, leave requests with busy targets

Change: pkg/gossip passes load reports and unreachable targets on in datagrams; cachedir.Set divides prompts over all stores and spreads its calls over the fleet; a request leaves a target only if nobody has heard of it meanwhile; targets about to load weights cost 0.6 s instead of being passed over; a lease is read afresh after a conflict (a stale read kept the holder out for 6 s).

--- a/pkg/cachedir/cachedir.go
+++ b/pkg/cachedir/cachedir.go
@@ -56,19 +56,19 @@
 
 // Directory follows one store.
 type Directory struct {
-	Client Client
-	// Address returns the store's address, or "" if there is none.
-	Address func() string
-	Clock   clock.Clock
-	Log     hclog.Logger
-
-	mu      sync.Mutex
-	address string
-	epoch   int64
-	next    int64
-	up      bool
-	lastOK  time.Duration
-	parts   map[Key]part
+	Client  Client
+	Address string // of the store
+	// Pause returns the time between calls; nil means the shortest.
+	Pause func() time.Duration
+	Clock clock.Clock
+	Log   hclog.Logger
+
+	mu     sync.Mutex
+	epoch  int64
+	next   int64
+	up     bool
+	lastOK time.Duration
+	parts  map[Key]part
 }
 
 // part is what is known of one part.
@@ -85,20 +85,12 @@
 }
 
 func (d *Directory) round(ctx context.Context) time.Duration {
-	address := d.Address()
-	if address == "" {
-		return retryPause
-	}
 	d.mu.Lock()
-	if address != d.address {
-		d.address, d.epoch, d.next, d.up = address, 0, 0, false
-		d.parts = make(map[Key]part)
-	}
 	since := d.next
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	changes, err := d.Client.Changes(call, address, since)
+	changes, err := d.Client.Changes(call, d.Address, since)
 	if err != nil {
 		if ctx.Err() == nil {
 			d.failed(err)
@@ -106,7 +98,10 @@
 		return retryPause
 	}
 	d.take(changes)
-	return callPause
+	if d.Pause == nil {
+		return callPause
+	}
+	return d.Pause()
 }
 
 func (d *Directory) failed(err error) {
@@ -114,7 +109,7 @@
 	defer d.mu.Unlock()
 	if d.up && d.Clock.Elapsed()-d.lastOK > downAfter {
 		d.up = false
-		d.Log.Warn("store of cached parts lost", "address", d.address, "cause", err)
+		d.Log.Warn("store of cached parts lost", "address", d.Address, "cause", err)
 	}
 }
 
@@ -124,16 +119,19 @@
 	d.lastOK = d.Clock.Elapsed()
 	if !d.up {
 		d.up = true
-		d.Log.Info("store of cached parts reached", "address", d.address, "epoch", c.Epoch)
+		d.Log.Info("store of cached parts reached", "address", d.Address, "epoch", c.Epoch)
 	}
 	if c.Epoch != d.epoch {
 		if d.epoch != 0 {
-			d.Log.Info("store of cached parts restarted empty", "address", d.address, "epoch", c.Epoch, "before", d.epoch)
+			d.Log.Info("store of cached parts restarted empty", "address", d.Address, "epoch", c.Epoch, "before", d.epoch)
 			clear(d.parts)
 		}
 		d.epoch = c.Epoch
 	}
 	d.next = c.Next
+	if d.parts == nil {
+		d.parts = make(map[Key]part)
+	}
 	for _, change := range c.Changes {
 		if change.Added {
 			d.parts[change.Key] = part{kept: true}
@@ -153,7 +151,7 @@
 	if !d.up {
 		return ""
 	}
-	return d.address
+	return d.Address
 }
 
 // Kept returns how many parts at the start of a prompt the store keeps, those
@@ -176,7 +174,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.parts == nil {
-		return
+		d.parts = make(map[Key]part)
 	}
 	now := d.Clock.Elapsed()
 	for _, key := range keys {
--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -41,6 +41,9 @@
 	seenAt   time.Duration // when that version was first seen
 	takeover bool          // the previous holder did not release
 	waited   time.Duration // how long the version taken over had been seen
+	// conflicted is true after a write that named an old version: what an old
+	// answer says is then of no use.
+	conflicted bool
 }
 
 // Held reports whether the lease is held now. Call it right before each act
@@ -72,9 +75,10 @@
 	// An old answer only delays a takeover: the write that follows names the
 	// version that was read.
 	read := objectstore.AllowStale(ctx)
-	if l.version == 0 {
+	if l.version == 0 || l.conflicted {
 		read = ctx
 	}
+	l.conflicted = false
 	object, err := l.Store.Get(read, kindLease, l.Name)
 	if objectstore.IsKind(err, objectstore.KindNotFound) {
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
@@ -125,6 +129,7 @@
 		object, err = l.readBack(ctx, record.Nonce, err)
 	}
 	if err != nil {
+		l.conflicted = true
 		return err
 	}
 	l.version, l.seenAt = object.Version, l.Clock.Elapsed()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
+	"lacewingwheel.example/lacewingwheel/pkg/gossip"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
@@ -91,8 +92,9 @@
 	weights       *state.Weights
 	members       *state.Members
 	rollout       *rollout.Rollout
-	cached        *cachedir.Directory
+	cached        *cachedir.Set
 	buckets       *share.Buckets
+	gossip        *gossip.Gossip
 	conns         *targetconn.Pool
 	placer        *placement.Placer
 	metrics       *expvar.Map
@@ -119,7 +121,7 @@
 	if !s.FirstStart {
 		d.weights.FirstAge = max(0, s.RolloutWithin-restartGrace)
 	}
-	d.members = &state.Members{Store: p.Store, Clock: d.clock, Instance: s.Instance, Incarnation: incarnation, Log: log}
+	d.members = &state.Members{Store: p.Store, Clock: d.clock, Instance: s.Instance, Incarnation: incarnation, Address: s.PeerListen, Log: log}
 	d.buckets = &share.Buckets{
 		Limits: func() share.Limits {
 			return share.Limits{Overage: settings().QuotaOverage, Slack: settings().QuotaSlack}
@@ -138,9 +140,10 @@
 		},
 		Clock: d.clock, Source: d.targets, Client: p.Orders, Holder: s.Instance, Handover: s.OrderLease, Instances: d.members.Live, Log: log,
 	}
-	d.cached = &cachedir.Directory{Client: p.CacheEvents, Address: d.cacheStore, Clock: d.clock, Log: log}
+	d.cached = &cachedir.Set{Client: p.CacheEvents, Addresses: d.cacheStores, Instances: d.members.Live, Clock: d.clock, Log: log}
 	d.conns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
+	d.gossip = &gossip.Gossip{Listen: s.PeerListen, Peers: d.members.Peers, Learned: d.learned, Log: log}
 	d.journal = &relay.Journal{Log: log, Metrics: d.metrics}
 	d.callers = &http.Server{
 		Handler:           d.chain(p.Dialect),
@@ -154,18 +157,19 @@
 	return d
 }
 
-// cacheStore returns the address of the store of cached parts, or "".
-func (d *Daemon) cacheStore() string {
+// cacheStores returns the addresses of the stores of cached parts.
+func (d *Daemon) cacheStores() []string {
 	snapshot := d.configuration.Snapshot()
 	if snapshot == nil {
-		return ""
+		return nil
 	}
+	var addresses []string
 	for i := range snapshot.Tables.Pools {
 		if store := snapshot.Tables.Pools[i].CacheStore; store != nil {
-			return store.Address
+			addresses = append(addresses, store.Address)
 		}
 	}
-	return ""
+	return addresses
 }
 
 func (d *Daemon) configured(snapshot *tables.Snapshot) {
@@ -177,7 +181,7 @@
 	journal := d.journal
 	key := &relay.Key{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
 	forward := &relay.Forward{
-		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.conns, Cached: d.cached, Key: key, Journal: journal,
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.conns, Cached: d.cached, Reports: d.gossip, Key: key, Journal: journal,
 		Budget: relay.NewRetryBudget(d.retryLimits), Instances: d.members.Live,
 	}
 	chain := relay.NewChain(dialect, journal,
@@ -198,6 +202,18 @@
 	return min(state.DefaultProofInterval, time.Duration(proofShare*float64(revokeWithin)))
 }
 
+// learned takes in what another instance reported of a target.
+func (d *Daemon) learned(hash uint64, load target.Load, at time.Time, down bool) {
+	t := d.targets.ByHash(hash)
+	switch {
+	case t == nil:
+	case down:
+		d.placer.Unreachable(t, at)
+	default:
+		t.Live.ReportLoad(load, at)
+	}
+}
+
 func (d *Daemon) maxProofAge() time.Duration {
 	within := d.settings().RevokeWithin
 	if within <= 0 {
@@ -245,7 +261,7 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.journal.Run, d.sweep, d.logReadiness,
+		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.gossip.Run, d.journal.Run, d.sweep, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -11,6 +11,7 @@
 	CallerListen  string
 	ReadyListen   string
 	MetricsListen string
+	PeerListen    string // for messages between instances; empty: none
 	StoreAddress  string
 	FirstStart    bool // no instance has run before
 	MemoryBytes   int64
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -51,6 +51,9 @@
 	// OtherRequest is the delay by a request of another instance, whose
 	// progress is not known: part of a prompt to be read, and a running request.
 	OtherRequest time.Duration
+	// WaitingRequest is the further delay by a request that waits at the target:
+	// its whole prompt is yet to be read.
+	WaitingRequest time.Duration
 	// FetchCost and FetchPerToken are the cost of fetching cached parts from
 	// another target. Source: the engines' links, and the price of moved memory
 	// against that of a late answer.
@@ -65,6 +68,9 @@
 	// OldWeights is the cost of a target whose weights are not the newest. A
 	// request on old weights is worth a fifth less.
 	OldWeights time.Duration
+	// AboutToLoad is the cost of a target that loads weights or is next to. It
+	// may refuse the request, but it is idle while the others are overloaded.
+	AboutToLoad time.Duration
 	// Failure is the cost for each recent failure of a target.
 	Failure time.Duration
 	// FailureFade is the time after which a failure counts for 1/e.
@@ -89,18 +95,20 @@
 		PrefillPerToken: 11 * time.Microsecond,
 		StepPerRequest:  1200 * time.Microsecond,
 		OtherRequest:    8 * time.Millisecond,
+		WaitingRequest:  25 * time.Millisecond,
 		FetchCost:       5 * time.Millisecond,
 		FetchPerToken:   25 * time.Microsecond,
 		ServiceTime:     20 * time.Millisecond,
 		ZoneCost:        time.Millisecond,
 		ZoneCostPerByte: 100 * time.Nanosecond,
 		OldWeights:      120 * time.Millisecond,
+		AboutToLoad:     600 * time.Millisecond,
 		Failure:         60 * time.Millisecond,
 		FailureFade:     3 * time.Second,
 		MemoryShare:     0.8,
 		MemoryCost:      400 * time.Millisecond,
 		CacheLifetime:   20 * time.Second,
-		LoadAge:         time.Second,
+		LoadAge:         1200 * time.Millisecond,
 		FirstOpen:       250 * time.Millisecond,
 		MaxOpen:         3 * time.Second,
 	}
@@ -179,15 +187,14 @@
 	p.hashParts(r)
 	groups := p.groups(candidates, affinity, now)
 	best := Choice{Cost: math.MaxInt64}
-	// Targets with an open circuit, or that are about to load weights, count
-	// only while no other is left.
+	// Targets with an open circuit count only while no other is left.
 	for pass := 0; pass < 2 && best.Target == nil; pass++ {
 		for _, t := range candidates {
 			if t.Leaving || excluded != nil && excluded(t) {
 				continue
 			}
 			s := p.state(t)
-			if pass == 0 && (t.AboutToLoad || now.Before(s.openUntil) || now.Before(s.busyUntil)) {
+			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil)) {
 				continue
 			}
 			choice := p.consider(t, s, groupOf(groups, t), r, now)
@@ -287,18 +294,19 @@
 func (p *Placer) cost(t *target.Target, s *state, r *Request, missing int, now time.Time) time.Duration {
 	params := &p.Params
 	running := t.Live.InFlight.Load()
-	others := int64(0)
+	others, waiting := int64(0), int64(0)
 	if load, at := t.NewestLoad(); now.Sub(at) < params.LoadAge {
 		if at != s.reportedAt {
 			s.reportedAt, s.ownAtReport = at, running
 		}
 		others = max(0, int64(load.Running+load.Waiting)-s.ownAtReport)
+		waiting = min(others, int64(load.Waiting))
 	}
 	busy := running + others
 	var cost time.Duration
 	if t.Engine {
 		cost += time.Duration(float64(missing)+s.prefill) * params.PrefillPerToken
-		cost += time.Duration(running)*params.StepPerRequest + time.Duration(others)*params.OtherRequest
+		cost += time.Duration(running)*params.StepPerRequest + time.Duration(others)*params.OtherRequest + time.Duration(waiting)*params.WaitingRequest
 		cost += p.memoryCost(t, r, others)
 	} else {
 		cost += time.Duration(busy) * params.ServiceTime / time.Duration(max(1, t.Slots))
@@ -309,6 +317,9 @@
 	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion {
 		cost += params.OldWeights
 	}
+	if t.AboutToLoad {
+		cost += params.AboutToLoad
+	}
 	if t.Zone != p.Zone {
 		cost += params.ZoneCost + time.Duration(r.Bytes)*params.ZoneCostPerByte
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -36,7 +36,7 @@
 	t := choice.Target
 	ctx, cancel := context.WithCancelCause(ex.Context())
 	defer cancel(nil)
-	silence := f.silenceTimer(ex, cancel)
+	silence := f.silenceTimer(ex, t, cancel)
 	defer silence.stop()
 
 	now := time.Now()
@@ -143,25 +143,29 @@
 	if choice.Source != nil {
 		i.FetchFrom = choice.Source.Address
 	}
-	store := f.Cached.Store()
+	shared := ex.Call.Parts[:len(ex.Call.Parts)-1]
+	directory := f.Cached.For(shared[len(shared)-1].ID)
+	if directory == nil {
+		return
+	}
+	store := directory.Store()
 	if store == "" {
 		return
 	}
-	shared := ex.Call.Parts[:len(ex.Call.Parts)-1]
 	keys := make([]cachedir.Key, len(shared))
 	tokens := 0
 	for n, part := range shared {
 		keys[n] = cachedir.Key{Salt: i.CacheSalt, Part: part.ID}
 		tokens += part.Tokens
 	}
-	switch kept := f.Cached.Kept(keys); {
+	switch kept := directory.Kept(keys); {
 	case kept == len(keys):
 		if choice.Home || choice.Source == nil {
 			i.FetchFrom = store
 		}
 	case tokens >= minSavedTokens:
 		i.SaveTo = store
-		f.Cached.Saving(keys)
+		directory.Saving(keys)
 	}
 }
 
@@ -176,12 +180,14 @@
 		wait := time.Duration(0)
 		if !errors.Is(err, targetconn.ErrTooManyConnections) && !errors.Is(err, context.Canceled) {
 			wait = f.Placer.Unreachable(t, time.Now())
+			f.Reports.Down(t.Key())
 		}
 		return &failure{elsewhere: true, reason: "no connection", cause: err, wait: wait}
 	}
 	switch {
 	case failed != nil && failed.Unanswered():
 		f.Placer.Unreachable(t, time.Now())
+		f.Reports.Down(t.Key())
 	case !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded):
 		f.Placer.Failed(t, time.Now())
 	}
@@ -214,6 +220,7 @@
 func (f *Forward) learn(t *target.Target, answer Answer) {
 	if answer.Load != nil {
 		t.Live.ReportLoad(*answer.Load, time.Now())
+		f.Reports.Loaded(t.Key(), *answer.Load)
 	}
 	if answer.Version != "" && t.Engine {
 		f.Targets.RunsVersion(t, answer.Version)
@@ -222,28 +229,41 @@
 
 // silence ends an attempt whose target sends nothing.
 type silence struct {
-	timer *time.Timer
-	gap   time.Duration
+	timer  *time.Timer
+	gap    time.Duration
+	target *target.Target
 }
 
 // silenceTimer returns the timer of an attempt. Requests that no other target
-// may take over wait until their deadline.
-func (f *Forward) silenceTimer(ex *Exchange, cancel context.CancelCauseFunc) *silence {
+// may take over wait until their deadline. So do requests to a target that
+// answers others meanwhile: it is busy, and reads the prompt in its turn.
+func (f *Forward) silenceTimer(ex *Exchange, t *target.Target, cancel context.CancelCauseFunc) *silence {
+	s := &silence{gap: gapFactor * ex.Route.EventGap, target: t}
 	limit := ex.Route.MaxAttempts
 	if !ex.Repeatable() || limit != 0 && ex.Attempts+1 >= limit {
-		return &silence{}
+		return s
 	}
 	objective := ex.Route.Objective.FirstToken
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	s := &silence{gap: gapFactor * ex.Route.EventGap}
-	s.timer = time.AfterFunc(silenceFactor*objective, func() { cancel(errSilent) })
+	since, wait := time.Now(), silenceFactor*objective
+	// Set before it runs: the function refers to the timer itself.
+	s.timer = time.AfterFunc(time.Until(ex.Deadline)+wait, func() {
+		if !t.Live.HeardSince(since) {
+			cancel(errSilent)
+			return
+		}
+		since = time.Now()
+		s.timer.Reset(wait)
+	})
+	s.timer.Reset(wait)
 	return s
 }
 
 // heard restarts the timer for the next event.
 func (s *silence) heard() {
+	s.target.Live.Hear(time.Now())
 	if s.timer != nil && s.gap > 0 {
 		s.timer.Reset(s.gap)
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -25,6 +25,12 @@
 	RunsVersion(t *target.Target, version string)
 }
 
+// Reports passes on what this instance learns of targets.
+type Reports interface {
+	Loaded(targetKey string, load target.Load)
+	Down(targetKey string)
+}
+
 // Forward sends the request to a target and its response to the caller. A
 // request that failed is sent to another target if it may be repeated, or if it
 // surely has not run.
@@ -33,8 +39,9 @@
 	Targets TargetSource
 	Placer  *placement.Placer
 	Conns   *targetconn.Pool
-	Cached  *cachedir.Directory // of the store of cached parts
+	Cached  *cachedir.Set // the stores of cached parts
 	Budget  *RetryBudget
+	Reports Reports
 	Key     *Key
 	Journal *Journal
 	// Instances is the number of instances that share the targets' connections.
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -159,6 +159,32 @@
 	assert.Equal(t, ran(one, two, three), 2)
 }
 
+// Guards against requests that are taken from a busy target and sent to the
+// next, which makes an overload worse. Load: a target that answers others, late.
+func TestBusyTargetKeepsItsRequests(t *testing.T) {
+	one, two := startRunner(t, "i-1"), startRunner(t, "i-2")
+	slow := func(int, string) platformtest.Reaction { return platformtest.Reaction{Delay: 700 * time.Millisecond} }
+	one.React(slow)
+	two.React(slow)
+	f := newFixture(t, one, two)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(50 * time.Millisecond):
+				f.targets[0].Live.Hear(time.Now())
+				f.targets[1].Live.Hear(time.Now())
+			}
+		}
+	}()
+	got := f.call(call{path: "/idempotent/"})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, ran(one, two), 1)
+}
+
 // Guards against a target that is down and takes the request's only attempt.
 func TestUnreachableTargetIsNoAttempt(t *testing.T) {
 	one, two := startRunner(t, "i-1"), startRunner(t, "i-2")
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -28,6 +28,7 @@
 type memberRecord struct {
 	Incarnation string `json:"incarnation"`
 	Beat        uint64 `json:"beat"`
+	Address     string `json:"address"` // for messages between instances
 }
 
 // Members counts the instances that share limits.
@@ -36,6 +37,7 @@
 	Clock       clock.Clock
 	Instance    string
 	Incarnation string
+	Address     string // for messages between instances
 	Log         hclog.Logger
 
 	mu      sync.Mutex
@@ -43,6 +45,7 @@
 	version uint64 // of the own entry
 	beat    uint64
 	live    atomic.Int64
+	peers   atomic.Pointer[[]string]
 }
 
 // memberSeen is when an entry was last seen to change, on the own clock.
@@ -54,6 +57,14 @@
 // Live returns the number of instances, this one included.
 func (m *Members) Live() int { return max(1, int(m.live.Load())) }
 
+// Peers returns the addresses of the other instances.
+func (m *Members) Peers() []string {
+	if peers := m.peers.Load(); peers != nil {
+		return *peers
+	}
+	return nil
+}
+
 // Run writes the own entry and reads those of others until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -76,7 +87,7 @@
 
 func (m *Members) write(ctx context.Context) error {
 	m.beat++
-	value, err := json.Marshal(memberRecord{Incarnation: m.Incarnation, Beat: m.beat})
+	value, err := json.Marshal(memberRecord{Incarnation: m.Incarnation, Beat: m.beat, Address: m.Address})
 	if err != nil {
 		return err
 	}
@@ -108,14 +119,20 @@
 		m.seen = make(map[string]memberSeen)
 	}
 	now := m.Clock.Elapsed()
+	var peers []string
 	live, listed := int64(0), make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
 		if known, ok := m.seen[o.Name]; !ok || o.Version != known.version {
 			m.seen[o.Name] = memberSeen{o.Version, now}
 		}
-		if now-m.seen[o.Name].at < MemberGone {
-			live++
+		if now-m.seen[o.Name].at >= MemberGone {
+			continue
+		}
+		live++
+		var record memberRecord
+		if o.Name != m.Instance && json.Unmarshal(o.Value, &record) == nil && record.Address != "" {
+			peers = append(peers, record.Address)
 		}
 	}
 	for name := range m.seen {
@@ -123,6 +140,7 @@
 			delete(m.seen, name)
 		}
 	}
+	m.peers.Store(&peers)
 	if before := m.live.Swap(live); before != live {
 		m.Log.Info("instances that share limits", "instances", live, "before", before)
 	}
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -10,6 +10,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
+	"lacewingwheel.example/lacewingwheel/pkg/gossip"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/rollout"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -60,6 +61,7 @@
 type view struct {
 	pools    map[string][]*target.Target
 	keys     map[string]bool
+	hashes   map[uint64]*target.Target
 	versions map[string]string
 }
 
@@ -77,6 +79,14 @@
 	return v != nil && v.keys[key]
 }
 
+// ByHash returns the target that messages between instances name, or nil.
+func (t *Targets) ByHash(hash uint64) *target.Target {
+	if v := t.set.Load(); v != nil {
+		return v.hashes[hash]
+	}
+	return nil
+}
+
 // Listed reports whether the list has been read.
 func (t *Targets) Listed() bool { return t.set.Load() != nil }
 
@@ -330,7 +340,7 @@
 // publish makes the view that the request path reads. Its targets are copies,
 // as the entries are marked anew for each view.
 func (t *Targets) publish() {
-	v := &view{pools: make(map[string][]*target.Target), keys: make(map[string]bool), versions: make(map[string]string)}
+	v := &view{pools: make(map[string][]*target.Target), keys: make(map[string]bool), hashes: make(map[uint64]*target.Target), versions: make(map[string]string)}
 	for model, known := range t.named {
 		v.versions[model] = known[len(known)-1].version
 	}
@@ -344,6 +354,7 @@
 		}
 		v.pools[shown.Pool] = append(v.pools[shown.Pool], &shown)
 		v.keys[shown.Key()] = true
+		v.hashes[gossip.HashTarget(shown.Key())] = &shown
 	}
 	for _, targets := range v.pools {
 		t.markRollout(targets)
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -50,8 +50,19 @@
 	InFlightTokens atomic.Int64 // tokens reserved for them
 	Pending        atomic.Int64 // requests sent whose first token has not come
 	reported       atomic.Pointer[reportedLoad]
+	heard          atomic.Int64 // when the target last sent something, in Unix nanoseconds
 }
 
+// Hear notes that the target sent something.
+func (l *Live) Hear(at time.Time) {
+	if n := at.UnixNano(); n > l.heard.Load() {
+		l.heard.Store(n)
+	}
+}
+
+// HeardSince reports whether the target sent something after a time.
+func (l *Live) HeardSince(at time.Time) bool { return l.heard.Load() > at.UnixNano() }
+
 // reportedLoad is a load and when it was observed.
 type reportedLoad struct {
 	load     Load
@@ -61,6 +72,7 @@
 // ReportLoad records a load that the target reported at a time. An older one
 // than the newest known is dropped.
 func (l *Live) ReportLoad(load Load, observed time.Time) {
+	l.Hear(observed)
 	next := &reportedLoad{load: load, observed: observed}
 	for {
 		known := l.reported.Load()
