--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -27,7 +28,7 @@
 )
 
 func newEdge() *cobra.Command {
-	var path string
+	var path, metricsPort string
 	cmd := &cobra.Command{
 		Use:   "edge",
 		Short: "Run the router on the users' platform",
@@ -40,6 +41,9 @@
 			if err != nil {
 				return &ExitError{Code: ExitInvalid, Err: err}
 			}
+			if metricsPort != "" {
+				settings.MetricsListen = net.JoinHostPort(settings.Host(), metricsPort)
+			}
 			sink := logsink.New(cmd.OutOrStdout())
 			defer sink.Close(logFlushTime)
 			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: sink, Level: hclog.Info})
@@ -55,6 +59,7 @@
 			return nil
 		},
 	}
+	cmd.Flags().StringVar(&metricsPort, "metrics-port", "", "port that serves metrics (default: the second port of the instances' own range)")
 	cmd.Flags().StringVar(&path, "node-file", "", "settings file of the platform (default: the path in "+platform.SettingsVariable+")")
 	return cmd
 }
--- /dev/null
+++ b/pkg/cli/explain.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"lacewingwheel.example/lacewingwheel/pkg/explain"
+)
+
+func newExplain() *cobra.Command {
+	var id string
+	cmd := &cobra.Command{
+		Use:   "explain --request ID FILE...",
+		Short: "Print what the logs of instances say of one request",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var logs explain.Logs
+			for _, name := range files {
+				if err := readLog(&logs, name); err != nil {
+					return &ExitError{Code: ExitInvalid, Err: err}
+				}
+			}
+			err := logs.Request(cmd.OutOrStdout(), id)
+			if errors.Is(err, explain.ErrNotFound) {
+				return &ExitError{Code: ExitFailed, Err: err}
+			}
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&id, "request", "", "id of the request")
+	if err := cmd.MarkFlagRequired("request"); err != nil {
+		panic(err) // the flag is defined above
+	}
+	return cmd
+}
+
+func readLog(logs *explain.Logs, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return logs.Read(filepath.Base(name), file)
+}
--- a/pkg/cli/root.go
+++ b/pkg/cli/root.go
@@ -55,6 +55,6 @@
 	}
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(newServe(), newEdge(), newLocal(), newCheck(), newTables(), newVersion(), newReport(), newReplay())
+	root.AddCommand(newServe(), newEdge(), newExplain(), newLocal(), newCheck(), newTables(), newVersion(), newReport(), newReplay())
 	return root
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -99,6 +99,7 @@
 	placer        *placement.Placer
 	metrics       *expvar.Map
 	journal       *relay.Journal
+	storeCalls    relay.Latencies
 	callers       *http.Server
 	idle          *idleTimeouts
 	stopping      atomic.Bool
@@ -112,6 +113,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	incarnation := uuid.NewString()
+	p.Store = &timedStore{Store: p.Store, times: &d.storeCalls}
 	link := &follow.Link{Clock: d.clock, Log: log}
 	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin}
 	d.targets.Pause = func() time.Duration {
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -2,7 +2,10 @@
 // targets from a platform.
 package daemon
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Settings are the settings of one process.
 type Settings struct {
@@ -32,3 +35,12 @@
 	QuotaOverage float64 // part of a limit by which it may be exceeded
 	QuotaSlack   float64 // tokens by which it may be exceeded beside that
 }
+
+// Host returns the address of the machine.
+func (s *Settings) Host() string {
+	host, _, err := net.SplitHostPort(s.CallerListen)
+	if err != nil {
+		return ""
+	}
+	return host
+}
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,43 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/explain"
+)
+
+const one = `2026-05-04T04:19:40.000Z [INFO]  lacewingwheel: weights named: model=m weights=2 before=1 age=0s
+2026-05-04T04:20:00.100Z [INFO]  lacewingwheel: configuration in force: version=7 before=5
+2026-05-04T04:20:01.000Z [INFO]  lacewingwheel: attempt failed: request_id=r-1 target=i-1 attempt=1 reason="no response" may_have_run=true
+2026-05-04T04:20:01.500Z [WARN]  lacewingwheel: request failed: request_id=r-1 code=target_failed status=502
+2026-05-04T04:20:01.600Z [WARN]  lacewingwheel: request failed: request_id=r-2 target=i-1 code=target_failed
+not a line of the log
+`
+
+const two = `2026-05-04T04:20:00.900Z [INFO]  lacewingwheel: target changed: target=i-1 leaving=true
+2026-05-04T04:20:00.950Z [INFO]  lacewingwheel: target changed: target=i-2 leaving=true
+2026-05-04T04:20:00.960Z [INFO]  lacewingwheel: configuration in force: version=7 before=5
+2026-05-04T04:25:00.950Z [INFO]  lacewingwheel: target changed: target=i-1 leaving=true
+`
+
+func TestRequest(t *testing.T) {
+	var logs explain.Logs
+	assert.NilError(t, logs.Read("edge-1", strings.NewReader(one)))
+	assert.NilError(t, logs.Read("edge-2", strings.NewReader(two)))
+	var out strings.Builder
+	assert.NilError(t, logs.Request(&out, "r-1"))
+	var got []string
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		source, _, _ := strings.Cut(text, ":")
+		_, message, _ := strings.Cut(text, "lacewingwheel: ")
+		message, _, _ = strings.Cut(message, ":")
+		got = append(got, source+" "+message)
+	}
+	assert.DeepEqual(t, got, []string{
+		"edge-1 configuration in force", "edge-2 target changed", "edge-1 attempt failed", "edge-1 request failed",
+	})
+	assert.ErrorIs(t, logs.Request(&out, "r-3"), explain.ErrNotFound)
+}
--- a/pkg/relay/journal.go
+++ b/pkg/relay/journal.go
@@ -16,6 +16,9 @@
 type Journal struct {
 	Log     hclog.Logger
 	Metrics *expvar.Map
+	// FirstEvent and Whole are the times from a request to its first event or
+	// whole answer, and to its end.
+	FirstEvent, Whole Latencies
 }
 
 func age(t time.Time) string {
@@ -29,6 +32,10 @@
 func (j *Journal) Served(ex *Exchange) {
 	j.Metrics.Add("served", 1)
 	took := time.Since(ex.Start)
+	j.Whole.Record(ex.RouteName(), took)
+	if !ex.FirstEvent.IsZero() {
+		j.FirstEvent.Record(ex.RouteName(), ex.FirstEvent.Sub(ex.Start))
+	}
 	late := ex.Route.Objective.FirstToken > 0 && !ex.FirstEvent.IsZero() && ex.FirstEvent.Sub(ex.Start) > ex.Route.Objective.FirstToken
 	paused := ex.Route.EventGap > 0 && ex.WorstGap > ex.Route.EventGap
 	if !late && !paused && ex.Attempts <= 1 && ex.Status < 400 {
--- /dev/null
+++ b/pkg/relay/latency.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency is the longest time that is told apart; longer ones count as it.
+	maxLatency = time.Minute
+	// latencyDigits is the precision of the histograms.
+	latencyDigits = 2
+	// maxSeries bounds the routes that have histograms of their own. Later ones
+	// are counted together.
+	maxSeries = 32
+	// otherRoutes is the name under which they are.
+	otherRoutes = "other"
+)
+
+// Latencies are histograms of times by route, as an expvar.Var.
+type Latencies struct {
+	mu     sync.Mutex
+	series map[string]*hdrhistogram.Histogram
+}
+
+// Record counts a time of a route.
+func (l *Latencies) Record(route string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.series == nil {
+		l.series = make(map[string]*hdrhistogram.Histogram)
+	}
+	h := l.series[route]
+	if h == nil && len(l.series) >= maxSeries {
+		route = otherRoutes
+		h = l.series[route]
+	}
+	if h == nil {
+		h = hdrhistogram.New(1, maxLatency.Milliseconds(), latencyDigits)
+		l.series[route] = h
+	}
+	// Values are cut to the range, so that recording cannot fail.
+	_ = h.RecordValue(min(max(1, d.Milliseconds()), maxLatency.Milliseconds()))
+}
+
+// latencySummary is one histogram as it is shown, in milliseconds.
+type latencySummary struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_ms"`
+	P90   int64 `json:"p90_ms"`
+	P99   int64 `json:"p99_ms"`
+	Max   int64 `json:"max_ms"`
+	// Buckets counts the times up to each bound.
+	Buckets map[string]int64 `json:"up_to_ms"`
+}
+
+// latencyBounds are the bounds of the buckets that are shown.
+var latencyBounds = []int64{10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000, 60_000}
+
+// String implements expvar.Var.
+func (l *Latencies) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]latencySummary, len(l.series))
+	for route, h := range l.series {
+		s := latencySummary{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P90: h.ValueAtQuantile(90), P99: h.ValueAtQuantile(99),
+			Max: h.Max(), Buckets: make(map[string]int64, len(latencyBounds)),
+		}
+		for _, bar := range h.Distribution() {
+			for _, bound := range latencyBounds {
+				if bar.To <= bound {
+					s.Buckets[time.Duration(bound*int64(time.Millisecond)).String()] += bar.Count
+				}
+			}
+		}
+		out[route] = s
+	}
+	text, err := json.Marshal(out)
+	if err != nil {
+		return `{"error":"histograms cannot be encoded"}`
+	}
+	return string(text)
+}
--- /dev/null
+++ b/pkg/relay/latency_test.go
@@ -0,0 +1,36 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/relay"
+)
+
+// Guards against histograms that lose times or grow with the routes.
+func TestLatencies(t *testing.T) {
+	var l relay.Latencies
+	for i := range 100 {
+		l.Record("r", time.Duration(i+1)*time.Millisecond)
+	}
+	l.Record("r", time.Hour)
+	for i := range 100 {
+		l.Record(fmt.Sprint("route-", i), time.Millisecond)
+	}
+	var shown map[string]struct {
+		Count   int64            `json:"count"`
+		P50     int64            `json:"p50_ms"`
+		Max     int64            `json:"max_ms"`
+		Buckets map[string]int64 `json:"up_to_ms"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(l.String()), &shown))
+	assert.Equal(t, shown["r"].Count, int64(101))
+	assert.Assert(t, shown["r"].P50 >= 50 && shown["r"].P50 <= 52, "%d", shown["r"].P50)
+	assert.Assert(t, shown["r"].Max >= 59_000)
+	assert.Equal(t, shown["r"].Buckets["50ms"], int64(50))
+	assert.Assert(t, len(shown) <= 33, "%d series", len(shown))
+}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/explain"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -363,3 +364,44 @@
 		return strings.Contains(f.log.String(), "code=caller_gone")
 	})
 }
+
+// Guards against the walks of docs/OPERATIONS.md that do not reach the cause:
+// given the lines of a request that failed under an injected fault, the command
+// that the page names prints the line with the cause.
+func TestWalksOfTheOperatorsPage(t *testing.T) {
+	cases := []struct {
+		name     string
+		path     string
+		reaction platformtest.Reaction
+		change   func(f *fixture)
+		cause    []string
+	}{
+		{"refused", "/once/", platformtest.Reaction{}, func(f *fixture) { f.proofAge = 5 * time.Second }, []string{"code=not_ready", "proof_age=5s"}},
+		{"refused by the target", "/once/", platformtest.Reaction{Refuse: true}, nil, []string{`reason="refused by the target"`, "may_have_run=false", "target=i-1"}},
+		{"broken off", "/stream/once/", platformtest.Reaction{Reset: true, After: 2}, nil, []string{`reason="stream cut off"`, "target=i-1", "events=2"}},
+		{"late", "/idempotent/", platformtest.Reaction{Delay: 300 * time.Millisecond}, nil, []string{"request answered late", "first_event=3", "target=i-1", "objective=200ms"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runner := startRunner(t, "i-1")
+			runner.React(func(int, string) platformtest.Reaction { return c.reaction })
+			f := newFixture(t, runner)
+			if c.change != nil {
+				f.set(func() { c.change(f) })
+			}
+			f.call(call{path: c.path, id: "walked"})
+			f.call(call{path: "/idempotent/", id: "another"})
+			var story strings.Builder
+			eventually(t, "no line of the request", func() bool {
+				var logs explain.Logs
+				assert.NilError(t, logs.Read("edge-1", strings.NewReader(f.log.String())))
+				story.Reset()
+				return logs.Request(&story, "walked") == nil
+			})
+			for _, want := range c.cause {
+				assert.Assert(t, strings.Contains(story.String(), want), "no %q in:\n%s", want, story.String())
+			}
+			assert.Assert(t, !strings.Contains(story.String(), "another"))
+		})
+	}
+}
