Add a seeded fault soak over router processes before stand-ins of the platform

Change: test/soak runs lacewingwheel edge processes with loopback proxies that delay, reset, silence and cut one way, signals that stop, pause, kill and restart, withdrawn keys, named weights, leaving targets; it checks at-most-once, true refusals, whole answers, keys, organisations, leaving, planned stops, recovery.

--- /dev/null
+++ b/test/soak/fleet_test.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/platform"
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
+)
+
+// Bounds that the processes are given.
+const (
+	revokeWithin = 5 * time.Second
+	leaveWithin  = 2 * time.Second
+	stopWithin   = 8 * time.Second
+	startWithin  = 10 * time.Second
+)
+
+// router is one router process.
+type router struct {
+	name     string
+	settings string
+	caller   string
+	ready    string
+	store    *proxy
+	logFile  string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+}
+
+// fleet is what one seed runs.
+type fleet struct {
+	t       *testing.T
+	binary  string
+	store   *platformtest.Store
+	routers []*router
+	engines []*engine
+	logs    string
+
+	mu      sync.Mutex
+	version int
+	keys    map[string]time.Time // withdrawn keys, and when
+	inForce []string
+	nextKey int
+}
+
+// engine is a stand-in target behind a proxy.
+type engine struct {
+	*platformtest.Runner
+	proxy *proxy
+
+	mu       sync.Mutex
+	leftAt   time.Time
+	removed  bool
+	duration time.Time
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startFleet(t *testing.T, binary string, routers, engines int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, binary: binary, store: platformtest.NewStore(), keys: make(map[string]time.Time), logs: logDirectory(t)}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	for i := range engines {
+		r, err := platformtest.StartRunner(fmt.Sprintf("i-%d", i))
+		assert.NilError(t, err)
+		t.Cleanup(r.Stop)
+		r.Model = "m"
+		r.SetStream(6, 15*time.Millisecond)
+		e := &engine{Runner: r, proxy: startProxy(t, r.Address)}
+		f.engines = append(f.engines, e)
+		f.list(e, "ready")
+	}
+	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": 1})
+	f.addKey()
+	f.addKey()
+	for i := range routers {
+		x := &router{name: fmt.Sprintf("edge-%d", i), caller: freeAddress(t), ready: freeAddress(t), store: startProxy(t, strings.TrimPrefix(server.URL, "http://"))}
+		x.settings = filepath.Join(t.TempDir(), "boot.json")
+		x.logFile = filepath.Join(f.logs, x.name+".log")
+		f.write(x)
+		f.start(x)
+		f.routers = append(f.routers, x)
+		t.Cleanup(func() { x.signal(syscall.SIGCONT); x.signal(syscall.SIGKILL); x.await(startWithin) })
+	}
+	for _, x := range f.routers {
+		f.awaitReady(x)
+	}
+	return f
+}
+
+// logDirectory keeps the logs of a seed that fails, if a place is named.
+func logDirectory(t *testing.T) string {
+	if dir := os.Getenv("SOAK_LOGS"); dir != "" {
+		dir = filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "-"))
+		assert.NilError(t, os.MkdirAll(dir, 0o755))
+		return dir
+	}
+	return t.TempDir()
+}
+
+func (f *fleet) write(x *router) {
+	text, err := json.Marshal(map[string]any{
+		"node": x.name, "role": "edge", "ip": "127.0.0.1", "zone": "a", "bootstrap": true,
+		"listen": map[string]string{"front": x.caller, "ready": x.ready},
+		"bounds": map[string]any{
+			"drain_ms": leaveWithin.Milliseconds(), "grace_s": stopWithin.Seconds(), "config_apply_ms": 2000, "strict_revoke": true,
+			"revoke_ms": revokeWithin.Milliseconds(), "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 200,
+			"quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 1000, "lease_ms": 1000, "version_ms": 12000,
+		},
+		"platform": map[string]string{"address": x.store.address()},
+	})
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, os.WriteFile(x.settings, text, 0o600))
+}
+
+func (f *fleet) start(x *router) {
+	log, err := os.OpenFile(x.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(f.t, err)
+	cmd := exec.Command(f.binary, "edge", "--node-file", x.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	assert.NilError(f.t, cmd.Start())
+	ended := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // its end is judged by the checks
+		_ = log.Close()
+		close(ended)
+	}()
+	x.mu.Lock()
+	x.process, x.ended = cmd, ended
+	x.mu.Unlock()
+}
+
+func (x *router) signal(s syscall.Signal) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.process != nil {
+		_ = x.process.Process.Signal(s) // it may have ended
+	}
+}
+
+func (x *router) await(limit time.Duration) bool {
+	x.mu.Lock()
+	ended := x.ended
+	x.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+func (f *fleet) awaitReady(x *router) {
+	f.t.Helper()
+	client := &http.Client{Timeout: time.Second}
+	for deadline := time.Now().Add(startWithin); ; time.Sleep(20 * time.Millisecond) {
+		response, err := client.Get("http://" + x.ready + "/ready")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		if time.Now().After(deadline) {
+			f.t.Errorf("%s is not ready within %v", x.name, startWithin)
+			return
+		}
+	}
+}
+
+func (f *fleet) list(e *engine, state string) {
+	entry := e.Entry("llm", "a")
+	entry["address"] = e.proxy.address()
+	entry["state"] = state
+	f.store.Put(platform.KindTargets, e.ID, entry)
+}
+
+// configure writes the configuration with the keys in force. f.mu is held.
+func (f *fleet) configure() {
+	f.version++
+	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
+		return map[string]any{"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 3000,
+			"target_latency_ms": 300, "service": "llm", "max_attempts": attempts, "resumable": resumable, "target_gap_ms": 200}
+	}
+	f.store.Put(platform.KindConfiguration, platform.NameConfiguration, map[string]any{
+		"version": f.version,
+		"routes": []map[string]any{
+			route("once", "/once/", "non_idempotent", 1, false), route("any", "/any/", "idempotent", 2, false),
+			route("stream", "/stream/once/", "streaming", 1, false), route("resumable", "/stream/any/", "streaming", 2, true),
+		},
+		"services": []map[string]any{{"name": "llm", "max_conns": 400, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 100000, "models": []map[string]any{{"name": "m"}}}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "idle_timeout_ms": 15000},
+		"tenants":  []map[string]any{{"name": "o", "api_keys": f.inForce, "unit": "tokens", "uncached_tokens": 1, "rate_per_s": 1e9, "burst": 1e9}},
+	})
+}
+
+func (f *fleet) addKey() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nextKey++
+	f.inForce = append(f.inForce, fmt.Sprintf("key-%d", f.nextKey))
+	f.configure()
+}
+
+// withdrawKey takes the oldest key away and adds a new one.
+func (f *fleet) withdrawKey() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.inForce[0]
+	f.nextKey++
+	f.inForce = append(f.inForce[1:], fmt.Sprintf("key-%d", f.nextKey))
+	f.configure()
+	f.keys[old] = time.Now()
+}
+
+func (f *fleet) withdrawnAt(key string) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.keys[key]
+	return at, ok
+}
+
+// anyKey returns a key that is or was in force.
+func (f *fleet) anyKey(n int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprintf("key-%d", 1+n%f.nextKey)
+}
