Keep the platform's names in the stand-ins, drop what is unused

Cause: tests outside platform/ spelt its headers and its configuration; staticcheck found four unused names. Change: platformtest has the headers and writes the configuration for the daemon's tests and the soak alike.

--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -85,13 +85,7 @@
 // configure writes a configuration with one route.
 func (x *instance) configure(prefix string) {
 	x.version++
-	x.store.Put(platform.KindConfiguration, platform.NameConfiguration, map[string]any{
-		"version":  x.version,
-		"routes":   []map[string]any{{"name": "r", "host": "h.example", "path_prefix": prefix, "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 500, "service": "llm", "max_attempts": 2, "resumable": true, "target_gap_ms": 250}},
-		"services": []map[string]any{{"name": "llm", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity_tokens": 1000, "models": []map[string]any{{"name": "m"}}}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "idle_timeout_ms": 300},
-		"tenants":  []map[string]any{{"name": "o", "api_keys": x.keys, "unit": "tokens", "uncached_tokens": 1, "rate_per_s": 1000000, "burst": 1000000}},
-	})
+	x.store.Configure(x.version, x.keys, 300, platformtest.Route{Name: "r", Prefix: prefix, Kind: "streaming", Attempts: 2, Resumable: true, TimeoutMS: 5000})
 }
 
 func (x *instance) await(what string, ok func() bool) {
@@ -121,9 +115,9 @@
 		return 0, "", err
 	}
 	request.Host = "h.example"
-	request.Header.Set("Lacewingwheel-Request-Id", fmt.Sprintf("id-%d", nextID.Add(1)))
-	request.Header.Set("Lacewingwheel-Deadline-Ms", "4900")
-	request.Header.Set("Lacewingwheel-Model", "m")
+	request.Header.Set(platformtest.HeaderRequestID, fmt.Sprintf("id-%d", nextID.Add(1)))
+	request.Header.Set(platformtest.HeaderPatience, "4900")
+	request.Header.Set(platformtest.HeaderModel, "m")
 	request.Header.Set("Authorization", "Token "+key)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -139,7 +139,6 @@
 	openFor     time.Duration
 	busyUntil   time.Time // it loads weights until about then
 	prefill     float64   // own prompt tokens sent whose first event has not come
-	seen        time.Time
 	ownAtReport int64
 	reportedAt  time.Time
 }
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -8,7 +8,6 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
-	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
@@ -274,6 +273,3 @@
 		s.timer.Stop()
 	}
 }
-
-// engineOf reports whether a pool's targets generate from prompts.
-func engineOf(pool *tables.Pool) bool { return pool.Kind == tables.PoolEngine }
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -39,7 +38,6 @@
 	Events     int
 	WorstGap   time.Duration
 	Status     int
-	version    string // newest weights when the request was placed
 }
 
 // Context returns the context of the request, which ends with its deadline and
@@ -140,5 +138,3 @@
 	}
 	panic(http.ErrAbortHandler)
 }
-
-var errCallerGone = errors.New("the caller closed its connection")
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -176,9 +176,9 @@
 	if c.patience == 0 {
 		c.patience = 1500 * time.Millisecond
 	}
-	request.Header.Set("Lacewingwheel-Request-Id", c.id)
+	request.Header.Set(platformtest.HeaderRequestID, c.id)
 	request.Header.Set("Authorization", "Token "+c.key)
-	request.Header.Set("Lacewingwheel-Deadline-Ms", fmt.Sprint(c.patience.Milliseconds()))
+	request.Header.Set(platformtest.HeaderPatience, fmt.Sprint(c.patience.Milliseconds()))
 	for name, value := range c.header {
 		request.Header.Set(name, value)
 	}
@@ -224,7 +224,7 @@
 	f.t.Helper()
 	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
 	assert.NilError(f.t, err)
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nLacewingwheel-Request-Id: %s\r\nAuthorization: Token %s\r\nContent-Length: 0\r\n\r\n", path, id, testKey)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\n"+platformtest.HeaderRequestID+": %s\r\nAuthorization: Token %s\r\nContent-Length: 0\r\n\r\n", path, id, testKey)
 	assert.NilError(f.t, err)
 	return conn, bufio.NewReader(conn)
 }
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -24,23 +24,23 @@
 	runner := startRunner(t, "i-1")
 	f := newFixture(t, runner)
 	got := f.call(call{path: "/once/x%2Fy/?q=a+b", body: "the body", header: map[string]string{
-		"X-Other": "kept", "Lacewingwheel-Tenant": "forged", "Lacewingwheel-Hold": "forged", "Kv-From": "forged",
-		"Lacewingwheel-Cache-Salt": "forged", "Lacewingwheel-Expect-Instance": "forged", "Lacewingwheel-Kv-Backup": "forged",
+		"X-Other": "kept", platformtest.HeaderOrganisation: "forged", platformtest.HeaderHold: "forged", "Kv-From": "forged",
+		platformtest.HeaderSalt: "forged", platformtest.HeaderInstance: "forged", platformtest.HeaderBackup: "forged",
 	}})
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Equal(t, got.body, "answer to id-1")
-	assert.Equal(t, got.header.Get("Lacewingwheel-Response-Stamp"), "i-1")
+	assert.Equal(t, got.header.Get(platformtest.HeaderSignature), "i-1")
 	seen := runner.Requests()[0]
 	assert.Equal(t, seen.Method+" "+seen.Path, "POST /once/x%2Fy/?q=a+b")
 	assert.Equal(t, seen.Body, "the body")
 	assert.Equal(t, seen.Header.Get("X-Other"), "kept")
-	assert.Equal(t, seen.Header.Get("Lacewingwheel-Tenant"), "one")
-	assert.Equal(t, seen.Header.Get("Lacewingwheel-Expect-Instance"), "i-1")
-	for _, name := range []string{"Authorization", "Lacewingwheel-Hold", "Kv-From", "Lacewingwheel-Cache-Salt", "Lacewingwheel-Kv-Backup"} {
+	assert.Equal(t, seen.Header.Get(platformtest.HeaderOrganisation), "one")
+	assert.Equal(t, seen.Header.Get(platformtest.HeaderInstance), "i-1")
+	for _, name := range []string{"Authorization", platformtest.HeaderHold, "Kv-From", platformtest.HeaderSalt, platformtest.HeaderBackup} {
 		assert.Equal(t, seen.Header.Get(name), "", name)
 	}
-	left, err := strconv.Atoi(seen.Header.Get("Lacewingwheel-Deadline-Ms"))
+	left, err := strconv.Atoi(seen.Header.Get(platformtest.HeaderPatience))
 	assert.NilError(t, err)
 	assert.Assert(t, left > 0 && left <= 1500, "time left: %d ms", left)
 }
@@ -90,7 +90,7 @@
 	f := newFixture(t, runner)
 	f.set(func() { f.proofAge = time.Hour })
 	assert.Equal(t, f.call(call{path: "/open/", key: "none"}).status, http.StatusOK)
-	assert.Equal(t, runner.Requests()[0].Header.Get("Lacewingwheel-Tenant"), "")
+	assert.Equal(t, runner.Requests()[0].Header.Get(platformtest.HeaderOrganisation), "")
 }
 
 // Guards against a request that may not be repeated and is, and against a
@@ -357,7 +357,7 @@
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/once/", io.NopCloser(strings.NewReader("")))
 	assert.NilError(t, err)
 	request.Header.Set("Authorization", "Token "+testKey)
-	request.Header.Set("Lacewingwheel-Request-Id", "left")
+	request.Header.Set(platformtest.HeaderRequestID, "left")
 	_, err = http.DefaultClient.Do(request)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	eventually(t, "no line for the caller that left", func() bool {
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	idHeader = "Lacewingwheel-Request-Id"
+	idHeader = platformtest.HeaderRequestID
 	waitLong = 5 * time.Second
 )
 
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -237,20 +237,13 @@
 // configure writes the configuration with the keys in force. f.mu is held.
 func (f *fleet) configure() {
 	f.version++
-	route := func(name, prefix, kind string, attempts int, resumable bool) map[string]any {
-		return map[string]any{"name": name, "host": "h.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 3000,
-			"target_latency_ms": 300, "service": "llm", "max_attempts": attempts, "resumable": resumable, "target_gap_ms": 200}
-	}
-	f.store.Put(platform.KindConfiguration, platform.NameConfiguration, map[string]any{
-		"version": f.version,
-		"routes": []map[string]any{
-			route("once", "/once/", "non_idempotent", 1, false), route("any", "/any/", "idempotent", 2, false),
-			route("stream", "/stream/once/", "streaming", 1, false), route("resumable", "/stream/any/", "streaming", 2, true),
-		},
-		"services": []map[string]any{{"name": "llm", "max_conns": 400, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 100000, "models": []map[string]any{{"name": "m"}}}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "o", "api_keys": f.inForce, "unit": "tokens", "uncached_tokens": 1, "rate_per_s": 1e9, "burst": 1e9}},
-	})
+	const idleMS, timeoutMS = 15_000, 3000
+	f.store.Configure(f.version, f.inForce, idleMS,
+		platformtest.Route{Name: "once", Prefix: "/once/", Kind: "non_idempotent", Attempts: 1, TimeoutMS: timeoutMS},
+		platformtest.Route{Name: "any", Prefix: "/any/", Kind: "idempotent", Attempts: 2, TimeoutMS: timeoutMS},
+		platformtest.Route{Name: "stream", Prefix: "/stream/once/", Kind: "streaming", Attempts: 1, TimeoutMS: timeoutMS},
+		platformtest.Route{Name: "resumable", Prefix: "/stream/any/", Kind: "streaming", Attempts: 2, Resumable: true, TimeoutMS: timeoutMS},
+	)
 }
 
 func (f *fleet) addKey() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
 )
 
 var (
@@ -168,7 +170,7 @@
 func (c *checks) exchange(conn net.Conn, reader *bufio.Reader, id string, s *sent) bool {
 	const patience = 3500 * time.Millisecond
 	_ = conn.SetDeadline(time.Now().Add(patience + time.Second))
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nLacewingwheel-Request-Id: %s\r\nLacewingwheel-Model: m\r\nLacewingwheel-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nContent-Length: 2\r\n\r\nhi",
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderRequestID+": %s\r\n"+platformtest.HeaderModel+": m\r\n"+platformtest.HeaderPatience+": %d\r\nAuthorization: Token %s\r\nContent-Length: 2\r\n\r\nhi",
 		s.path, id, patience.Milliseconds(), s.key)
 	if err != nil {
 		s.broken = err
@@ -186,7 +188,7 @@
 		s.status, s.broken = 0, err
 		return false
 	}
-	if got := response.Header.Get("Lacewingwheel-Request-Id"); got != id {
+	if got := response.Header.Get(platformtest.HeaderRequestID); got != id {
 		c.t.Errorf("%s: the answer belongs to %q", id, got)
 	}
 	return !response.Close
@@ -365,8 +367,8 @@
 			if seen.Header.Get("Authorization") != "" {
 				c.t.Errorf("%s: %s got a caller's key", seen.ID, e.ID)
 			}
-			if seen.Header.Get("Lacewingwheel-Tenant") != "o" {
-				c.t.Errorf("%s: ran for organisation %q", seen.ID, seen.Header.Get("Lacewingwheel-Tenant"))
+			if seen.Header.Get(platformtest.HeaderOrganisation) != "o" {
+				c.t.Errorf("%s: ran for organisation %q", seen.ID, seen.Header.Get(platformtest.HeaderOrganisation))
 			}
 			if seen.Body != "hi" {
 				c.t.Errorf("%s: body %q", seen.ID, seen.Body)
