Call the store less often while it refuses; check the platform's settings offline

Cause: an instance that the store turns away repeated each of its calls up to ten times a second, and refused calls have a price.

--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -11,6 +11,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/config"
 	"lacewingwheel.example/lacewingwheel/pkg/inifile"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/platform"
 )
 
 // checkFiles are the files of one check. Empty names are left out.
@@ -18,6 +19,7 @@
 	settings string
 	routes   string
 	pools    string
+	node     string // settings file of the users' platform
 }
 
 func newCheck() *cobra.Command {
@@ -40,6 +42,7 @@
 	addFileFlag(cmd, &files.settings, "settings", "", "file with the settings of a process")
 	addFileFlag(cmd, &files.routes, "routes", "", "file with the routes table")
 	addFileFlag(cmd, &files.pools, "pools", "", "file with the pools table")
+	cmd.Flags().StringVar(&files.node, "node-file", "", "settings file of the users' platform")
 	return cmd
 }
 
@@ -51,7 +54,7 @@
 
 func (f checkFiles) names() []string {
 	var names []string
-	for _, name := range []string{f.settings, f.routes, f.pools} {
+	for _, name := range []string{f.settings, f.routes, f.pools, f.node} {
 		if name != "" {
 			names = append(names, name)
 		}
@@ -61,7 +64,7 @@
 
 func (f checkFiles) check() error {
 	if len(f.names()) == 0 {
-		return errors.New("there is nothing to check; give --settings, --routes or --pools")
+		return errors.New("there is nothing to check; give --settings, --routes, --pools or --node-file")
 	}
 	var report inifile.Report
 	if text, ok := readChecked(f.settings, &report); ok {
@@ -72,7 +75,11 @@
 	if haveRoutes || havePools {
 		tables.Check(tables.Source{Routes: routes, Pools: pools, RoutesName: f.routes, PoolsName: f.pools}, &report)
 	}
-	return countMistakes(report.Err())
+	var node error
+	if f.node != "" {
+		_, node = platform.LoadSettings(f.node)
+	}
+	return errors.Join(countMistakes(report.Err()), node)
 }
 
 // readChecked reads a file. A file that cannot be read is one more mistake, so
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -17,7 +17,7 @@
 	// retryMin and retryMax bound the wait after a failed call. Source: each
 	// call has a price, and the store is expected back within seconds.
 	retryMin = 100 * time.Millisecond
-	retryMax = 500 * time.Millisecond
+	retryMax = time.Second
 )
 
 // Follower passes the objects of a kind to a controller.
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -21,8 +21,12 @@
 	// DefaultProofInterval is the time between reads that prove that the
 	// configuration is the newest, where no bound asks for more of them.
 	DefaultProofInterval = 2400 * time.Millisecond
-	// proofRetry is the time between reads while there is no proof.
+	// proofRetry is the time between the first reads while there is no proof, and
+	// lostRetry the time between later ones: refused calls have a price too.
 	proofRetry = 250 * time.Millisecond
+	lostRetry  = 700 * time.Millisecond
+	// proofRetries is the number of reads that follow each other closely.
+	proofRetries = 4
 )
 
 // Configuration holds the newest configuration of the operators. It never goes
@@ -57,10 +61,16 @@
 // Run reads the configuration from time to time until ctx ends. The reads prove
 // its age: a watch that reports nothing does not.
 func (c *Configuration) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for failed := 0; ctx.Err() == nil; {
 		wait := c.ProofInterval
-		if !c.read(ctx) {
+		switch {
+		case c.read(ctx):
+			failed = 0
+		case failed < proofRetries || c.Snapshot() == nil:
+			failed++
 			wait = proofRetry
+		default:
+			wait = lostRetry
 		}
 		clock.Sleep(ctx, wait*3/4+clock.Jitter(wait)/4)
 	}
