Gather changes of targets while all of them register

Cause: counters of calls by kind (new in the summary line) showed 40 to 51 watches of targets in the first five seconds of each of 79 instances: the number of instances was not known yet, so each registration was read alone. Change: at the first start of the whole system changes gather for 8 s.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -53,6 +53,9 @@
 	proofShare = 0.48
 	// keyProofMargin is kept from that bound, for the way to the target.
 	keyProofMargin = 300 * time.Millisecond
+	// firstStartTime is the time in which all targets register when the whole
+	// system starts for the first time. Source: callers come ten seconds later.
+	firstStartTime = 8 * time.Second
 	// retryShare is the part of the fleet's retry budget that instances use.
 	// The rest covers instances that disagree about their number.
 	retryShare = 0.75
@@ -113,11 +116,16 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	incarnation := uuid.NewString()
-	p.Store = &timedStore{Store: p.Store, times: &d.storeCalls}
+	p.Store = &timedStore{Store: p.Store, times: &d.storeCalls, calls: d.metrics}
 	link := &follow.Link{Clock: d.clock, Log: log}
 	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin}
+	started := d.clock.Elapsed()
 	d.targets.Pause = func() time.Duration {
-		return min(time.Duration(changesPauseShare*float64(settings().LeaveWithin)), changesPause*time.Duration(d.members.Live()))
+		longest := time.Duration(changesPauseShare * float64(settings().LeaveWithin))
+		if s.FirstStart && d.clock.Elapsed()-started < firstStartTime {
+			return longest
+		}
+		return min(longest, changesPause*time.Duration(d.members.Live()))
 	}
 	d.weights = &state.Weights{Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Link: link, Log: log}
 	if !s.FirstStart {
