--- a/pkg/cachedir/cachedir_test.go
+++ b/pkg/cachedir/cachedir_test.go
@@ -25,6 +25,11 @@
 	return s.changes, s.err
 }
 
+// idle is a store without changes.
+type idle struct{}
+
+func (idle) Changes(context.Context, string, int64) (Changes, error) { return Changes{Epoch: 1}, nil }
+
 func keys(parts ...string) []Key {
 	var out []Key
 	for _, part := range parts {
@@ -77,7 +82,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	newSet := func() *Set {
-		return &Set{Client: &script{}, Addresses: func() []string { return addresses }, Instances: func() int { return 1 }, Clock: clock.System{}, Log: hclog.NewNullLogger()}
+		return &Set{Client: idle{}, Addresses: func() []string { return addresses }, Instances: func() int { return 1 }, Clock: clock.System{}, Log: hclog.NewNullLogger()}
 	}
 	var group sync.WaitGroup
 	one, two := newSet(), newSet()
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -22,9 +22,6 @@
 	// that disagree about their number.
 	overageUsed = 0.8
 	slackUsed   = 0.5
-	// freshStart is the part of a full bucket that a restarted instance starts
-	// with: the one before may have just spent all of its own.
-	freshStart = 0.25
 )
 
 // Buckets are this instance's parts of all limits.
@@ -62,9 +59,10 @@
 		if k == nil {
 			k = &bucket{rate: o.Rate, burst: o.Burst, at: now}
 			b.buckets[o.Name] = k
-			k.tokens = b.capacity(k)
-			if !b.FirstStart {
-				k.tokens *= freshStart
+			// A restarted instance starts empty: the one before may have just
+			// spent all that it had.
+			if b.FirstStart {
+				k.tokens = b.capacity(k)
 			}
 			continue
 		}
