--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -23,6 +23,9 @@
 	// settingsInterval is the time between looks at the settings file, which
 	// may change without a signal.
 	settingsInterval = 2 * time.Second
+	// quicBufferWarning turns off a line that the QUIC library prints beside the
+	// log: exchanges between instances are too small to need larger buffers.
+	quicBufferWarning = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
 	// logFlushTime bounds writing the last lines at the end of the process.
 	logFlushTime = 200 * time.Millisecond
 )
@@ -44,6 +47,9 @@
 			if metricsPort != "" {
 				settings.MetricsListen = net.JoinHostPort(settings.Host(), metricsPort)
 			}
+			if err := os.Setenv(quicBufferWarning, "true"); err != nil {
+				return &ExitError{Code: ExitFailed, Err: err}
+			}
 			sink := logsink.New(cmd.OutOrStdout())
 			defer sink.Close(logFlushTime)
 			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: sink, Level: hclog.Info})
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -11,15 +11,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/feed"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/gossip"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/rollout"
@@ -42,6 +45,16 @@
 	// fleet stay the same. Source: 70 calls a second.
 	changesPause      = 15 * time.Millisecond
 	changesPauseShare = 0.4
+	// readerPause is the time between reads of changes by an instance that passes
+	// them on. Source: leaving targets are known in a tenth of their bound.
+	readerPause = 220 * time.Millisecond
+	// readerProofInterval is the time between reads by such an instance that
+	// prove the configuration. Source: with the exchange, the proofs of the
+	// others are then younger than those that each reads for itself.
+	readerProofInterval = time.Second
+	// feedAgeShare is the part of the bound for leaving targets from which an
+	// instance reads their changes itself although others pass them on.
+	feedAgeShare = 0.8
 	// sweepInterval is the time between looks at idle connections and lapsed entries.
 	sweepInterval = 250 * time.Millisecond
 	// readyProofShare is the part of the bound for withdrawn keys up to which an
@@ -97,6 +110,10 @@
 	rollout       *rollout.Rollout
 	cached        *cachedir.Set
 	buckets       *share.Buckets
+	borrower      *share.Borrower
+	exchange      *exchange
+	feed          *feed.Feed
+	platformStore objectstore.Store
 	gossip        *gossip.Gossip
 	conns         *targetconn.Pool
 	placer        *placement.Placer
@@ -106,43 +123,60 @@
 	callers       *http.Server
 	idle          *idleTimeouts
 	stopping      atomic.Bool
+	started       time.Duration // boot time
 }
 
 // New assembles a daemon.
 func New(settings func() *Settings, p Platform, log hclog.Logger) *Daemon {
 	s := settings()
 	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init()}
+	d.started = d.clock.Elapsed()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	incarnation := uuid.NewString()
 	p.Store = &timedStore{Store: p.Store, times: &d.storeCalls, calls: d.metrics}
 	link := &follow.Link{Clock: d.clock, Log: log}
-	d.targets = &state.Targets{Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin}
-	started := d.clock.Elapsed()
-	d.targets.Pause = func() time.Duration {
-		longest := time.Duration(changesPauseShare * float64(settings().LeaveWithin))
-		if s.FirstStart && d.clock.Elapsed()-started < firstStartTime {
-			return longest
-		}
-		return min(longest, changesPause*time.Duration(d.members.Live()))
+	d.members = &state.Members{
+		Store: p.Store, Clock: d.clock, Log: log,
+		Self: state.Member{Name: s.Instance, Incarnation: incarnation, Address: s.PeerListen, Zone: s.Zone, Cores: s.Cores},
+	}
+	d.exchange = &exchange{members: d.members, registry: peer.NewRegistry(), log: log}
+	order := &ranks{members: d.members}
+	d.feed = &feed.Feed{
+		Readers: order.readers, Pick: xxhash.Sum64String(s.Instance), Caller: d.exchange, Link: link, Clock: d.clock, Log: log,
+	}
+	d.targets = &state.Targets{
+		Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin,
+		Pause: d.changesPause, Covered: d.feed.Covered, Changed: d.feed.Tell, MaxAge: time.Duration(feedAgeShare * float64(s.LeaveWithin)),
+	}
+	d.weights = &state.Weights{
+		Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Clock: d.clock, Link: link, Log: log,
+		Covered: d.feed.Covered, Changed: d.feed.Tell,
 	}
-	d.weights = &state.Weights{Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, Named: d.targets.NameVersion, Link: link, Log: log}
 	if !s.FirstStart {
 		d.weights.FirstAge = max(0, s.RolloutWithin-restartGrace)
 	}
-	d.members = &state.Members{Store: p.Store, Clock: d.clock, Instance: s.Instance, Incarnation: incarnation, Address: s.PeerListen, Log: log}
+	d.platformStore = p.Store
 	d.buckets = &share.Buckets{
 		Limits: func() share.Limits {
 			return share.Limits{Overage: settings().QuotaOverage, Slack: settings().QuotaSlack}
 		},
-		Instances: d.members.Live, FirstStart: s.FirstStart, Now: d.clock.Elapsed,
+		Instances: d.members.Known, Lending: d.exchange.works, Now: d.clock.Elapsed,
 	}
+	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: order.brokers, Transfer: d.exchange, Clock: d.clock, Log: log}
+	d.exchange.answerLoans(d.borrower)
 	d.idle = newIdleTimeouts()
 	d.configuration = &state.Configuration{
 		Store: p.Store, Kind: p.ConfigurationKind, Name: p.ConfigurationName, Parse: p.ParseTables,
-		Changed: d.configured, ProofInterval: proofInterval(s.RevokeWithin), Clock: d.clock, Link: link, Log: log,
+		Changed: d.configured, ProofInterval: d.proofInterval, Clock: d.clock, Link: link, Log: log,
+		Covered: d.feed.Covered, Told: d.feed.Tell,
+	}
+	d.feed.Proofs = d.configuration
+	d.feed.Followers = map[string]*follow.Follower{
+		p.ConfigurationKind: d.configuration.Follower(), p.TargetKind: d.targets.Follower(), p.WeightsKind: d.weights.Follower(),
 	}
+	d.exchange.answerChanges(d.feed)
 	d.rollout = &rollout.Rollout{
 		Lease: &control.Lease{
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
@@ -153,7 +187,7 @@
 	d.cached = &cachedir.Set{Client: p.CacheEvents, Addresses: d.cacheStores, Instances: d.members.Live, Clock: d.clock, Log: log}
 	d.conns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
-	d.gossip = &gossip.Gossip{Listen: s.PeerListen, Peers: d.members.Peers, Learned: d.learned, Log: log}
+	d.gossip = &gossip.Gossip{Listen: s.PeerListen, Peers: d.members.Addresses, Learned: d.learned, Log: log}
 	d.journal = &relay.Journal{Log: log, Metrics: d.metrics}
 	d.callers = &http.Server{
 		Handler:           d.chain(p.Dialect),
@@ -195,7 +229,7 @@
 		Budget: relay.NewRetryBudget(d.retryLimits), Instances: d.members.Live,
 	}
 	chain := relay.NewChain(dialect, journal,
-		&relay.Route{Configuration: d.configuration}, key, relay.Body{}, &relay.Limit{Quota: d.buckets}, forward)
+		&relay.Route{Configuration: d.configuration}, key, relay.Body{}, &relay.Limit{Quota: d.borrower}, forward)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -205,7 +239,11 @@
 }
 
 // proofInterval is the time between reads that prove the configuration.
-func proofInterval(revokeWithin time.Duration) time.Duration {
+func (d *Daemon) proofInterval() time.Duration {
+	if d.feed.Reading() {
+		return readerProofInterval
+	}
+	revokeWithin := d.settings().RevokeWithin
 	if revokeWithin <= 0 {
 		return state.DefaultProofInterval
 	}
@@ -224,6 +262,19 @@
 	}
 }
 
+// changesPause returns the time between reads of changes of targets.
+func (d *Daemon) changesPause() time.Duration {
+	s := d.settings()
+	longest := time.Duration(changesPauseShare * float64(s.LeaveWithin))
+	switch {
+	case s.FirstStart && d.clock.Elapsed()-d.started < firstStartTime:
+		return longest
+	case d.feed.Reading():
+		return readerPause
+	}
+	return min(longest, changesPause*time.Duration(d.members.Live()))
+}
+
 func (d *Daemon) maxProofAge() time.Duration {
 	within := d.settings().RevokeWithin
 	if within <= 0 {
@@ -271,10 +322,11 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.gossip.Run, d.journal.Run, d.sweep, d.logReadiness,
+		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.journal.Run, d.sweep, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
+	group.Go(func() { d.exchange.run(background, d.platformStore, s) })
 	probes := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- d.callers.Serve(d.idle.listener(callers)) }()
--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -14,11 +14,14 @@
 	CallerListen  string
 	ReadyListen   string
 	MetricsListen string
-	PeerListen    string // for messages between instances; empty: none
-	StoreAddress  string
-	FirstStart    bool // no instance has run before
-	MemoryBytes   int64
-	Descriptors   int
+	PeerListen    string // for datagrams between instances; empty: none
+	// ExchangeListen is the UDP address for requests between instances; empty: none.
+	ExchangeListen string
+	StoreAddress   string
+	FirstStart     bool    // no instance has run before
+	Cores          float64 // of the processor that the process may use
+	MemoryBytes    int64
+	Descriptors    int
 
 	Heartbeat     time.Duration // between writes of a target's entry
 	LeaveWithin   time.Duration // from a target's leaving to its last request
--- /dev/null
+++ b/pkg/feed/feed_test.go
@@ -0,0 +1,274 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/follow"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
+)
+
+const (
+	kind     = "things"
+	waitLong = 5 * time.Second
+	maxAge   = 900 * time.Millisecond
+)
+
+var (
+	quiet   = hclog.NewNullLogger()
+	errDown = errors.New("down")
+)
+
+// store is an object store with one kind of objects.
+type store struct {
+	objectstore.Store
+	mu      sync.Mutex
+	events  []objectstore.Event
+	changed chan struct{}
+	calls   atomic.Int64
+}
+
+func (s *store) put(name, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := uint64(len(s.events) + 1)
+	s.events = append(s.events, objectstore.Event{Object: objectstore.Object{Kind: kind, Name: name, Version: revision, Value: []byte(value)}, Deleted: deleted, Revision: revision})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) List(context.Context, string) ([]objectstore.Object, uint64, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	objects := make(map[string]objectstore.Object)
+	for _, e := range s.events {
+		objects[e.Object.Name] = e.Object
+		if e.Deleted {
+			delete(objects, e.Object.Name)
+		}
+	}
+	var list []objectstore.Object
+	for _, o := range objects {
+		list = append(list, o)
+	}
+	return list, uint64(len(s.events)), nil
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after uint64) ([]objectstore.Event, uint64, error) {
+	s.calls.Add(1)
+	s.mu.Lock()
+	changed := s.changed
+	known := uint64(len(s.events))
+	s.mu.Unlock()
+	if known <= after {
+		select {
+		case <-changed:
+		case <-time.After(200 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]objectstore.Event(nil), s.events[after:]...), uint64(len(s.events)), nil
+}
+
+// proofs is the configuration of one instance.
+type proofs struct {
+	mu       sync.Mutex
+	clock    clock.Clock
+	revision uint64
+	at       time.Duration
+}
+
+func (p *proofs) Proof() (uint64, time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision, p.clock.Elapsed() - p.at, p.revision > 0
+}
+
+func (p *proofs) Confirm(revision uint64, at time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.revision >= revision {
+		p.at = max(p.at, at)
+	}
+}
+
+func (p *proofs) set(revision uint64, at time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision, p.at = revision, at
+}
+
+// fleet is some instances of one zone.
+type fleet struct {
+	t         *testing.T
+	store     *store
+	instances []*instance
+	down      sync.Map // number of an instance that answers nobody
+	delay     atomic.Int64
+}
+
+type instance struct {
+	fleet  *fleet
+	feed   *Feed
+	proofs *proofs
+	mu     sync.Mutex
+	names  map[string]string
+}
+
+func (x *instance) Changes(ctx context.Context, address string, body peer.ChangesBody) (peer.ChangesAnswer, error) {
+	if _, down := x.fleet.down.Load(address); down {
+		return peer.ChangesAnswer{}, errDown
+	}
+	var n int
+	if _, err := fmt.Sscan(address, &n); err != nil {
+		return peer.ChangesAnswer{}, err
+	}
+	answer, err := x.fleet.instances[n].feed.Answer(ctx, body)
+	clock.Sleep(ctx, time.Duration(x.fleet.delay.Load()))
+	return answer, err
+}
+
+func (x *instance) replace(objects []objectstore.Object) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.names = make(map[string]string)
+	for _, o := range objects {
+		x.names[o.Name] = string(o.Value)
+	}
+}
+
+func (x *instance) apply(events []objectstore.Event) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, e := range events {
+		x.names[e.Object.Name] = string(e.Object.Value)
+		if e.Deleted {
+			delete(x.names, e.Object.Name)
+		}
+	}
+}
+
+func (x *instance) await(name, value string, within time.Duration) {
+	x.fleet.t.Helper()
+	for deadline := time.Now().Add(within); ; time.Sleep(time.Millisecond) {
+		x.mu.Lock()
+		got := x.names[name]
+		x.mu.Unlock()
+		if got == value {
+			return
+		}
+		assert.Assert(x.fleet.t, time.Now().Before(deadline), "%s is %q, not %q", name, got, value)
+	}
+}
+
+// startFleet starts instances of which the first reads the store for the others.
+func startFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: &store{changed: make(chan struct{})}}
+	system := clock.System{}
+	for i := range n {
+		x := &instance{fleet: f, proofs: &proofs{clock: system}, names: make(map[string]string)}
+		link := &follow.Link{Clock: system, Log: quiet}
+		x.feed = &Feed{
+			Proofs: x.proofs, Link: link, Caller: x, Clock: system, Log: quiet, Pick: uint64(i),
+			Readers: func() ([]string, int) {
+				var addresses []string
+				for j := range n {
+					addresses = append(addresses, fmt.Sprint(j))
+				}
+				addresses[i] = ""
+				return addresses, 1
+			},
+		}
+		x.feed.Followers = map[string]*follow.Follower{kind: {
+			Store: f.store, Kind: kind, Replace: x.replace, Apply: x.apply, Covered: x.feed.Covered, MaxAge: maxAge,
+			Changed: x.feed.Tell, Clock: system, Link: link, Log: quiet,
+		}}
+		f.instances = append(f.instances, x)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for _, x := range f.instances {
+		group.Go(func() { x.feed.Run(ctx) })
+		group.Go(func() { x.feed.Followers[kind].Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return f
+}
+
+// Guards against calls to the store that grow with the instances, and against
+// changes that do not reach all of them.
+func TestOneInstanceReadsForAll(t *testing.T) {
+	f := startFleet(t, 6)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.await("a", "1", waitLong)
+	}
+	time.Sleep(time.Second)
+	before := f.store.calls.Load()
+	for i := range 10 {
+		f.store.put("a", fmt.Sprint(i), false)
+		f.store.put("b", fmt.Sprint(i), i%2 == 1)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, x := range f.instances {
+		x.await("a", "9", waitLong)
+		x.await("b", "", waitLong)
+	}
+	calls := f.store.calls.Load() - before
+	assert.Assert(t, calls <= 30, "%d calls for 10 pairs of changes and 6 instances", calls)
+}
+
+// Guards against instances that hear of no changes because the one that reads
+// for them is gone, or has itself lost the store.
+func TestReaderIsGone(t *testing.T) {
+	f := startFleet(t, 4)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.await("a", "1", waitLong)
+	}
+	time.Sleep(time.Second)
+	f.down.Store("0", true)
+	f.store.put("a", "2", false)
+	for _, x := range f.instances[1:] {
+		x.await("a", "2", maxAge+hold+answerTimeout)
+	}
+}
+
+// Guards against proofs that are taken for younger than they are, because the
+// answer was long on its way, and against those of an older configuration.
+func TestProofsAreNotYoungerThanTheyAre(t *testing.T) {
+	f := startFleet(t, 2)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.await("a", "1", waitLong)
+	}
+	system := clock.System{}
+	f.delay.Store(int64(150 * time.Millisecond))
+	proved := system.Elapsed()
+	f.instances[0].proofs.set(7, proved)
+	f.instances[1].proofs.set(7, 0)
+	time.Sleep(time.Second)
+	_, age, _ := f.instances[1].proofs.Proof()
+	assert.Assert(t, age < 100*time.Second, "the proof was not passed on")
+	assert.Assert(t, system.Elapsed()-age <= proved+time.Millisecond, "the proof is %v old, the reader's %v", age, system.Elapsed()-proved)
+
+	f.instances[0].proofs.set(8, system.Elapsed())
+	f.instances[1].proofs.set(7, 0)
+	time.Sleep(time.Second)
+	_, age, _ = f.instances[1].proofs.Proof()
+	assert.Assert(t, age > time.Second, "the proof of a newer configuration was taken for the own one's")
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -1,9 +1,12 @@
 // Package follow keeps a view of all objects of one kind in the object store,
-// by a list and then by watches.
+// by a list and then by changes, which come from watches or from other
+// instances.
 package follow
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,35 +21,78 @@
 	// call has a price, and the store is expected back within seconds.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
+	// maxRemembered is the number of changes that are kept for other instances.
+	// One that misses more gets the whole list.
+	maxRemembered = 1000
+	// coveredLook is the longest time between looks whether other instances
+	// still pass on the changes.
+	coveredLook = 300 * time.Millisecond
 )
 
 // Follower passes the objects of a kind to a controller.
 type Follower struct {
 	Store objectstore.Store
 	Kind  string
-	// Replace gets the whole list, Apply each later change.
+	// Replace gets the whole list, Apply later changes. A change may come more
+	// than once.
 	Replace func([]objectstore.Object)
-	Apply   func(objectstore.Event)
+	Apply   func([]objectstore.Event)
 	// Pause returns the time between a watch that brought changes and the next
 	// one; nil means none. Changes gather meanwhile, so that the calls of a fleet
 	// do not grow with its changes.
 	Pause func() time.Duration
-	Link  *Link
-	Log   hclog.Logger
+	// Covered reports whether other instances pass on the changes, so that none
+	// need be read from the store while the view is not older than MaxAge; nil
+	// means never.
+	Covered func() bool
+	MaxAge  time.Duration
+	// Changed is called after each change of the view; nil means no call.
+	Changed func()
+	Clock   clock.Clock
+	Link    *Link
+	Log     hclog.Logger
+
+	mu      sync.Mutex
+	objects map[string]objectstore.Object
+	recent  []change
+	after   uint64 // the recent changes are all that came after this revision
+	view    View
+}
+
+// View says how far a view goes.
+type View struct {
+	Listed   bool
+	Revision uint64        // of the store; all changes up to it are known
+	AsOf     time.Duration // boot time at which the store last answered with it
+}
+
+// change is a change and the revision up to which it was read.
+type change struct {
+	event objectstore.Event
+	upTo  uint64
+}
+
+// Changes is what changed in a view.
+type Changes struct {
+	Whole   bool // Objects is the whole list, and there are no events
+	Objects []objectstore.Object
+	Events  []objectstore.Event
+	View    View
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	var revision uint64
-	listed := false
 	wait := retryMin
 	for ctx.Err() == nil {
+		if left := f.coveredFor(); left > 0 {
+			clock.Sleep(ctx, min(left, coveredLook))
+			continue
+		}
 		var err error
-		if listed {
-			revision, err = f.watch(ctx, revision)
+		if view := f.View(); view.Listed {
+			err = f.watch(ctx, view.Revision)
 		} else {
-			revision, err = f.list(ctx)
-			listed = err == nil
+			err = f.list(ctx)
 		}
 		if ctx.Err() != nil {
 			return
@@ -57,8 +103,8 @@
 			continue
 		}
 		if objectstore.IsKind(err, objectstore.KindCompacted) {
-			f.Log.Info("history of the store is gone; listing again", "kind", f.Kind, "revision", revision)
-			listed = false
+			f.Log.Info("history of the store is gone; listing again", "kind", f.Kind, "revision", f.View().Revision)
+			f.forget()
 			continue
 		}
 		f.Link.Failed(err)
@@ -67,27 +113,143 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context) (uint64, error) {
+// coveredFor returns how long nothing need be read from the store.
+func (f *Follower) coveredFor() time.Duration {
+	view := f.View()
+	if f.Covered == nil || !view.Listed || !f.Covered() {
+		return 0
+	}
+	return f.MaxAge - (f.Clock.Elapsed() - view.AsOf)
+}
+
+// View returns how far the view goes.
+func (f *Follower) View() View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+// Since returns what changed after a revision.
+func (f *Follower) Since(revision uint64) Changes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := Changes{View: f.view}
+	switch {
+	case !f.view.Listed:
+	case revision < f.after || revision == 0:
+		out.Whole, out.Objects = true, slices.Collect(maps.Values(f.objects))
+	default:
+		for _, c := range f.recent {
+			if c.upTo > revision {
+				out.Events = append(out.Events, c.event)
+			}
+		}
+	}
+	return out
+}
+
+// Merge takes in what another instance knows.
+func (f *Follower) Merge(c Changes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !c.View.Listed:
+		return
+	case c.Whole:
+		if !f.view.Listed || c.View.Revision > f.view.Revision {
+			f.replace(c.Objects, c.View.Revision)
+		}
+	case f.view.Listed:
+		f.apply(c.Events, c.View.Revision)
+	}
+	f.view.AsOf = max(f.view.AsOf, c.View.AsOf)
+}
+
+// forget makes the next round list again.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Listed = false
+}
+
+func (f *Follower) list(ctx context.Context) error {
 	objects, revision, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	f.Replace(objects)
-	return revision, nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.replace(objects, revision)
+	f.view.AsOf = f.now()
+	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+func (f *Follower) watch(ctx context.Context, after uint64) error {
 	events, revision, err := f.Store.Watch(ctx, f.Kind, after)
 	if err != nil {
-		return after, err
-	}
-	for _, e := range events {
-		f.Apply(e)
+		return err
 	}
+	f.mu.Lock()
+	f.apply(events, revision)
+	f.view.AsOf = f.now()
+	f.mu.Unlock()
 	if len(events) > 0 && f.Pause != nil {
 		clock.Sleep(ctx, f.Pause())
 	}
-	return max(after, revision), nil
+	return nil
+}
+
+func (f *Follower) now() time.Duration {
+	if f.Clock == nil {
+		return 0
+	}
+	return f.Clock.Elapsed()
+}
+
+// replace takes in the whole list. It runs under mu.
+func (f *Follower) replace(objects []objectstore.Object, revision uint64) {
+	f.objects = make(map[string]objectstore.Object, len(objects))
+	for _, o := range objects {
+		f.objects[o.Name] = o
+	}
+	f.recent, f.after = nil, revision
+	f.view.Listed, f.view.Revision = true, revision
+	f.Replace(objects)
+	f.tell()
+}
+
+// apply takes in changes up to a revision. It runs under mu.
+func (f *Follower) apply(events []objectstore.Event, revision uint64) {
+	revision = max(revision, f.view.Revision)
+	fresh := make([]objectstore.Event, 0, len(events))
+	for _, e := range events {
+		known, ok := f.objects[e.Object.Name]
+		switch {
+		case ok && known.Version > e.Object.Version:
+			continue // it came before, from another instance
+		case e.Deleted:
+			delete(f.objects, e.Object.Name)
+		default:
+			f.objects[e.Object.Name] = e.Object
+		}
+		f.recent = append(f.recent, change{e, revision})
+		fresh = append(fresh, e)
+	}
+	for len(f.recent) > maxRemembered {
+		f.after = max(f.after, f.recent[0].upTo)
+		f.recent = f.recent[1:]
+	}
+	f.view.Revision = revision
+	if len(fresh) > 0 {
+		f.Apply(fresh)
+		f.tell()
+	}
+}
+
+func (f *Follower) tell() {
+	if f.Changed != nil {
+		f.Changed()
+	}
 }
 
 // Link is what this process believes of its way to the store.
@@ -135,3 +297,22 @@
 	defer l.mu.Unlock()
 	return l.lost || l.regained > 0 && l.Clock.Elapsed()-l.regained < d
 }
+
+// RegainedBefore notes that the store was away for another instance until the
+// given time ago.
+func (l *Link) RegainedBefore(ago time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.regained = max(l.regained, l.Clock.Elapsed()-ago)
+}
+
+// Regained returns how long ago the store came back, and whether it was ever
+// away or still is.
+func (l *Link) Regained() (ago time.Duration, away bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lost {
+		return 0, true
+	}
+	return l.Clock.Elapsed() - l.regained, l.regained > 0
+}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -37,14 +37,16 @@
 	}
 }
 
-func (s *seen) apply(e objectstore.Event) {
+func (s *seen) apply(events []objectstore.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Deleted {
-		delete(s.names, e.Object.Name)
-		return
+	for _, e := range events {
+		if e.Deleted {
+			delete(s.names, e.Object.Name)
+		} else {
+			s.names[e.Object.Name] = string(e.Object.Value)
+		}
 	}
-	s.names[e.Object.Name] = string(e.Object.Value)
 }
 
 func (s *seen) await(t *testing.T, name, value string) {
--- /dev/null
+++ b/pkg/peer/feed.go
@@ -0,0 +1,50 @@
+package peer
+
+import "time"
+
+// feedTimeout bounds an exchange of changes, with the time for which the
+// answering instance holds it.
+const feedTimeout = 2 * time.Second
+
+// ChangesBody asks what changed in the store.
+type ChangesBody struct {
+	// After has the revision up to which the sender knows each kind; zero if it
+	// has no list yet.
+	After map[string]uint64 `cbor:"after"`
+	// WaitMillis is how long the answer may wait for a change.
+	WaitMillis int64 `cbor:"wait_ms"`
+}
+
+// ChangesAnswer is what an instance knows of the store. Ages are those at the
+// time of the answer.
+type ChangesAnswer struct {
+	Kinds map[string]KindChanges `cbor:"kinds"`
+	// ConfigurationRevision was the newest ConfigurationAgeMillis ago. Zero
+	// means that there is no proof.
+	ConfigurationRevision  uint64 `cbor:"configuration_revision"`
+	ConfigurationAgeMillis int64  `cbor:"configuration_age_ms"`
+	// StoreAway says that the store was away, and StoreBackMillis how long ago
+	// it came back; zero if it has not.
+	StoreAway       bool  `cbor:"store_away"`
+	StoreBackMillis int64 `cbor:"store_back_ms"`
+}
+
+// KindChanges is what changed in one kind of objects.
+type KindChanges struct {
+	Whole     bool        `cbor:"whole"` // Rows is the whole list, without deleted objects
+	Rows      []ChangeRow `cbor:"rows"`
+	Revision  uint64      `cbor:"revision"`
+	AgeMillis int64       `cbor:"age_ms"` // since the view was surely complete
+}
+
+// ChangeRow is one object as it is now, or that it is gone.
+type ChangeRow struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Version uint64
+	Deleted bool
+	Value   []byte
+}
+
+// Changes passes on what an instance knows of the store.
+var Changes = &Message[ChangesBody, ChangesAnswer]{Request: "store.changes", Response: "store.changes.answer", Timeout: feedTimeout}
--- a/pkg/peer/quota.go
+++ b/pkg/peer/quota.go
@@ -16,6 +16,15 @@
 // QuotaReturn gives tokens back that were not spent.
 var QuotaReturn = &Message[quota.Return, Empty]{Request: "quota.return", Response: "quota.return.answer", Timeout: quotaTimeout}
 
+// QuotaDepositBody hands tokens to the broker of organisations, by organisation.
+type QuotaDepositBody struct {
+	Tokens map[string]float64 `cbor:"tokens"`
+}
+
+// QuotaDeposit hands tokens to a broker. The sender has given them up, whether
+// they arrive or not.
+var QuotaDeposit = &Message[QuotaDepositBody, Empty]{Request: "quota.deposit", Response: "quota.deposit.answer", Timeout: quotaTimeout}
+
 // QuotaTransfer carries transfers of tokens over a transport. It implements
 // quota.Transferer.
 type QuotaTransfer struct {
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"expvar"
 	"fmt"
 	"io"
@@ -130,7 +131,7 @@
 func (f *fixture) RunsVersion(*target.Target, string) {}
 func (f *fixture) set(change func())                  { f.mu.Lock(); defer f.mu.Unlock(); change() }
 func (f *fixture) Return(_ string, tokens int64)      { f.set(func() { f.tokens += tokens }) }
-func (f *fixture) Take(_ string, tokens int64) (bool, time.Duration) {
+func (f *fixture) Take(_ context.Context, _ string, tokens int64) (bool, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.tokens < 0 {
--- a/pkg/relay/limit.go
+++ b/pkg/relay/limit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -10,7 +11,8 @@
 // Quota decides whether an organisation may spend tokens now.
 type Quota interface {
 	// Take spends tokens, or returns the time after which they may be available.
-	Take(organisation string, tokens int64) (ok bool, wait time.Duration)
+	// It may ask other instances meanwhile.
+	Take(ctx context.Context, organisation string, tokens int64) (ok bool, wait time.Duration)
 	// Return gives back tokens of a request that has not run.
 	Return(organisation string, tokens int64)
 }
@@ -26,7 +28,7 @@
 		return next(ex)
 	}
 	ex.Cost = cost(ex)
-	ok, wait := f.Quota.Take(ex.Organisation.Name, ex.Cost)
+	ok, wait := f.Quota.Take(ex.Context(), ex.Organisation.Name, ex.Cost)
 	if !ok {
 		return notRun(ex, apierr.CodeRateLimited, http.StatusTooManyRequests,
 			"the organisation is over its rate", "send fewer tokens per second, or ask the operators for a higher rate", wait)
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -1,9 +1,13 @@
 // Package share holds organisations to their rate and burst over all instances.
-// Each instance has an equal part of every limit in a token bucket, so the sum
-// holds whichever instances can talk to each other.
+// Each instance has an equal part of every limit in a token bucket. What it does
+// not need goes to the organisation's broker, one of the instances, which lends
+// from its pool to those that need more than they have. Tokens are taken from
+// one place before they are put into another, so whatever is lost on the way,
+// and whoever is taken for the broker, no more is spent than was issued.
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -18,20 +22,35 @@
 
 const (
 	// overageUsed and slackUsed are the parts of the tolerated excess that the
-	// buckets use. The rest covers requests larger than a bucket and instances
-	// that disagree about their number.
-	overageUsed = 0.8
-	slackUsed   = 0.5
+	// buckets use. The rest covers instances that disagree about their number.
+	overageUsed = 0.7
+	slackUsed   = 0.75
+	// ownPart and poolPart are the parts of the capacity that all instances'
+	// own buckets and the pool of a broker hold. An own bucket must hold the
+	// refill between two deposits. Two instances that are both taken for the
+	// broker, for some seconds after one came or went, hold a fifth more than
+	// the capacity, which the unused part of the tolerated excess covers.
+	ownPart  = 0.3
+	poolPart = 0.45
+	// minDeposit is the part of its own bucket from which an instance hands
+	// tokens to the broker, so that it does not send next to nothing.
+	minDeposit = 0.2
+	// keptShare is the part of its own bucket that an instance keeps at most, so
+	// that the refill of the next interval fits.
+	keptShare = 0.5
 )
 
-// Buckets are this instance's parts of all limits.
+// Buckets are this instance's parts of all limits, and the pools of the
+// organisations that it is the broker of.
 type Buckets struct {
 	Limits func() Limits
-	// Instances is the number of instances that share the limits.
+	// Instances is the number of instances that share the limits; zero while it
+	// is not known, when nothing is issued.
 	Instances func() int
-	// FirstStart says that no instance has run before this one.
-	FirstStart bool
-	Now        func() time.Duration
+	// Lending reports whether tokens can be exchanged with other instances. If
+	// not, the own bucket holds this instance's whole part of the capacity.
+	Lending func() bool
+	Now     func() time.Duration
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -39,8 +58,12 @@
 
 type bucket struct {
 	rate, burst float64 // over all instances
-	tokens      float64
+	tokens      float64 // own
+	pool        float64 // to be lent
 	at          time.Duration
+	// spent and spentBefore are the tokens taken from the own bucket since the
+	// last deposits, and between those and the ones before.
+	spent, spentBefore float64
 }
 
 // Configure takes in the limits of a configuration. A lower limit holds at once.
@@ -57,18 +80,15 @@
 		named[o.Name] = true
 		k := b.buckets[o.Name]
 		if k == nil {
-			k = &bucket{rate: o.Rate, burst: o.Burst, at: now}
-			b.buckets[o.Name] = k
-			// A restarted instance starts empty: the one before may have just
-			// spent all that it had.
-			if b.FirstStart {
-				k.tokens = b.capacity(k)
-			}
+			// It starts empty: the process before this one may have just spent
+			// all that it had.
+			b.buckets[o.Name] = &bucket{rate: o.Rate, burst: o.Burst, at: now}
 			continue
 		}
 		b.refill(k, now)
 		k.rate, k.burst = o.Rate, o.Burst
-		k.tokens = min(k.tokens, b.capacity(k))
+		k.tokens = min(k.tokens, b.own(k))
+		k.pool = min(k.pool, poolPart*b.capacity(k))
 	}
 	for name := range b.buckets {
 		if !named[name] {
@@ -77,43 +97,128 @@
 	}
 }
 
-func (b *Buckets) parts() float64 { return float64(max(1, b.Instances())) }
+// part returns this instance's part of something that all share.
+func (b *Buckets) part(of float64) float64 {
+	n := b.Instances()
+	if n <= 0 {
+		return 0
+	}
+	return of / float64(n)
+}
 
+// capacity is what all instances may hold together.
 func (b *Buckets) capacity(k *bucket) float64 {
 	l := b.Limits()
-	return (k.burst*(1+overageUsed*l.Overage) + slackUsed*l.Slack) / b.parts()
+	return k.burst*(1+overageUsed*l.Overage) + slackUsed*l.Slack
+}
+
+// own is the capacity of the own bucket.
+func (b *Buckets) own(k *bucket) float64 {
+	capacity := b.part(b.capacity(k))
+	if b.lending() {
+		capacity *= ownPart
+	}
+	return capacity
 }
 
+func (b *Buckets) lending() bool { return b.Lending != nil && b.Instances() > 1 && b.Lending() }
+
+// rate is the refill of all buckets together, in tokens per second.
+func (b *Buckets) rate(k *bucket) float64 { return k.rate * (1 + overageUsed*b.Limits().Overage) }
+
 func (b *Buckets) refill(k *bucket, now time.Duration) {
-	rate := k.rate * (1 + overageUsed*b.Limits().Overage) / b.parts()
-	k.tokens = min(b.capacity(k), k.tokens+rate*(now-k.at).Seconds())
+	k.tokens = min(b.own(k), k.tokens+b.part(b.rate(k))*(now-k.at).Seconds())
 	k.at = now
 }
 
-// Take implements relay.Quota. A request larger than a full bucket is admitted
-// when the bucket is full, and the bucket then owes the rest.
-func (b *Buckets) Take(organisation string, tokens int64) (bool, time.Duration) {
+// Spend takes tokens from the own bucket, all or none. For an organisation
+// without a limit there is always enough.
+func (b *Buckets) Spend(organisation string, tokens float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.buckets[organisation]
 	if k == nil {
-		return true, 0
+		return true
 	}
 	b.refill(k, b.Now())
-	need := min(float64(tokens), b.capacity(k))
-	if k.tokens < need {
-		rate := k.rate / b.parts()
-		return false, time.Duration((need - k.tokens) / max(rate, 1) * float64(time.Second))
+	if k.tokens < tokens {
+		return false
+	}
+	k.tokens -= tokens
+	k.spent += tokens
+	return true
+}
+
+// Wait estimates when tokens that Spend refused are there, if no other instance
+// lends any.
+func (b *Buckets) Wait(organisation string, tokens float64) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[organisation]
+	if k == nil {
+		return 0
+	}
+	return waitFor(tokens-k.tokens, b.part(b.rate(k)))
+}
+
+func waitFor(tokens, rate float64) time.Duration {
+	return time.Duration(max(0, tokens) / max(rate, 1) * float64(time.Second))
+}
+
+// Lend takes tokens from the pool and, if that is short, from the own bucket,
+// all or none. It returns what is left and how fast that grows, so that the
+// borrower knows when to ask again.
+func (b *Buckets) Lend(organisation string, tokens float64) (ok bool, left, rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[organisation]
+	if k == nil || !(tokens > 0) {
+		return false, 0, 0
+	}
+	b.refill(k, b.Now())
+	if k.pool+k.tokens >= tokens {
+		ok = true
+		fromPool := min(k.pool, tokens)
+		k.pool -= fromPool
+		k.tokens -= tokens - fromPool
+	}
+	return ok, k.pool + k.tokens, b.rate(k)
+}
+
+// Deposit adds tokens of another instance to the pool, as far as they fit.
+func (b *Buckets) Deposit(organisation string, tokens float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k := b.buckets[organisation]; k != nil && tokens > 0 && !math.IsInf(tokens, 1) {
+		k.pool = min(poolPart*b.capacity(k), k.pool+tokens)
+	}
+}
+
+// Surplus takes what the own buckets hold beyond what was spent from them in one
+// of the last two intervals, for the brokers. Call it once each interval.
+func (b *Buckets) Surplus() map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Now()
+	surplus := make(map[string]float64)
+	for name, k := range b.buckets {
+		b.refill(k, now)
+		own := b.own(k)
+		need := min(max(k.spent, k.spentBefore), keptShare*own)
+		k.spent, k.spentBefore = 0, k.spent
+		if over := k.tokens - need; over > minDeposit*own {
+			k.tokens -= over
+			surplus[name] = over
+		}
 	}
-	k.tokens -= float64(tokens)
-	return true, 0
+	return surplus
 }
 
-// Return implements relay.Quota.
+// Return puts back tokens that were not needed.
 func (b *Buckets) Return(organisation string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if k := b.buckets[organisation]; k != nil {
-		k.tokens = min(b.capacity(k), k.tokens+float64(tokens))
+		k.tokens = min(b.own(k), k.tokens+float64(tokens))
 	}
 }
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -38,11 +38,19 @@
 	Changed    func(*tables.Snapshot)
 	// ProofInterval is the time between reads that prove that the configuration
 	// is the newest.
-	ProofInterval time.Duration
+	ProofInterval func() time.Duration
 	Clock         clock.Clock
 	Link          *follow.Link
 	Log           hclog.Logger
 
+	// Covered reports whether other instances pass on the changes; nil means never.
+	Covered func() bool
+	// Told is called after each change, Changed with each configuration that
+	// comes into force.
+	Told func()
+
+	once     sync.Once
+	follower *follow.Follower
 	mu       sync.Mutex
 	revision uint64
 	snapshot atomic.Pointer[tables.Snapshot]
@@ -58,40 +66,84 @@
 	return c.Clock.Elapsed() - time.Duration(c.proof.Load())
 }
 
-// Run reads the configuration from time to time until ctx ends. The reads prove
-// its age: a watch that reports nothing does not.
+// Run reads the configuration until ctx ends, whenever the last proof of its age
+// has become too old. A watch that reports nothing proves nothing; another
+// instance may.
 func (c *Configuration) Run(ctx context.Context) {
 	for failed := 0; ctx.Err() == nil; {
-		wait := c.ProofInterval
+		if left := c.ProofInterval() - c.ProofAge(); c.proof.Load() > 0 && left > 0 {
+			clock.Sleep(ctx, left)
+			continue
+		}
+		wait := lostRetry
 		switch {
 		case c.read(ctx):
 			failed = 0
+			continue
 		case failed < proofRetries || c.Snapshot() == nil:
 			failed++
 			wait = proofRetry
-		default:
-			wait = lostRetry
 		}
 		clock.Sleep(ctx, wait*3/4+clock.Jitter(wait)/4)
 	}
 }
 
 // Follow applies changes as soon as they are made, until ctx ends.
-func (c *Configuration) Follow(ctx context.Context) {
-	f := follow.Follower{
-		Store: c.Store, Kind: c.Kind, Link: c.Link, Log: c.Log,
-		Replace: func(objects []objectstore.Object) {
-			for _, o := range objects {
-				c.offer(o)
-			}
-		},
-		Apply: func(e objectstore.Event) {
-			if !e.Deleted {
-				c.offer(e.Object)
-			}
-		},
+func (c *Configuration) Follow(ctx context.Context) { c.Follower().Run(ctx) }
+
+// configurationMaxAge is the age from which an instance watches the
+// configuration itself although others pass changes on. Source: a watch of it
+// waits for ten seconds. Its proof has a bound of its own.
+const configurationMaxAge = 12 * time.Second
+
+// Follower returns what follows the changes.
+func (c *Configuration) Follower() *follow.Follower {
+	c.once.Do(func() {
+		c.follower = &follow.Follower{
+			Store: c.Store, Kind: c.Kind, Covered: c.Covered, MaxAge: configurationMaxAge, Changed: c.Told, Clock: c.Clock, Link: c.Link, Log: c.Log,
+			Replace: func(objects []objectstore.Object) {
+				for _, o := range objects {
+					c.offer(o)
+				}
+			},
+			Apply: func(events []objectstore.Event) {
+				for _, e := range events {
+					if !e.Deleted {
+						c.offer(e.Object)
+					}
+				}
+			},
+		}
+	})
+	return c.follower
+}
+
+// Proof returns the revision in force and the time since the start of the last
+// read that proved that it is the newest, and whether there was one.
+func (c *Configuration) Proof() (revision uint64, age time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision, c.ProofAge(), c.proof.Load() > 0
+}
+
+// Confirm takes in the proof of another instance, which had a revision in force
+// that was the newest at a time of this instance's clock.
+func (c *Configuration) Confirm(revision uint64, at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.revision >= revision && revision > 0 {
+		c.prove(at)
+	}
+}
+
+// prove notes the time of a proof, unless a later one is known.
+func (c *Configuration) prove(at time.Duration) {
+	for {
+		known := c.proof.Load()
+		if known >= int64(at) || c.proof.CompareAndSwap(known, int64(at)) {
+			return
+		}
 	}
-	f.Run(ctx)
 }
 
 func (c *Configuration) read(ctx context.Context) bool {
@@ -104,10 +156,15 @@
 		return false
 	}
 	c.Link.OK()
+	// The follower passes it on to other instances too.
+	c.Follower().Merge(follow.Changes{
+		Events: []objectstore.Event{{Object: object, Revision: object.Version}},
+		View:   follow.View{Listed: true, Revision: object.Version},
+	})
 	if !c.offer(object) {
 		return false
 	}
-	c.proof.Store(int64(started))
+	c.prove(started)
 	return true
 }
 
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -27,28 +27,38 @@
 	MemberGone = 16 * time.Second
 )
 
-// memberRecord is the entry of an instance.
-type memberRecord struct {
-	Incarnation string `json:"incarnation"`
-	Beat        uint64 `json:"beat"`
-	Address     string `json:"address"` // for messages between instances
+// Member is the entry of an instance.
+type Member struct {
+	Name        string  `json:"-"`
+	Incarnation string  `json:"incarnation"`
+	Beat        uint64  `json:"beat"`
+	Address     string  `json:"address"`            // for datagrams between instances
+	Exchange    string  `json:"exchange,omitempty"` // for requests between instances; empty: it answers none
+	Zone        string  `json:"zone"`
+	Cores       float64 `json:"cores"` // of the processor that it may use
 }
 
-// Members counts the instances that share limits.
+// Members lists the instances that share limits.
 type Members struct {
-	Store       objectstore.Store
-	Clock       clock.Clock
-	Instance    string
-	Incarnation string
-	Address     string // for messages between instances
-	Log         hclog.Logger
-
-	mu      sync.Mutex
-	seen    map[string]memberSeen
-	version uint64 // of the own entry
-	beat    uint64
-	live    atomic.Int64
-	peers   atomic.Pointer[[]string]
+	Store objectstore.Store
+	Clock clock.Clock
+	Self  Member
+	Log   hclog.Logger
+
+	mu       sync.Mutex
+	seen     map[string]memberSeen
+	version  uint64 // of the own entry
+	beat     uint64
+	exchange atomic.Pointer[string]
+	changed  chan struct{}
+	live     atomic.Int64
+	list     atomic.Pointer[memberList]
+}
+
+// memberList is an immutable list of instances.
+type memberList struct {
+	members    []Member
+	generation uint64 // rises with each list
 }
 
 // memberSeen is when an entry was last seen to change, on the own clock.
@@ -57,23 +67,67 @@
 	at      time.Duration
 }
 
+// Known returns the number of instances, or zero before the first list.
+func (m *Members) Known() int { return int(m.live.Load()) }
+
 // Live returns the number of instances, this one included.
 func (m *Members) Live() int { return max(1, int(m.live.Load())) }
 
-// Peers returns the addresses of the other instances.
-func (m *Members) Peers() []string {
-	if peers := m.peers.Load(); peers != nil {
-		return *peers
+// Addresses returns where the other instances receive datagrams.
+func (m *Members) Addresses() []string {
+	var addresses []string
+	for _, member := range m.List() {
+		if member.Name != m.Self.Name && member.Address != "" {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// List returns the live instances, this one included once its entry was read.
+func (m *Members) List() []Member {
+	members, _ := m.Newest()
+	return members
+}
+
+// Newest returns what List does, and a number that changes with the list.
+func (m *Members) Newest() ([]Member, uint64) {
+	if list := m.list.Load(); list != nil {
+		return list.members, list.generation
+	}
+	return nil, 0
+}
+
+// Answers says where this instance answers requests of others, from now on.
+func (m *Members) Answers(address string) {
+	m.exchange.Store(&address)
+	m.wake()
+}
+
+func (m *Members) wake() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed != nil {
+		select {
+		case m.changed <- struct{}{}:
+		default:
+		}
 	}
-	return nil
 }
 
 // Run writes the own entry and reads those of others until ctx ends.
 func (m *Members) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.changed = make(chan struct{}, 1)
+	m.mu.Unlock()
 	for ctx.Err() == nil {
 		m.round(ctx)
 		wait := min(MemberGone/3, beatInterval+beatPerInstance*time.Duration(m.Live()))
-		clock.Sleep(ctx, wait*3/4+clock.Jitter(wait)/4)
+		select {
+		case <-ctx.Done():
+		case <-m.changed:
+		case <-time.After(wait*3/4 + clock.Jitter(wait)/4):
+		}
 	}
 }
 
@@ -91,14 +145,19 @@
 
 func (m *Members) write(ctx context.Context) error {
 	m.beat++
-	value, err := json.Marshal(memberRecord{Incarnation: m.Incarnation, Beat: m.beat, Address: m.Address})
+	record := m.Self
+	record.Beat = m.beat
+	if exchange := m.exchange.Load(); exchange != nil {
+		record.Exchange = *exchange
+	}
+	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
 	if m.version == 0 {
-		object, err := m.Store.Get(ctx, kindMembers, m.Instance)
+		object, err := m.Store.Get(ctx, kindMembers, m.Self.Name)
 		if objectstore.IsKind(err, objectstore.KindNotFound) {
-			object, err = m.Store.Create(ctx, kindMembers, m.Instance, value)
+			object, err = m.Store.Create(ctx, kindMembers, m.Self.Name, value)
 			m.version = object.Version
 			return err
 		}
@@ -107,7 +166,7 @@
 		}
 		m.version = object.Version
 	}
-	object, err := m.Store.Update(ctx, kindMembers, m.Instance, value, m.version)
+	object, err := m.Store.Update(ctx, kindMembers, m.Self.Name, value, m.version)
 	// Zero makes the next round read the entry again.
 	m.version = object.Version
 	if err != nil {
@@ -123,8 +182,8 @@
 		m.seen = make(map[string]memberSeen)
 	}
 	now := m.Clock.Elapsed()
-	var peers []string
-	live, listed := int64(0), make(map[string]bool, len(objects))
+	members := make([]Member, 0, len(objects))
+	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
 		if known, ok := m.seen[o.Name]; !ok || o.Version != known.version {
@@ -133,18 +192,22 @@
 		if now-m.seen[o.Name].at >= MemberGone {
 			continue
 		}
-		live++
-		var record memberRecord
-		if o.Name != m.Instance && json.Unmarshal(o.Value, &record) == nil && record.Address != "" {
-			peers = append(peers, record.Address)
+		member := Member{}
+		if err := json.Unmarshal(o.Value, &member); err != nil {
+			// It counts all the same: it may be of a newer version.
+			m.Log.Warn("entry of an instance cannot be read", "instance", o.Name, "revision", o.Version, "cause", err)
 		}
+		member.Name = o.Name
+		members = append(members, member)
 	}
 	for name := range m.seen {
 		if !listed[name] {
 			delete(m.seen, name)
 		}
 	}
-	m.peers.Store(&peers)
+	_, generation := m.Newest()
+	m.list.Store(&memberList{members: members, generation: generation + 1})
+	live := int64(len(members))
 	if before := m.live.Swap(live); before != live {
 		m.Log.Info("instances that share limits", "instances", live, "before", before)
 	}
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -144,7 +144,7 @@
 	x := newTargets(clock.NewFake(time.Now()))
 	x.replace([]objectstore.Object{object("a", 1, "1 1 0"), object("b", 2, "{{"), object("c", 3, "1 1 0")})
 	assert.Equal(t, len(ids(x)), 2)
-	x.apply(objectstore.Event{Object: object("a", 4, "broken")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 4, "broken")}})
 	assert.Equal(t, len(ids(x)), 1)
 }
 
@@ -154,17 +154,17 @@
 	x := newTargets(clock.NewFake(time.Now()))
 	x.replace([]objectstore.Object{object("a", 5, "1 1 0")})
 	before := ids(x)["a"].Live
-	x.apply(objectstore.Event{Object: object("a", 6, "1 1 1")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 6, "1 1 1")}})
 	assert.Assert(t, ids(x)["a"].Leaving)
-	x.apply(objectstore.Event{Object: object("a", 5, "1 1 0")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 5, "1 1 0")}})
 	assert.Assert(t, ids(x)["a"].Leaving, "an older entry brought the target back")
-	x.apply(objectstore.Event{Object: object("a", 7, "1 2 0")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 7, "1 2 0")}})
 	assert.Assert(t, ids(x)["a"].Leaving, "a leaving target came back in the same incarnation")
 	assert.Equal(t, ids(x)["a"].Live, before)
-	x.apply(objectstore.Event{Object: object("a", 8, "2 2 0")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 8, "2 2 0")}})
 	assert.Assert(t, !ids(x)["a"].Leaving)
 	assert.Assert(t, ids(x)["a"].Live != before, "a restarted target has the load of the one before")
-	x.apply(objectstore.Event{Object: object("a", 9, "2 2 0"), Deleted: true})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 9, "2 2 0"), Deleted: true}})
 	assert.Equal(t, len(ids(x)), 0)
 }
 
@@ -183,12 +183,12 @@
 	x.Expire()
 	assert.Equal(t, len(ids(x)), 2, "targets were dropped because the store was away")
 	fake.Advance(time.Second)
-	x.apply(objectstore.Event{Object: object("a", 3, "1 1 0")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 3, "1 1 0")}})
 	fake.Advance(returnTime)
 	x.Expire()
 	assert.Equal(t, len(ids(x)), 1)
 	assert.Assert(t, ids(x)["a"] != nil)
-	x.apply(objectstore.Event{Object: object("a", 4, "1 1 0"), Deleted: true})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 4, "1 1 0"), Deleted: true}})
 	assert.Equal(t, len(ids(x)), 0, "a target that left was kept although the store is there")
 }
 
@@ -211,7 +211,7 @@
 	assert.Assert(t, ids(x)["a"].AboutToLoad && !ids(x)["c"].AboutToLoad)
 	x.RunsVersion(ids(x)["a"], "3")
 	assert.Assert(t, !ids(x)["a"].TooOld, "what the target states itself is newer than its entry")
-	x.apply(objectstore.Event{Object: object("a", 9, "1 2 0")})
+	x.apply([]objectstore.Event{objectstore.Event{Object: object("a", 9, "1 2 0")}})
 	assert.Equal(t, ids(x)["a"].WeightVersion, "3")
 }
 
@@ -229,7 +229,7 @@
 func TestMembersAreCountedByTheirChanges(t *testing.T) {
 	fake := clock.NewFake(time.Now())
 	store := &fakeStore{}
-	m := &Members{Store: store, Clock: fake, Instance: "me", Incarnation: "x", Log: quiet}
+	m := &Members{Store: store, Clock: fake, Self: Member{Name: "me", Incarnation: "x"}, Log: quiet}
 	assert.Equal(t, m.Live(), 1)
 	m.count([]objectstore.Object{object("me", 1, ""), object("other", 2, "")})
 	assert.Equal(t, m.Live(), 2)
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -31,10 +31,19 @@
 	Log   hclog.Logger
 	// Pause returns the time between reads of changes; nil means none.
 	Pause func() time.Duration
+	// Covered reports whether other instances pass on the changes; nil means never.
+	Covered func() bool
+	// MaxAge is the age from which an instance reads changes itself all the same.
+	MaxAge time.Duration
+	// Changed is called after each change of the list.
+	Changed func()
 	// RolloutWithin is the time from named weights to the last request on older
 	// ones; zero means no bound.
 	RolloutWithin time.Duration
 
+	once     sync.Once
+	follower *follow.Follower
+
 	mu      sync.Mutex
 	entries map[string]*entry
 	named   map[string][]named // weights by model, in the order of their names
@@ -109,13 +118,19 @@
 
 // Run follows the list until ctx ends.
 func (t *Targets) Run(ctx context.Context) {
-	t.mu.Lock()
-	if t.entries == nil {
+	t.Follower().Run(ctx)
+}
+
+// Follower returns what follows the list.
+func (t *Targets) Follower() *follow.Follower {
+	t.once.Do(func() {
 		t.entries = make(map[string]*entry)
-	}
-	t.mu.Unlock()
-	f := follow.Follower{Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, Pause: t.Pause, Link: t.Link, Log: t.Log}
-	f.Run(ctx)
+		t.follower = &follow.Follower{
+			Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, Pause: t.Pause,
+			Covered: t.Covered, MaxAge: t.MaxAge, Changed: t.Changed, Clock: t.Clock, Link: t.Link, Log: t.Log,
+		}
+	})
+	return t.follower
 }
 
 func (t *Targets) replace(objects []objectstore.Object) {
@@ -134,16 +149,17 @@
 	t.publish()
 }
 
-func (t *Targets) apply(event objectstore.Event) {
+func (t *Targets) apply(events []objectstore.Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[event.Object.Name]
-	if event.Deleted {
-		if e != nil && event.Object.Version >= e.revision {
+	for _, event := range events {
+		e := t.entries[event.Object.Name]
+		switch {
+		case !event.Deleted:
+			t.take(event.Object)
+		case e != nil && event.Object.Version >= e.revision:
 			t.remove(event.Object.Name, e)
 		}
-	} else {
-		t.take(event.Object)
 	}
 	t.publish()
 }
--- a/pkg/state/weights.go
+++ b/pkg/state/weights.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
@@ -19,33 +21,53 @@
 	Named func(model, version string, age time.Duration)
 	// FirstAge is the age of names that were there when the process started.
 	FirstAge time.Duration
-	Link     *follow.Link
-	Log      hclog.Logger
+	// Covered reports whether other instances pass on the changes; nil means never.
+	Covered func() bool
+	// Changed is called after each change of the names.
+	Changed func()
+	Clock   clock.Clock
+	Link    *follow.Link
+	Log     hclog.Logger
 
-	listed bool
+	listed   bool
+	once     sync.Once
+	follower *follow.Follower
 }
 
 // Run follows until ctx ends.
-func (w *Weights) Run(ctx context.Context) {
-	f := follow.Follower{
-		Store: w.Store, Kind: w.Kind, Link: w.Link, Log: w.Log,
-		Replace: func(objects []objectstore.Object) {
-			age := time.Duration(0)
-			if !w.listed {
-				age = w.FirstAge
-			}
-			w.listed = true
-			for _, o := range objects {
-				w.take(o, age)
-			}
-		},
-		Apply: func(e objectstore.Event) {
-			if !e.Deleted {
-				w.take(e.Object, 0)
-			}
-		},
+func (w *Weights) Run(ctx context.Context) { w.Follower().Run(ctx) }
+
+// weightsMaxAge is the age from which an instance reads names of weights itself
+// although others pass them on. Source: a watch of them waits for eight seconds.
+const weightsMaxAge = 10 * time.Second
+
+// Follower returns what follows the names.
+func (w *Weights) Follower() *follow.Follower {
+	w.once.Do(func() {
+		w.follower = &follow.Follower{
+			Store: w.Store, Kind: w.Kind, Covered: w.Covered, MaxAge: weightsMaxAge, Changed: w.Changed, Clock: w.Clock, Link: w.Link, Log: w.Log,
+			Replace: w.replace,
+			Apply: func(events []objectstore.Event) {
+				for _, e := range events {
+					if !e.Deleted {
+						w.take(e.Object, 0)
+					}
+				}
+			},
+		}
+	})
+	return w.follower
+}
+
+func (w *Weights) replace(objects []objectstore.Object) {
+	age := time.Duration(0)
+	if !w.listed {
+		age = w.FirstAge
+	}
+	w.listed = true
+	for _, o := range objects {
+		w.take(o, age)
 	}
-	f.Run(ctx)
 }
 
 func (w *Weights) take(o objectstore.Object, age time.Duration) {
