Move prompts to new weights one by one

Change: a prompt stays at its home, whatever its weights, until that loads or until its turn comes, at twice the rate at which engines load. While its home is next to load, others fetch its parts from there.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -121,7 +121,7 @@
 	Zone   string
 
 	mu      sync.Mutex
-	scratch []group
+	scratch homes
 	states  map[*target.Live]*state // one for each target and incarnation
 	parts   []uint64                // scratch: hashes of the prompt's parts
 }
@@ -169,6 +169,18 @@
 	Home    bool           // the target is the first in the order of the prompt's hash
 }
 
+// homes says where the cached parts of a prompt are expected.
+type homes struct {
+	// home is the first target in the order of the prompt's hash, whatever its
+	// weights and also while it is about to load others.
+	home     *target.Target
+	homeHash uint64
+	// stay says that the prompt keeps to its home although newer weights are
+	// named: its turn to move has not come.
+	stay   bool
+	groups []group
+}
+
 // group is the part of the candidates that have the same weights and so can
 // share cached parts.
 type group struct {
@@ -184,7 +196,7 @@
 	defer p.mu.Unlock()
 	affinity := xxhash.Sum64String(affinityKey(r))
 	p.hashParts(r)
-	groups := p.groups(candidates, affinity, now)
+	homes := p.homes(candidates, affinity, r.NewestVersion, now)
 	best := Choice{Cost: math.MaxInt64}
 	// Targets with an open circuit count only while no other is left.
 	for pass := 0; pass < 2 && best.Target == nil; pass++ {
@@ -196,7 +208,7 @@
 			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil)) {
 				continue
 			}
-			choice := p.consider(t, s, groupOf(groups, t), r, now)
+			choice := p.consider(t, s, homes, r, now)
 			choice.Cost += time.Duration(float64(tieBreak) * (1 - unit(mix(affinity, s.idHash))))
 			if choice.Cost < best.Cost {
 				best = choice
@@ -206,21 +218,45 @@
 	return best
 }
 
-// groups finds the first two targets of each weight version in the order of the
-// hash: the home of the prompt's shared parts and the one that takes over.
-func (p *Placer) groups(candidates []*target.Target, affinity uint64, now time.Time) []group {
-	groups := p.scratch[:0]
+// moveAhead is how much faster prompts move to new weights than targets load
+// them. Source: targets are less than half busy, so those that are ready can take
+// on twice their part while they read each prompt for the first time.
+const moveAhead = 2
+
+// homes finds the home of the prompt, and the first two targets of each weight
+// version: where its shared parts are read, and what takes over.
+//
+// When weights are named, prompts move one by one, in the order of a hash that
+// is the same on all instances. If all moved to the first targets that are
+// ready, each of these would read them all at once, and all would be late.
+func (p *Placer) homes(candidates []*target.Target, affinity uint64, newest string, now time.Time) *homes {
+	found := &p.scratch
+	*found = homes{groups: found.groups[:0]}
+	engines, ready := 0, 0
 	for _, t := range candidates {
 		s := p.state(t)
-		if t.Leaving || t.AboutToLoad || now.Before(s.openUntil) {
+		if t.Leaving {
 			continue
 		}
-		g := groupOf(groups, t)
-		if g == nil {
-			groups = append(groups, group{version: t.WeightVersion})
-			g = &groups[len(groups)-1]
+		engines++
+		if t.WeightVersion == newest {
+			ready++
+		}
+		if now.Before(s.openUntil) {
+			continue
 		}
 		h := mix(affinity, s.idHash)
+		if found.home == nil || h > found.homeHash {
+			found.home, found.homeHash = t, h
+		}
+		if t.AboutToLoad {
+			continue
+		}
+		g := groupOf(found.groups, t)
+		if g == nil {
+			found.groups = append(found.groups, group{version: t.WeightVersion})
+			g = &found.groups[len(found.groups)-1]
+		}
 		switch {
 		case g.first == nil || h > g.firstHash:
 			g.second, g.secondHash = g.first, g.firstHash
@@ -229,10 +265,15 @@
 			g.second, g.secondHash = t, h
 		}
 	}
-	p.scratch = groups
-	return groups
+	if h := found.home; h != nil && newest != "" && h.WeightVersion != newest && !h.AboutToLoad {
+		found.stay = unit(mix(affinity, turnSeed)) >= moveAhead*float64(ready)/float64(engines)
+	}
+	return found
 }
 
+// turnSeed separates the order in which prompts move from that of their homes.
+const turnSeed = 0x7475726e
+
 func groupOf(groups []group, t *target.Target) *group {
 	for i := range groups {
 		if groups[i].version == t.WeightVersion {
@@ -243,20 +284,26 @@
 }
 
 // consider works out what a request costs on a target.
-func (p *Placer) consider(t *target.Target, s *state, g *group, r *Request, now time.Time) Choice {
+func (p *Placer) consider(t *target.Target, s *state, homes *homes, r *Request, now time.Time) Choice {
 	choice := Choice{Target: t, Missing: r.Tokens}
 	fetched := 0
-	if t.Engine && g != nil && len(r.Parts) > 1 {
+	if g := groupOf(homes.groups, t); t.Engine && g != nil && len(r.Parts) > 1 {
 		shared, cached := p.cachedTokens(s, r, now)
-		choice.Home = t == g.first
+		home, source := g.first, g.second
+		if h := homes.home; h.WeightVersion == t.WeightVersion && h != home {
+			source = h // it has the parts until it loads
+		}
+		choice.Home = t == home
 		switch {
 		case cached == shared:
 			choice.Missing -= cached
+		case homes.stay && t.WeightVersion != homes.home.WeightVersion:
+			// Nothing has been read there yet.
 		case choice.Home:
-			choice.Source = g.second
+			choice.Source = source
 			choice.Missing -= shared
 		default:
-			choice.Source = g.first
+			choice.Source = home
 			choice.Missing -= shared
 			fetched = shared - cached
 		}
@@ -265,6 +312,9 @@
 	if fetched > 0 {
 		choice.Cost += p.Params.FetchCost + time.Duration(fetched)*p.Params.FetchPerToken
 	}
+	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion && !homes.stay {
+		choice.Cost += p.Params.OldWeights
+	}
 	return choice
 }
 
@@ -313,9 +363,6 @@
 	if over := busy + 1 - int64(t.Slots); t.Slots > 0 && over > 0 {
 		cost += time.Duration(over) * params.ServiceTime
 	}
-	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion {
-		cost += params.OldWeights
-	}
 	if t.AboutToLoad {
 		cost += params.AboutToLoad
 	}
