Pass on what the stores of cached parts keep

Cause: each instance asked the stores of cached parts itself, every two seconds in a fleet of 84, so that one prompt was saved by several of them before they knew, with its last part, which nobody asks for again. Change: the instances that read the object store for others read these changes too and pass them on with the others.

--- a/pkg/cachedir/cachedir.go
+++ b/pkg/cachedir/cachedir.go
@@ -30,6 +30,13 @@
 	// savingFor is how long a part that was asked to be saved counts as kept
 	// although its change has not come.
 	savingFor = 3 * time.Second
+	// maxRecent is the number of changes that are kept for other instances.
+	maxRecent = 2000
+	// maxPassedAge is the age from which changes are read although another
+	// instance passes them on. Source: a few of its answers.
+	maxPassedAge = 1500 * time.Millisecond
+	// coveredLook is the time between looks whether another one still does.
+	coveredLook = 400 * time.Millisecond
 )
 
 // Key names a part under the salt that separates what must not be shared.
@@ -63,12 +70,29 @@
 	Clock clock.Clock
 	Log   hclog.Logger
 
+	// Covered reports whether another instance passes on the changes, so that
+	// none need be read while they are not older than maxPassedAge; nil means never.
+	Covered func() bool
+
 	mu     sync.Mutex
 	epoch  int64
 	next   int64
 	up     bool
 	lastOK time.Duration
 	parts  map[Key]part
+	recent []recent // the newest changes, for other instances
+}
+
+// recent is a change and where the call that brought it continues.
+type recent struct {
+	change Change
+	upTo   int64
+}
+
+// Position is how far a directory goes.
+type Position struct {
+	Epoch int64
+	Next  int64
 }
 
 // part is what is known of one part.
@@ -87,7 +111,11 @@
 func (d *Directory) round(ctx context.Context) time.Duration {
 	d.mu.Lock()
 	since := d.next
+	passed := d.Covered != nil && d.up && d.Clock.Elapsed()-d.lastOK < maxPassedAge
 	d.mu.Unlock()
+	if passed && d.Covered() {
+		return coveredLook
+	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	changes, err := d.Client.Changes(call, d.Address, since)
@@ -97,7 +125,7 @@
 		}
 		return retryPause
 	}
-	d.take(changes)
+	d.take(changes, d.Clock.Elapsed())
 	if d.Pause == nil {
 		return callPause
 	}
@@ -113,10 +141,41 @@
 	}
 }
 
-func (d *Directory) take(c Changes) {
+// Position returns how far the directory goes.
+func (d *Directory) Position() Position {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Position{Epoch: d.epoch, Next: d.next}
+}
+
+// Since returns what changed after a position of another instance and how long
+// ago the store was last heard, or false while it is down. Changes that are no
+// longer kept are missing.
+func (d *Directory) Since(p Position) (Changes, time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := Changes{Epoch: d.epoch, Next: d.next}
+	for _, r := range d.recent {
+		if p.Epoch != d.epoch || r.upTo > p.Next {
+			out.Changes = append(out.Changes, r.change)
+		}
+	}
+	return out, d.Clock.Elapsed() - d.lastOK, d.up
+}
+
+// Merge takes in what another instance heard at a time.
+func (d *Directory) Merge(c Changes, at time.Duration) {
+	p := d.Position()
+	if c.Epoch == p.Epoch && c.Next < p.Next {
+		return
+	}
+	d.take(c, at)
+}
+
+func (d *Directory) take(c Changes, at time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.lastOK = d.Clock.Elapsed()
+	d.lastOK = max(d.lastOK, at)
 	if !d.up {
 		d.up = true
 		d.Log.Info("store of cached parts reached", "address", d.Address, "epoch", c.Epoch)
@@ -126,7 +185,7 @@
 			d.Log.Info("store of cached parts restarted empty", "address", d.Address, "epoch", c.Epoch, "before", d.epoch)
 			clear(d.parts)
 		}
-		d.epoch = c.Epoch
+		d.epoch, d.recent = c.Epoch, nil
 	}
 	d.next = c.Next
 	if d.parts == nil {
@@ -138,6 +197,10 @@
 		} else {
 			delete(d.parts, change.Key)
 		}
+		d.recent = append(d.recent, recent{change, c.Next})
+	}
+	if over := len(d.recent) - maxRecent; over > 0 {
+		d.recent = append(d.recent[:0], d.recent[over:]...)
 	}
 	if len(d.parts) > maxParts {
 		clear(d.parts)
--- a/pkg/cachedir/cachedir_test.go
+++ b/pkg/cachedir/cachedir_test.go
@@ -104,3 +104,36 @@
 	cancel()
 	group.Wait()
 }
+
+// Guards against changes that get lost or come twice between two instances, and
+// against those of a store that has restarted meanwhile.
+func TestChangesPassBetweenInstances(t *testing.T) {
+	fake := clock.NewFake(time.Now())
+	newDirectory := func() *Directory { return &Directory{Clock: fake, Log: hclog.NewNullLogger()} }
+	key := func(n int) Key { return Key{Salt: "1.", Part: fmt.Sprint(n)} }
+	reader, other := newDirectory(), newDirectory()
+	pass := func() {
+		changes, age, up := reader.Since(other.Position())
+		assert.Assert(t, up)
+		other.Merge(changes, fake.Elapsed()-age)
+	}
+	for n := range 10 {
+		reader.take(Changes{Epoch: 7, Next: int64(n + 1), Changes: []Change{{Key: key(n), Added: true}}}, fake.Elapsed())
+		if n%3 == 0 {
+			pass()
+			pass()
+		}
+	}
+	pass()
+	for n := range 10 {
+		assert.Equal(t, other.Kept([]Key{key(n)}), 1, "part %d", n)
+	}
+	reader.take(Changes{Epoch: 7, Next: 11, Changes: []Change{{Key: key(3)}}}, fake.Elapsed())
+	pass()
+	assert.Equal(t, other.Kept([]Key{key(3)}), 0)
+	reader.take(Changes{Epoch: 8, Next: 2, Changes: []Change{{Key: key(50), Added: true}}}, fake.Elapsed())
+	pass()
+	assert.Equal(t, other.Kept([]Key{key(1)}), 0, "a part of the store before its restart is left")
+	assert.Equal(t, other.Kept([]Key{key(50)}), 1)
+	assert.Equal(t, other.Position(), reader.Position())
+}
--- a/pkg/cachedir/set.go
+++ b/pkg/cachedir/set.go
@@ -20,8 +20,10 @@
 	Addresses func() []string
 	// Instances is the number of instances that read the same stores.
 	Instances func() int
-	Clock     clock.Clock
-	Log       hclog.Logger
+	// Covered reports whether another instance passes on the changes; nil means never.
+	Covered func() bool
+	Clock   clock.Clock
+	Log     hclog.Logger
 
 	mu          sync.Mutex
 	directories map[string]*followed
@@ -61,7 +63,7 @@
 			continue
 		}
 		run, stop := context.WithCancel(ctx)
-		f := &followed{&Directory{Client: s.Client, Address: address, Pause: s.pause, Clock: s.Clock, Log: s.Log}, stop}
+		f := &followed{&Directory{Client: s.Client, Address: address, Pause: s.pause, Covered: s.Covered, Clock: s.Clock, Log: s.Log}, stop}
 		s.directories[address] = f
 		group.Go(func() { f.Run(run) })
 	}
@@ -74,6 +76,9 @@
 }
 
 func (s *Set) pause() time.Duration {
+	if s.Covered != nil && !s.Covered() {
+		return callPause // few instances read for all
+	}
 	return max(callPause, pausePerInstance*time.Duration(s.Instances()))
 }
 
@@ -91,3 +96,14 @@
 	}
 	return best
 }
+
+// All returns the directories by the addresses of their stores.
+func (s *Set) All() map[string]*Directory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]*Directory, len(s.directories))
+	for address, f := range s.directories {
+		all[address] = f.Directory
+	}
+	return all
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
@@ -43,6 +44,11 @@
 	Confirm(revision uint64, at time.Duration)
 }
 
+// Caches are the directories of stores of cached parts.
+type Caches interface {
+	All() map[string]*cachedir.Directory
+}
+
 // Caller asks another instance for changes.
 type Caller interface {
 	Changes(ctx context.Context, address string, body peer.ChangesBody) (peer.ChangesAnswer, error)
@@ -52,6 +58,7 @@
 type Feed struct {
 	// Followers by kind. They are set before Run.
 	Followers map[string]*follow.Follower
+	Caches    Caches // nil: there are none
 	Proofs    Proofs
 	Link      *follow.Link
 	// Readers returns the addresses of the instances of the own zone that read
@@ -151,6 +158,7 @@
 			body.After[kind] = 0
 		}
 	}
+	body.Caches = f.cachePositions()
 	asked := f.Clock.Elapsed()
 	call, cancel := context.WithTimeout(ctx, hold+answerTimeout)
 	defer cancel()
@@ -169,6 +177,7 @@
 	if answer.ConfigurationRevision > 0 {
 		f.Proofs.Confirm(answer.ConfigurationRevision, asked-millis(answer.ConfigurationAgeMillis))
 	}
+	f.mergeCaches(answer.Caches, asked)
 	return nil
 }
 
@@ -230,6 +239,7 @@
 	if revision, age, ok := f.Proofs.Proof(); ok {
 		answer.ConfigurationRevision, answer.ConfigurationAgeMillis = revision, roundUp(age)
 	}
+	answer.Caches = f.cacheChanges(body.Caches)
 	if ago, away := f.Link.Regained(); away {
 		answer.StoreAway, answer.StoreBackMillis = true, ago.Milliseconds()
 	}
--- a/pkg/peer/feed.go
+++ b/pkg/peer/feed.go
@@ -13,6 +13,15 @@
 	After map[string]uint64 `cbor:"after"`
 	// WaitMillis is how long the answer may wait for a change.
 	WaitMillis int64 `cbor:"wait_ms"`
+	// Caches has how far the sender knows each store of cached parts.
+	Caches map[string]CachePosition `cbor:"caches,omitempty"`
+}
+
+// CachePosition is a position in the changes of a store of cached parts.
+type CachePosition struct {
+	_     struct{} `cbor:",toarray"`
+	Epoch int64
+	Next  int64
 }
 
 // ChangesAnswer is what an instance knows of the store. Ages are those at the
@@ -27,6 +36,23 @@
 	// it came back; zero if it has not.
 	StoreAway       bool  `cbor:"store_away"`
 	StoreBackMillis int64 `cbor:"store_back_ms"`
+	// Caches has what changed in stores of cached parts, by address.
+	Caches map[string]CacheChanges `cbor:"caches,omitempty"`
+}
+
+// CacheChanges is what changed in a store of cached parts.
+type CacheChanges struct {
+	Position  CachePosition `cbor:"position"`
+	AgeMillis int64         `cbor:"age_ms"` // since the store was last heard
+	Rows      []CacheRow    `cbor:"rows,omitempty"`
+}
+
+// CacheRow is one part that was added or dropped.
+type CacheRow struct {
+	_     struct{} `cbor:",toarray"`
+	Salt  string
+	Part  string
+	Added bool
 }
 
 // KindChanges is what changed in one kind of objects.
