Call the store less often at the first start, in outages and for entries

Change: at the first start an instance waits until it knows who reads for it, and one of them takes the lease for orders; while the store is lost the loops wait for the one that looks for it; entries are written every 9 s by 84 instances, 4 s by 7; an instance is not ready before it knows the others.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -45,6 +45,18 @@
 	// fleet stay the same. Source: 70 calls a second.
 	changesPause      = 15 * time.Millisecond
 	changesPauseShare = 0.4
+	// settleTime is how long the first start of the whole system waits for that,
+	// and settleLook the time between looks. Source: entries of instances are
+	// there after two seconds, and callers come after ten.
+	settleTime = 3500 * time.Millisecond
+	settleLook = 50 * time.Millisecond
+	// ordersDuty names the duty of the instance that gives orders first, and
+	// othersWait is how long the others leave the lease to it.
+	ordersDuty = "orders"
+	othersWait = 2 * time.Second
+	// membersWait is how long an instance is not ready at most because it does not know
+	// the others, which share the limits with it.
+	membersWait = 3 * time.Second
 	// readerPause is the time between reads of changes by an instance that passes
 	// them on. Source: leaving targets are known in a tenth of their bound.
 	readerPause = 220 * time.Millisecond
@@ -113,6 +125,7 @@
 	borrower      *share.Borrower
 	exchange      *exchange
 	feed          *feed.Feed
+	order         *ranks
 	platformStore objectstore.Store
 	gossip        *gossip.Gossip
 	conns         *targetconn.Pool
@@ -137,14 +150,12 @@
 	incarnation := uuid.NewString()
 	p.Store = &timedStore{Store: p.Store, times: &d.storeCalls, calls: d.metrics}
 	link := &follow.Link{Clock: d.clock, Log: log}
-	d.members = &state.Members{
-		Store: p.Store, Clock: d.clock, Log: log,
-		Self: state.Member{Name: s.Instance, Incarnation: incarnation, Address: s.PeerListen, Zone: s.Zone, Cores: s.Cores},
-	}
+	self := state.Member{Name: s.Instance, Incarnation: incarnation, Address: s.PeerListen, Zone: s.Zone, Cores: s.Cores}
+	d.members = state.NewMembers(p.Store, d.clock, self, s.FirstStart, log)
 	d.exchange = &exchange{members: d.members, registry: peer.NewRegistry(), log: log}
-	order := &ranks{members: d.members}
+	d.order = &ranks{members: d.members}
 	d.feed = &feed.Feed{
-		Readers: order.readers, Pick: xxhash.Sum64String(s.Instance), Caller: d.exchange, Link: link, Clock: d.clock, Log: log,
+		Readers: d.order.readers, Pick: xxhash.Sum64String(s.Instance), Caller: d.exchange, Link: link, Clock: d.clock, Log: log,
 	}
 	d.targets = &state.Targets{
 		Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, Link: link, Log: log, RolloutWithin: s.RolloutWithin,
@@ -164,7 +175,7 @@
 		},
 		Instances: d.members.Known, Lending: d.exchange.works, Now: d.clock.Elapsed,
 	}
-	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: order.brokers, Transfer: d.exchange, Clock: d.clock, Log: log}
+	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: d.order.brokers, Transfer: d.exchange, Clock: d.clock, Log: log}
 	d.exchange.answerLoans(d.borrower)
 	d.idle = newIdleTimeouts()
 	d.configuration = &state.Configuration{
@@ -263,6 +274,28 @@
 	}
 }
 
+// whenSettled delays a controller that reads the store until it is known whether
+// another instance reads it for this one, at the first start of the whole system.
+func (d *Daemon) whenSettled(run func(context.Context)) func(context.Context) {
+	if s := d.settings(); !s.FirstStart || s.ExchangeListen == "" {
+		return run
+	}
+	return func(ctx context.Context) {
+		for !d.feed.Settled() && d.clock.Elapsed()-d.started < settleTime && clock.Sleep(ctx, settleLook) {
+		}
+		run(ctx)
+	}
+}
+
+// runRollout lets one instance take the lease for orders when all of them start,
+// instead of all trying.
+func (d *Daemon) runRollout(ctx context.Context) {
+	if d.settings().FirstStart && !d.order.first(ordersDuty) {
+		clock.Sleep(ctx, othersWait)
+	}
+	d.rollout.Run(ctx)
+}
+
 // changesPause returns the time between reads of changes of targets.
 func (d *Daemon) changesPause() time.Duration {
 	s := d.settings()
@@ -301,6 +334,8 @@
 		return "no configuration"
 	case !d.targets.Listed():
 		return "no list of targets"
+	case d.members.Known() == 0 && d.clock.Elapsed()-d.started < membersWait:
+		return "no list of instances"
 	}
 	if within := d.settings().RevokeWithin; within > 0 && float64(d.configuration.ProofAge()) > readyProofShare*float64(within) {
 		return "configuration not confirmed"
@@ -323,7 +358,8 @@
 	defer stopBackground()
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
-		d.configuration.Run, d.configuration.Follow, d.targets.Run, d.weights.Run, d.members.Run, d.rollout.Run, d.cached.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.journal.Run, d.sweep, d.logReadiness,
+		d.whenSettled(d.configuration.Run), d.whenSettled(d.configuration.Follow), d.whenSettled(d.targets.Run), d.whenSettled(d.weights.Run),
+		d.members.Run, d.whenSettled(d.runRollout), d.cached.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.journal.Run, d.sweep, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/exchange.go
+++ b/pkg/daemon/exchange.go
@@ -50,6 +50,7 @@
 // run gets a certificate, answers requests until ctx ends, and says where.
 func (x *exchange) run(ctx context.Context, store objectstore.Store, s *Settings) {
 	if s.ExchangeListen == "" {
+		x.members.Answers("")
 		return
 	}
 	fleet, err := state.FleetIdentity(ctx, store, s.FirstStart, x.log)
@@ -147,6 +148,12 @@
 	return r.addresses(fmt.Sprintf("limits-%d", xxhash.Sum64String(organisation)%groups))
 }
 
+// first reports whether this instance is the first for a duty.
+func (r *ranks) first(duty string) bool {
+	addresses := r.addresses(duty)
+	return len(addresses) > 0 && addresses[0] == ""
+}
+
 // readers returns the instances that read changes from the store for the others,
 // those that take their place after them, and the number of the former. In a
 // large fleet each zone has its own, so that changes cross to it once. While
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -26,13 +26,12 @@
 	// answerTimeout bounds an exchange beyond that. Source: instances are
 	// milliseconds apart, and small ones answer late under load.
 	answerTimeout = 250 * time.Millisecond
-	// downTime is how long a reader that did not answer is passed over.
-	downTime = 3 * time.Second
 	// askedFor is how long an instance goes on reading the store after another
 	// one asked it for changes.
 	askedFor = 3 * time.Second
-	// idleLook is the time between looks of a reader whether it still is one.
-	idleLook = 250 * time.Millisecond
+	// idleLook is the time between looks of an instance that reads the store
+	// itself whether another one does it now.
+	idleLook = 100 * time.Millisecond
 	// gather is the time for which changes gather between two answers, so that
 	// many small ones cost one exchange.
 	gather = 60 * time.Millisecond
@@ -71,17 +70,23 @@
 	Clock  clock.Clock
 	Log    hclog.Logger
 
-	served atomic.Bool  // another instance reads the store for this one
-	asked  atomic.Int64 // boot time of the last question of another instance
+	settled atomic.Bool  // it is known who reads the store for this instance
+	served  atomic.Bool  // another instance reads the store for this one
+	asked   atomic.Int64 // boot time of the last question of another instance
 
-	mu        sync.Mutex
-	downUntil map[string]time.Duration
-	changed   chan struct{} // closed when a view changes; nil while nobody waits
+	silent peer.Avoided // readers that did not answer
+
+	mu      sync.Mutex
+	changed chan struct{} // closed when a view changes; nil while nobody waits
 }
 
 // Covered reports whether other instances pass changes on to this one.
 func (f *Feed) Covered() bool { return f.served.Load() && !f.wanted() }
 
+// Settled reports whether it is known who reads the store for this instance:
+// another one has passed on all kinds, or it is this one.
+func (f *Feed) Settled() bool { return f.settled.Load() }
+
 // Reading reports whether other instances rely on this one to read the store.
 func (f *Feed) Reading() bool { return !f.Covered() }
 
@@ -118,19 +123,18 @@
 	addresses, count := f.Readers()
 	count = min(count, len(addresses))
 	if slices.Contains(addresses[:count], "") {
+		f.settled.Store(true)
 		return ""
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	now := f.Clock.Elapsed()
 	for i := range count {
 		address := addresses[(int(f.Pick%uint64(count))+i)%count]
-		if now >= f.downUntil[address] {
+		if f.silent.Usable(address, now) {
 			return address
 		}
 	}
 	for _, address := range addresses[count:] {
-		if address == "" || now >= f.downUntil[address] {
+		if address == "" || f.silent.Usable(address, now) {
 			return address
 		}
 	}
@@ -138,13 +142,9 @@
 }
 
 func (f *Feed) lost(reader string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.downUntil == nil {
-		f.downUntil = make(map[string]time.Duration)
+	if d := f.silent.Failed(reader, f.Clock.Elapsed()); d > 0 {
+		f.Log.Info("reader of the store does not answer", "reader", reader, "for", d, "cause", err)
 	}
-	f.downUntil[reader] = f.Clock.Elapsed() + downTime
-	f.Log.Info("reader of the store does not answer", "reader", reader, "for", downTime, "cause", err)
 }
 
 // ask takes in what a reader knows. Everything that it says is as old as this
@@ -166,6 +166,7 @@
 	if err != nil {
 		return err
 	}
+	f.silent.Answered(reader)
 	if answer.StoreAway {
 		f.Link.RegainedBefore(millis(answer.StoreBackMillis))
 	}
@@ -178,9 +179,20 @@
 		f.Proofs.Confirm(answer.ConfigurationRevision, asked-millis(answer.ConfigurationAgeMillis))
 	}
 	f.mergeCaches(answer.Caches, asked)
+	f.settled.Store(f.settled.Load() || f.listed())
 	return nil
 }
 
+// listed reports whether all kinds are known.
+func (f *Feed) listed() bool {
+	for _, follower := range f.Followers {
+		if !follower.View().Listed {
+			return false
+		}
+	}
+	return true
+}
+
 // Answer tells another instance what this one knows. It waits for news for as
 // long as the other allows.
 func (f *Feed) Answer(ctx context.Context, body peer.ChangesBody) (peer.ChangesAnswer, error) {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -21,6 +21,10 @@
 	// call has a price, and the store is expected back within seconds.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
+	// lostWait is the longest wait after a failed call while the store is lost
+	// and no other call of this process has succeeded. Source: one loop that
+	// looks for the store suffices.
+	lostWait = 3 * time.Second
 	// maxRemembered is the number of changes that are kept for other instances.
 	// One that misses more gets the whole list.
 	maxRemembered = 1000
@@ -108,7 +112,7 @@
 			continue
 		}
 		f.Link.Failed(err)
-		clock.Sleep(ctx, clock.Jitter(wait))
+		f.Link.await(ctx, clock.Jitter(wait), clock.Jitter(lostWait))
 		wait = min(2*wait, retryMax)
 	}
 }
@@ -261,6 +265,7 @@
 	lost     bool
 	lastOK   time.Duration
 	regained time.Duration // when calls succeeded again after a loss
+	back     chan struct{} // closed when that happens; nil while nobody waits
 }
 
 // lostAfter is how long calls must fail before the store counts as lost.
@@ -276,6 +281,10 @@
 		l.lost = false
 		l.regained = now
 		l.Log.Info("store reached again", "lost_for", now-l.lastOK)
+		if l.back != nil {
+			close(l.back)
+			l.back = nil
+		}
 	}
 	l.lastOK = now
 }
@@ -291,6 +300,27 @@
 	}
 }
 
+// await waits for some time, or, while the store is lost, until a call succeeds
+// or the longer time is over.
+func (l *Link) await(ctx context.Context, wait, lostWait time.Duration) {
+	l.mu.Lock()
+	lost := l.lost
+	if lost && l.back == nil {
+		l.back = make(chan struct{})
+	}
+	back := l.back
+	l.mu.Unlock()
+	if !lost {
+		clock.Sleep(ctx, wait)
+		return
+	}
+	select {
+	case <-back:
+	case <-ctx.Done():
+	case <-time.After(lostWait):
+	}
+}
+
 // Unsettled reports whether the store is lost or came back less than d ago.
 func (l *Link) Unsettled(d time.Duration) bool {
 	l.mu.Lock()
--- a/pkg/share/broker.go
+++ b/pkg/share/broker.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/quota"
 )
 
@@ -19,8 +20,6 @@
 	// brokersAsked is the number of brokers that are asked at most: the first
 	// may be gone for some seconds before the others know.
 	brokersAsked = 2
-	// downTime is how long a broker that did not answer is passed over.
-	downTime = 2 * time.Second
 	// depositInterval is the time between deposits. Source: an own bucket holds
 	// the refill of 0.3 s where the burst is that of a second.
 	depositInterval = 240 * time.Millisecond
@@ -45,8 +44,7 @@
 	Clock    clock.Clock
 	Log      hclog.Logger
 
-	mu        sync.Mutex
-	downUntil map[string]time.Duration
+	silent peer.Avoided // brokers that did not answer
 }
 
 // Take implements relay.Quota.
@@ -61,6 +59,7 @@
 	for _, address := range b.usable(organisation) {
 		grant, err := b.ask(ctx, address, organisation, amount)
 		if err == nil {
+			b.silent.Answered(address)
 			return grant.Amount >= amount, waitFor(amount-grant.Left, grant.Rate)
 		}
 		if ctx.Err() != nil {
@@ -96,12 +95,10 @@
 
 // usable returns the brokers to ask.
 func (b *Borrower) usable(organisation string) []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	now := b.Clock.Elapsed()
 	var addresses []string
 	for _, address := range b.Brokers(organisation) {
-		if address != "" && now < b.downUntil[address] {
+		if !b.silent.Usable(address, now) {
 			continue
 		}
 		if addresses = append(addresses, address); len(addresses) == brokersAsked {
@@ -112,16 +109,9 @@
 }
 
 func (b *Borrower) lost(address string, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.downUntil == nil {
-		b.downUntil = make(map[string]time.Duration)
+	if d := b.silent.Failed(address, b.Clock.Elapsed()); d > 0 {
+		b.Log.Info("broker of limits does not answer; another one is asked", "address", address, "for", d, "cause", err)
 	}
-	now := b.Clock.Elapsed()
-	if now >= b.downUntil[address] {
-		b.Log.Info("broker of limits does not answer; another one is asked", "address", address, "for", downTime, "cause", err)
-	}
-	b.downUntil[address] = now + downTime
 }
 
 // Run hands surplus tokens to the brokers until ctx ends.
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -25,8 +25,11 @@
 	// lostRetry the time between later ones: refused calls have a price too.
 	proofRetry = 250 * time.Millisecond
 	lostRetry  = 700 * time.Millisecond
+	// coveredRetry is the time between later reads where another instance reads
+	// the store as well.
+	coveredRetry = 1400 * time.Millisecond
 	// proofRetries is the number of reads that follow each other closely.
-	proofRetries = 4
+	proofRetries = 2
 )
 
 // Configuration holds the newest configuration of the operators. It never goes
@@ -83,6 +86,8 @@
 		case failed < proofRetries || c.Snapshot() == nil:
 			failed++
 			wait = proofRetry
+		case c.Covered != nil && c.Covered():
+			wait = coveredRetry
 		}
 		clock.Sleep(ctx, wait*3/4+clock.Jitter(wait)/4)
 	}
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -18,15 +18,33 @@
 	kindMembers = "lacewingwheel-instances"
 	// beatInterval is the time between writes of the own entry, and
 	// beatPerInstance what each instance adds to it: the writes of a fleet grow
-	// more slowly than it does.
-	beatInterval    = 3 * time.Second
-	beatPerInstance = 25 * time.Millisecond
-	// MemberGone is the age from which an entry no longer counts. An instance
-	// stops taking limited work before, because it cannot confirm the
+	// more slowly than it does, to about 13 a second.
+	beatInterval    = 4 * time.Second
+	beatPerInstance = 65 * time.Millisecond
+	// beatsMissed is the number of writes that an instance may miss before it no
+	// longer counts, and goneSlack the time that one takes at most. An instance
+	// that is cut off refuses work before, because it cannot confirm the
 	// configuration either.
-	MemberGone = 16 * time.Second
+	beatsMissed = 3
+	goneSlack   = 4 * time.Second
+	// exchangeWait is how long the first entry waits for the address for
+	// requests, so that one write suffices; firstExchangeWait is that of the first
+	// start of the whole system, when an authority is made first.
+	exchangeWait      = 300 * time.Millisecond
+	firstExchangeWait = 1500 * time.Millisecond
+	// allRegistered is the time from the first start of the whole system until
+	// the entries of all instances are there.
+	allRegistered = 2200 * time.Millisecond
 )
 
+// beat returns the time between two writes of an entry in a fleet.
+func beat(instances int) time.Duration {
+	return beatInterval + beatPerInstance*time.Duration(instances)
+}
+
+// goneAfter returns the age from which an entry no longer counts in a fleet.
+func goneAfter(instances int) time.Duration { return beatsMissed*beat(instances) + goneSlack }
+
 // Member is the entry of an instance.
 type Member struct {
 	Name        string  `json:"-"`
@@ -38,12 +56,14 @@
 	Cores       float64 `json:"cores"` // of the processor that it may use
 }
 
-// Members lists the instances that share limits.
+// Members lists the instances that share limits. NewMembers makes one.
 type Members struct {
 	Store objectstore.Store
 	Clock clock.Clock
 	Self  Member
-	Log   hclog.Logger
+	// FirstStart says that all instances start now.
+	FirstStart bool
+	Log        hclog.Logger
 
 	mu       sync.Mutex
 	seen     map[string]memberSeen
@@ -55,6 +75,11 @@
 	list     atomic.Pointer[memberList]
 }
 
+// NewMembers returns a list that knows of no instance yet.
+func NewMembers(store objectstore.Store, c clock.Clock, self Member, firstStart bool, log hclog.Logger) *Members {
+	return &Members{Store: store, Clock: c, Self: self, FirstStart: firstStart, Log: log, changed: make(chan struct{}, 1)}
+}
+
 // memberList is an immutable list of instances.
 type memberList struct {
 	members    []Member
@@ -101,40 +126,61 @@
 // Answers says where this instance answers requests of others, from now on.
 func (m *Members) Answers(address string) {
 	m.exchange.Store(&address)
-	m.wake()
-}
-
-func (m *Members) wake() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.changed != nil {
-		select {
-		case m.changed <- struct{}{}:
-		default:
-		}
+	select {
+	case m.changed <- struct{}{}:
+	default:
 	}
 }
 
 // Run writes the own entry and reads those of others until ctx ends.
 func (m *Members) Run(ctx context.Context) {
-	m.mu.Lock()
-	m.changed = make(chan struct{}, 1)
-	m.mu.Unlock()
+	registered := time.After(m.register(ctx))
+	select {
+	case <-ctx.Done():
+		return
+	case <-registered:
+	}
 	for ctx.Err() == nil {
-		m.round(ctx)
-		wait := min(MemberGone/3, beatInterval+beatPerInstance*time.Duration(m.Live()))
+		m.read(ctx)
+		wait := beat(m.Live())
 		select {
 		case <-ctx.Done():
+			return
 		case <-m.changed:
 		case <-time.After(wait*3/4 + clock.Jitter(wait)/4):
 		}
+		m.renew(ctx)
+	}
+}
+
+// register writes the own entry for the first time, with the address for
+// requests if that comes soon. It returns how long to wait for the entries of
+// others, which start at the same time when the whole system does.
+func (m *Members) register(ctx context.Context) time.Duration {
+	started := m.Clock.Elapsed()
+	patience := exchangeWait
+	if m.FirstStart {
+		patience = firstExchangeWait
+	}
+	select {
+	case <-ctx.Done():
+	case <-m.changed:
+	case <-time.After(patience):
+	}
+	m.renew(ctx)
+	if !m.FirstStart {
+		return 0
 	}
+	return allRegistered - (m.Clock.Elapsed() - started)
 }
 
-func (m *Members) round(ctx context.Context) {
+func (m *Members) renew(ctx context.Context) {
 	if err := m.write(ctx); err != nil && ctx.Err() == nil {
 		m.Log.Debug("own entry not written", "cause", err)
 	}
+}
+
+func (m *Members) read(ctx context.Context) {
 	objects, _, err := m.Store.List(objectstore.AllowStale(ctx), kindMembers)
 	if err != nil {
 		m.Log.Debug("entries of instances not read", "cause", err)
@@ -181,7 +227,7 @@
 	if m.seen == nil {
 		m.seen = make(map[string]memberSeen)
 	}
-	now := m.Clock.Elapsed()
+	now, gone := m.Clock.Elapsed(), goneAfter(m.Live())
 	members := make([]Member, 0, len(objects))
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
@@ -189,7 +235,7 @@
 		if known, ok := m.seen[o.Name]; !ok || o.Version != known.version {
 			m.seen[o.Name] = memberSeen{o.Version, now}
 		}
-		if now-m.seen[o.Name].at >= MemberGone {
+		if now-m.seen[o.Name].at >= gone {
 			continue
 		}
 		member := Member{}
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -229,11 +229,11 @@
 func TestMembersAreCountedByTheirChanges(t *testing.T) {
 	fake := clock.NewFake(time.Now())
 	store := &fakeStore{}
-	m := &Members{Store: store, Clock: fake, Self: Member{Name: "me", Incarnation: "x"}, Log: quiet}
+	m := NewMembers(store, fake, Member{Name: "me", Incarnation: "x"}, false, quiet)
 	assert.Equal(t, m.Live(), 1)
 	m.count([]objectstore.Object{object("me", 1, ""), object("other", 2, "")})
 	assert.Equal(t, m.Live(), 2)
-	fake.Advance(MemberGone - time.Second)
+	fake.Advance(goneAfter(2) - time.Second)
 	m.count([]objectstore.Object{object("me", 3, ""), object("other", 2, "")})
 	assert.Equal(t, m.Live(), 2)
 	fake.Advance(time.Second)
--- a/test.sh
+++ b/test.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-unformatted=$(gofmt -l cmd pkg test)
+unformatted=$(gofmt -l cmd pkg platform test)
 if [ -n "$unformatted" ]; then
 	echo "gofmt: run 'gofmt -w' on:" "$unformatted"
 	exit 1
