--- a/pkg/relay/dialect.go
+++ b/pkg/relay/dialect.go
@@ -31,7 +31,7 @@
 	CacheSalt     string
 	WeightVersion string // a target with other weights refuses the request
 	LastEvent     string
-	Priority      int // of Urgencies; zero leaves it to the target
+	Urgency       int // 1 is the most urgent of nine; zero leaves it to the target
 	FetchFrom     string
 	SaveTo        string
 }
