Soak: exchanges between routers, and the rate of a limited organisation

Cause: the routers of the soak had no range of ports, so that they exchanged nothing, and its only organisation had no limit that was reached. Change: each router has a range of ports; a second organisation asks for several times its rate, and the runs that targets see are judged in sliding windows; only the first start is one of the whole system.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +30,9 @@
 	leaveWithin  = 2 * time.Second
 	stopWithin   = 8 * time.Second
 	startWithin  = 10 * time.Second
+	quotaWindow  = 8 * time.Second
+	quotaOverage = 0.1
+	quotaSlack   = 10
 )
 
 // router is one router process.
@@ -36,6 +42,7 @@
 	caller   string
 	ready    string
 	store    *proxy
+	ports    int // first of its range
 	logFile  string
 
 	mu      sync.Mutex
@@ -79,6 +86,40 @@
 	return l.Addr().String()
 }
 
+// freeRange returns the first of a few consecutive ports that nobody uses.
+func freeRange(t *testing.T) int {
+	t.Helper()
+	for range 100 {
+		base := 20_000 + rand.IntN(10_000)
+		if rangeIsFree(base) {
+			return base
+		}
+	}
+	t.Fatal("no free range of ports")
+	return 0
+}
+
+// portsUsed is the number of ports that a router uses of its range.
+const portsUsed = 4
+
+func rangeIsFree(base int) bool {
+	for port := base; port < base+portsUsed; port++ {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		tcp, err := net.Listen("tcp4", address)
+		if err != nil {
+			return false
+		}
+		udp, err := net.ListenPacket("udp4", address)
+		if err = errors.Join(err, tcp.Close()); err != nil {
+			return false
+		}
+		if udp.Close() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 func startFleet(t *testing.T, binary string, routers, engines int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, binary: binary, store: platformtest.NewStore(), keys: make(map[string]time.Time), logs: logDirectory(t)}
@@ -102,13 +143,15 @@
 		x := &router{name: fmt.Sprintf("edge-%d", i), caller: freeAddress(t), ready: freeAddress(t), store: startProxy(t, strings.TrimPrefix(server.URL, "http://"))}
 		x.settings = filepath.Join(t.TempDir(), "boot.json")
 		x.logFile = filepath.Join(f.logs, x.name+".log")
-		f.write(x)
+		x.ports = freeRange(t)
+		f.write(x, true)
 		f.start(x)
 		f.routers = append(f.routers, x)
 		t.Cleanup(func() { x.signal(syscall.SIGCONT); x.signal(syscall.SIGKILL); x.await(startWithin) })
 	}
 	for _, x := range f.routers {
 		f.awaitReady(x)
+		f.write(x, false)
 	}
 	return f
 }
@@ -123,14 +166,17 @@
 	return t.TempDir()
 }
 
-func (f *fleet) write(x *router) {
+// write writes the settings file of a router, for the first start of the whole
+// system or for a later one.
+func (f *fleet) write(x *router, first bool) {
 	text, err := json.Marshal(map[string]any{
-		"node": x.name, "role": "edge", "ip": "127.0.0.1", "zone": "a", "bootstrap": true,
-		"listen": map[string]string{"front": x.caller, "ready": x.ready},
+		"node": x.name, "role": "edge", "ip": "127.0.0.1", "zone": "a", "bootstrap": first,
+		"port_range": []int{x.ports, x.ports + portsUsed - 1},
+		"listen":     map[string]string{"front": x.caller, "ready": x.ready},
 		"bounds": map[string]any{
 			"drain_ms": leaveWithin.Milliseconds(), "grace_s": stopWithin.Seconds(), "config_apply_ms": 2000, "strict_revoke": true,
 			"revoke_ms": revokeWithin.Milliseconds(), "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 200,
-			"quota_window_s": 8, "quota_overage": 0.1, "quota_slack": 1000, "lease_ms": 1000, "version_ms": 12000,
+			"quota_window_s": quotaWindow.Seconds(), "quota_overage": quotaOverage, "quota_slack": quotaSlack, "lease_ms": 1000, "version_ms": 12000,
 		},
 		"platform": map[string]string{"address": x.store.address()},
 	})
@@ -272,8 +318,11 @@
 	return at, ok
 }
 
-// anyKey returns a key that is or was in force.
+// anyKey returns a key that is or was in force, or that of the limited organisation.
 func (f *fleet) anyKey(n int) string {
+	if n%3 == 0 {
+		return platformtest.LimitedKey
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return fmt.Sprintf("key-%d", 1+n%f.nextKey)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -359,6 +360,7 @@
 // judge compares what callers and targets saw.
 func (c *checks) judge() {
 	runs := make(map[string]int)
+	var limited []time.Time // first runs of the limited organisation's requests
 	for _, e := range c.fleet.engines {
 		e.mu.Lock()
 		leftAt := e.leftAt
@@ -367,16 +369,22 @@
 			if seen.Header.Get("Authorization") != "" {
 				c.t.Errorf("%s: %s got a caller's key", seen.ID, e.ID)
 			}
-			if seen.Header.Get(platformtest.HeaderOrganisation) != "o" {
-				c.t.Errorf("%s: ran for organisation %q", seen.ID, seen.Header.Get(platformtest.HeaderOrganisation))
+			s, ok := c.sent[seen.ID]
+			organisation := "o"
+			if s.key == platformtest.LimitedKey {
+				organisation = platformtest.LimitedName
+			}
+			if got := seen.Header.Get(platformtest.HeaderOrganisation); ok && got != organisation {
+				c.t.Errorf("%s: ran for organisation %q, its key is of %q", seen.ID, got, organisation)
 			}
 			if seen.Body != "hi" {
 				c.t.Errorf("%s: body %q", seen.ID, seen.Body)
 			}
 			if seen.Ran {
-				runs[seen.ID]++
+				if runs[seen.ID]++; organisation == platformtest.LimitedName && runs[seen.ID] == 1 {
+					limited = append(limited, seen.At)
+				}
 			}
-			s, ok := c.sent[seen.ID]
 			if at, withdrawn := c.fleet.withdrawnAt(s.key); ok && seen.Ran && withdrawn && s.at.After(at.Add(revokeWithin)) {
 				c.t.Errorf("%s: ran %v after its key was withdrawn", seen.ID, s.at.Sub(at))
 			}
@@ -403,6 +411,25 @@
 	if c.served.Load() == 0 {
 		c.t.Error("no request was served")
 	}
+	c.judgeRate(limited)
+}
+
+// judgeRate checks that the limited organisation got no more than its rate and
+// burst in any window, over all routers.
+func (c *checks) judgeRate(runs []time.Time) {
+	slices.SortFunc(runs, time.Time.Compare)
+	bound := int((platformtest.LimitedRate*quotaWindow.Seconds()+platformtest.LimitedRate)*(1+quotaOverage)) + quotaSlack
+	from := 0
+	for i, at := range runs {
+		for at.Sub(runs[from]) >= quotaWindow {
+			from++
+		}
+		if n := i - from + 1; n > bound {
+			c.t.Errorf("%d requests of the limited organisation ran within %v, the bound is %d", n, quotaWindow, bound)
+			return
+		}
+	}
+	c.t.Logf("%d requests of the limited organisation ran, at most %d in a window", len(runs), bound)
 }
 
 func (c *checks) judgeBody(id string, s sent) {
