Let an instance that has lost the store ask the next reader

Cause: TestOneWayToTheStoreSuffices (new) failed: the instance that reads the store for the others asks nobody, so when only its own way to the store was cut it went out of readiness and refused requests although another instance reached the store. Change: a reader that has lost the store asks the next in line, and says so to those that ask it, which then ask another one. Measured: the test fails before (the new key is not served within 10 s) and passes after.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -119,21 +119,26 @@
 }
 
 // reader returns the instance to ask, or "" if this one reads the store itself.
+// One that has lost the store asks the next in line, which may reach it.
 func (f *Feed) reader() string {
 	addresses, count := f.Readers()
 	count = min(count, len(addresses))
-	if slices.Contains(addresses[:count], "") {
+	lost := f.Link.Lost()
+	if slices.Contains(addresses[:count], "") && !lost {
 		f.settled.Store(true)
 		return ""
 	}
 	now := f.Clock.Elapsed()
 	for i := range count {
 		address := addresses[(int(f.Pick%uint64(count))+i)%count]
-		if f.silent.Usable(address, now) {
+		if address != "" && f.silent.Usable(address, now) {
 			return address
 		}
 	}
 	for _, address := range addresses[count:] {
+		if address == "" && lost {
+			continue
+		}
 		if address == "" || f.silent.Usable(address, now) {
 			return address
 		}
@@ -167,6 +172,11 @@
 		return err
 	}
 	f.silent.Answered(reader)
+	if answer.StoreLost && !f.Link.Lost() {
+		// It is asked again after the shortest time: the store may be back.
+		f.silent.Failed(reader, f.Clock.Elapsed())
+		f.Log.Info("reader has lost the store; another instance is asked", "reader", reader)
+	}
 	if answer.StoreAway {
 		f.Link.RegainedBefore(millis(answer.StoreBackMillis))
 	}
@@ -252,6 +262,7 @@
 		answer.ConfigurationRevision, answer.ConfigurationAgeMillis = revision, roundUp(age)
 	}
 	answer.Caches = f.cacheChanges(body.Caches)
+	answer.StoreLost = f.Link.Lost()
 	if ago, away := f.Link.Regained(); away {
 		answer.StoreAway, answer.StoreBackMillis = true, ago.Milliseconds()
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -321,6 +321,13 @@
 	}
 }
 
+// Lost reports whether calls have failed for some time.
+func (l *Link) Lost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 // Unsettled reports whether the store is lost or came back less than d ago.
 func (l *Link) Unsettled(d time.Duration) bool {
 	l.mu.Lock()
