End a loss of the store when other instances pass on what they read

Change: an answer of a reader that reaches the store ends the loss for the objects, with the same time to settle; the own way to the store still counts as lost. Test: TestLossEndsWhenOthersPassOn, against the fault that the trace shows.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -177,6 +177,9 @@
 		f.silent.Failed(reader, f.Clock.Elapsed())
 		f.Log.Info("reader has lost the store; another instance is asked", "reader", reader)
 	}
+	if !answer.StoreLost {
+		f.Link.PassedOn()
+	}
 	if answer.StoreAway {
 		f.Link.RegainedBefore(millis(answer.StoreBackMillis))
 	}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -265,6 +265,7 @@
 	lost     bool
 	lastOK   time.Duration
 	regained time.Duration // when calls succeeded again after a loss
+	passed   time.Duration // when another instance last passed on what it reads
 	back     chan struct{} // closed when that happens; nil while nobody waits
 }
 
@@ -328,11 +329,32 @@
 	return l.lost
 }
 
-// Unsettled reports whether the store is lost or came back less than d ago.
+// passedFor is how long what another instance passed on stands for calls of this
+// one. Source: a few of its answers.
+const passedFor = 2 * time.Second
+
+// PassedOn notes that another instance, which reaches the store, passed on what
+// it reads. It ends a loss as an own call does, as far as the objects go.
+func (l *Link) PassedOn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Elapsed()
+	if l.lost && !l.covered(now) {
+		l.regained = now
+	}
+	l.passed = now
+}
+
+// covered reports whether another instance passes on the objects. It runs under mu.
+func (l *Link) covered(now time.Duration) bool { return l.passed > 0 && now-l.passed < passedFor }
+
+// Unsettled reports whether the objects of the store are out of reach or came
+// back less than d ago.
 func (l *Link) Unsettled(d time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lost || l.regained > 0 && l.Clock.Elapsed()-l.regained < d
+	now := l.Clock.Elapsed()
+	return l.lost && !l.covered(now) || l.regained > 0 && now-l.regained < d
 }
 
 // RegainedBefore notes that the store was away for another instance until the
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -119,3 +120,31 @@
 	store.Put("things", "two", 2)
 	view.await(t, "two", "2")
 }
+
+// Guards against an instance that takes the store for lost for ever, and so
+// keeps targets that are gone, because others read the store for it since and it
+// makes no call of its own.
+func TestLossEndsWhenOthersPassOn(t *testing.T) {
+	const settle = 2200 * time.Millisecond
+	fake := clock.NewFake(time.Now())
+	fake.Advance(time.Minute)
+	link := &follow.Link{Clock: fake, Log: hclog.NewNullLogger()}
+	link.OK()
+	fake.Advance(time.Second)
+	link.Failed(errors.New("refused"))
+	assert.Assert(t, link.Unsettled(settle))
+	fake.Advance(10 * time.Second)
+	assert.Assert(t, link.Unsettled(settle), "a loss ended by itself")
+
+	for elapsed := time.Duration(0); elapsed < settle; elapsed += 400 * time.Millisecond {
+		link.PassedOn()
+		assert.Assert(t, link.Unsettled(settle), "settled %v after the first answer", elapsed)
+		fake.Advance(400 * time.Millisecond)
+	}
+	link.PassedOn()
+	assert.Assert(t, !link.Unsettled(settle), "the loss does not end")
+	assert.Assert(t, link.Lost(), "the own way to the store is not tried any more")
+
+	fake.Advance(3 * time.Second)
+	assert.Assert(t, link.Unsettled(settle), "nobody passes anything on now")
+}
