--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -21,6 +21,9 @@
 	// call has a price, and the store is expected back within seconds.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
+	// quickRetries is the number of calls that follow a failed one without regard
+	// to whether the store is lost.
+	quickRetries = 2
 	// lostWait is the longest wait after a failed call while the store is lost
 	// and no other call of this process has succeeded. Source: one loop that
 	// looks for the store suffices.
@@ -86,7 +89,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	wait := retryMin
+	wait, failed := retryMin, 0
 	for ctx.Err() == nil {
 		if left := f.coveredFor(); left > 0 {
 			clock.Sleep(ctx, min(left, coveredLook))
@@ -103,7 +106,7 @@
 		}
 		if err == nil {
 			f.Link.OK()
-			wait = retryMin
+			wait, failed = retryMin, 0
 			continue
 		}
 		if objectstore.IsKind(err, objectstore.KindCompacted) {
@@ -112,7 +115,12 @@
 			continue
 		}
 		f.Link.Failed(err)
-		f.Link.await(ctx, clock.Jitter(wait), clock.Jitter(lostWait))
+		// One connection that went silent is no loss: the next call has another.
+		if failed++; failed <= quickRetries {
+			clock.Sleep(ctx, clock.Jitter(wait))
+		} else {
+			f.Link.await(ctx, clock.Jitter(wait), clock.Jitter(lostWait))
+		}
 		wait = min(2*wait, retryMax)
 	}
 }
