--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -39,7 +39,7 @@
 	idle := f.startIdleTimer(ex, t, cancel)
 	defer idle.stop()
 
-	now := time.Now()
+	now, sentAt := time.Now(), f.Clock.Elapsed()
 	t.Live.InFlight.Add(1)
 	t.Live.InFlightTokens.Add(int64(r.PromptTokens + r.MaxOutputTokens))
 	f.Placer.RecordSent(t, r, choice.UncachedTokens, now)
@@ -50,6 +50,12 @@
 			f.Placer.RecordFirstEvent(t, choice.UncachedTokens)
 		}
 	}
+	onFirstEvent := func() {
+		if !started && t.WeightsUsableUntil > 0 {
+			f.RequestLog.RecordSupersededStart(ex, t, sentAt, f.Clock.Elapsed())
+		}
+		markStarted()
+	}
 	defer func() {
 		markStarted()
 		t.Live.InFlight.Add(-1)
@@ -81,7 +87,7 @@
 	}
 	var failed *failure
 	if ex.Route.StreamsEvents && response.StatusCode == http.StatusOK {
-		failed = f.relayEvents(ex, response, idle, markStarted)
+		failed = f.relayEvents(ex, response, idle, onFirstEvent)
 	} else {
 		failed = f.relayBuffered(ex, response)
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -8,6 +8,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -49,6 +50,7 @@
 	LoadReporter     LoadReporter
 	KeyFilter        *KeyFilter
 	RequestLog       *RequestLog
+	Clock            clock.Clock
 	// InstanceCount returns the number of instances that share the connections
 	// that targets accept.
 	InstanceCount func() int
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -96,7 +97,7 @@
 	key := &relay.KeyFilter{Configuration: f, MaxProofAge: func() time.Duration { return 4 * time.Second }}
 	directory := &cachedir.Set{}
 	forward := &relay.ForwardFilter{
-		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, RequestLog: requestLog,
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, RequestLog: requestLog, Clock: clock.System{},
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
 	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, &relay.QuotaFilter{Quota: f}, forward)
--- a/pkg/relay/requestlog.go
+++ b/pkg/relay/requestlog.go
@@ -10,6 +10,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
 // RequestLog logs and counts the outcomes of requests and of their attempts.
@@ -90,6 +91,26 @@
 		"missing_tokens", choice.UncachedTokens, "expected_delay", choice.Cost)
 }
 
+// supersededStartLogLimit is the time before the end of use of superseded
+// weights from which requests that begin on them are logged.
+const supersededStartLogLimit = 2 * time.Second
+
+// RecordSupersededStart counts a request that began on superseded weights and
+// logs it if they are used for supersededStartLogLimit at most. sentAt and now
+// are boot times.
+func (l *RequestLog) RecordSupersededStart(ex *Exchange, t *target.Target, sentAt, now time.Duration) {
+	l.Metrics.Add("superseded_starts", 1)
+	left := t.WeightsUsableUntil - now
+	if left > supersededStartLogLimit {
+		return
+	}
+	if left < 0 {
+		l.Metrics.Add("superseded_starts_late", 1)
+	}
+	l.Log.Info("request began on superseded weights", "request_id", ex.Metadata.ID, "target", t.ID, "weights", t.WeightVersion,
+		"usable_for", left, "usable_for_when_sent", t.WeightsUsableUntil-sentAt, "waited", now-sentAt)
+}
+
 // RecordDeniedRetry logs and counts a request that is not sent again, with the
 // reason.
 func (l *RequestLog) RecordDeniedRetry(ex *Exchange, last *failure, reason string) {
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,7 @@
 	lapsed          bool          // no longer listed; kept for lapsedGrace after an outage of the store
 	addressTaken    bool          // another target answers at its address
 	reportedVersion string        // weights that the target reported; "" unless newer than the listed ones
+	expiredVersion  string        // weights that were logged as no longer used
 	lapsedAt        time.Duration // boot time at which it was first missing
 }
 
@@ -186,6 +188,7 @@
 	if e != nil && e.target != nil && e.target.Incarnation == parsed.Incarnation {
 		parsed.Live = e.target.Live
 		next.addressTaken = e.addressTaken && e.target.Address == parsed.Address
+		next.expiredVersion = e.expiredVersion
 		// Within one incarnation a target that is leaving stays so; only a
 		// restart ends it.
 		parsed.Leaving = parsed.Leaving || e.target.Leaving
@@ -319,15 +322,15 @@
 // maxAnnouncements is the number of announcements kept per model.
 const maxAnnouncements = 16
 
-// supersededFor returns the time since weights newer than version were first
-// announced, or 0 if there are none.
-func (t *Targets) supersededFor(model, version string) time.Duration {
+// supersededAt returns the boot time at which weights newer than version were
+// first announced, or false if there are none.
+func (t *Targets) supersededAt(model, version string) (time.Duration, bool) {
 	for _, n := range t.announced[model] {
 		if isNewerVersion(n.version, version) {
-			return t.Clock.Elapsed() - n.at
+			return n.at, true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // rolloutDeadlineMargin is subtracted from RolloutDeadline, because a request starts
@@ -350,12 +353,15 @@
 			continue
 		}
 		engines++
-		age := t.supersededFor(x.Model, x.WeightVersion)
-		if age == 0 || x.Leaving {
+		at, superseded := t.supersededAt(x.Model, x.WeightVersion)
+		if !superseded || x.Leaving {
 			continue
 		}
 		outdated = append(outdated, x)
-		x.WeightsExpired = t.RolloutDeadline > 0 && age > t.RolloutDeadline-rolloutDeadlineMargin
+		if t.RolloutDeadline > 0 {
+			x.WeightsUsableUntil = at + t.RolloutDeadline
+			x.WeightsExpired = t.Clock.Elapsed() > x.WeightsUsableUntil-rolloutDeadlineMargin
+		}
 	}
 	rollout.SortByLoadOrder(outdated)
 	parallel := rollout.MaxParallelLoads(engines)
@@ -383,8 +389,34 @@
 		v.keys[shown.Key()] = true
 		v.hashes[gossip.HashTarget(shown.Key())] = &shown
 	}
-	for _, targets := range v.pools {
+	for pool, targets := range v.pools {
 		t.markRollout(targets)
+		t.logExpired(pool, targets)
 	}
 	t.current.Store(v)
 }
+
+// maxLoggedTargets bounds the IDs of targets in one log line.
+const maxLoggedTargets = 8
+
+// logExpired logs the targets of a pool whose weights are no longer used, each
+// once for each version.
+func (t *Targets) logExpired(pool string, targets []*target.Target) {
+	var ids []string
+	var left time.Duration
+	count := 0
+	for _, x := range targets {
+		e := t.entries[x.ID]
+		if !x.WeightsExpired || e.expiredVersion == x.WeightVersion {
+			continue
+		}
+		e.expiredVersion = x.WeightVersion
+		left = x.WeightsUsableUntil - t.Clock.Elapsed()
+		if count++; count <= maxLoggedTargets {
+			ids = append(ids, x.ID+"@"+x.WeightVersion)
+		}
+	}
+	if count > 0 {
+		t.Log.Info("targets get no more requests until they load newer weights", "pool", pool, "targets", count, "usable_for", left, "ids", strings.Join(ids, ","))
+	}
+}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -31,14 +31,17 @@
 	Adapter        string
 	CanResume      bool
 	Reachable      bool
-	IsEngine       bool   // a model engine, which caches parts of prompts; otherwise a plain service
-	AboutToLoad    bool   // is loading weights or will be ordered to next
-	WeightsExpired bool   // its weights were superseded too long ago to be used
-	Slots          int    // requests that it can run concurrently; zero if unknown
-	CacheTokens    int    // memory for running requests and cached parts, in tokens; zero if unknown
-	Pool           string // empty if the list of targets does not name it
-	Load           Load   // as of the snapshot; NewestLoad may be more recent
-	Live           *LiveState
+	IsEngine       bool // a model engine, which caches parts of prompts; otherwise a plain service
+	AboutToLoad    bool // is loading weights or will be ordered to next
+	WeightsExpired bool // its weights were superseded too long ago to be used
+	// WeightsUsableUntil is the boot time until which a request may begin on its
+	// weights; zero if they are not superseded.
+	WeightsUsableUntil time.Duration
+	Slots              int    // requests that it can run concurrently; zero if unknown
+	CacheTokens        int    // memory for running requests and cached parts, in tokens; zero if unknown
+	Pool               string // empty if the list of targets does not name it
+	Load               Load   // as of the snapshot; NewestLoad may be more recent
+	Live               *LiveState
 }
 
 // Key returns a key that is unique to the target and its incarnation.
