--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -250,7 +250,7 @@
 	requestLog := d.requestLog
 	keyFilter := &relay.KeyFilter{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
 	forwardFilter := &relay.ForwardFilter{
-		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, KeyFilter: keyFilter, RequestLog: requestLog, Clock: d.clock,
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, KeyFilter: keyFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
 		RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
 	}
 	chain := relay.NewChain(dialect, requestLog,
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -38,6 +38,8 @@
 	defer cancel(nil)
 	idle := f.startIdleTimer(ex, t, cancel)
 	defer idle.stop()
+	weights := f.watchWeights(ctx, ex, t, cancel)
+	defer weights.stop()
 
 	now, sentAt := time.Now(), f.Clock.Elapsed()
 	t.Live.InFlight.Add(1)
@@ -51,6 +53,7 @@
 		}
 	}
 	onFirstEvent := func() {
+		weights.stop()
 		if !started && t.WeightsUsableUntil > 0 {
 			f.RequestLog.RecordSupersededStart(ex, t, sentAt, f.Clock.Elapsed())
 		}
@@ -114,7 +117,7 @@
 func (f *ForwardFilter) targetRequest(ex *Exchange, choice placement.Choice) *targetconn.Request {
 	t := choice.Target
 	options := &ForwardOptions{
-		Timeout:     time.Until(ex.Deadline),
+		Timeout:     min(time.Until(ex.Deadline), timeOnWeights(t, f.Clock.Elapsed())),
 		InstanceID:  t.ID,
 		LastEventID: ex.Metadata.LastEventID,
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -51,6 +51,9 @@
 	KeyFilter        *KeyFilter
 	RequestLog       *RequestLog
 	Clock            clock.Clock
+	// RolloutDeadline is the time from the announcement of weights to the last
+	// request that begins on older ones; zero means no deadline.
+	RolloutDeadline time.Duration
 	// InstanceCount returns the number of instances that share the connections
 	// that targets accept.
 	InstanceCount func() int
@@ -89,7 +92,7 @@
 		if err := f.checkCanStart(ex); err != nil {
 			return err
 		}
-		choice := f.Placer.Pick(f.Targets.InPool(ex.Pool.Name), r, func(t *target.Target) bool { return t.WeightsExpired || tried[t.Key()] }, time.Now())
+		choice := f.pickTarget(ex, r, tried)
 		if choice.Target == nil {
 			break
 		}
@@ -103,7 +106,7 @@
 		if last == nil {
 			return next(ex)
 		}
-		f.RequestLog.RecordFailedAttempt(ex, choice, last)
+		f.RequestLog.RecordFailedAttempt(ex, choice, last, f.Clock.Elapsed())
 		if !f.canRetry(ex, last) {
 			break
 		}
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -32,6 +32,8 @@
 const (
 	testKey     = "key-of-one"
 	testTimeout = 5 * time.Second
+	// rolloutDeadline is shorter than the deadlines of the routes.
+	rolloutDeadline = 1500 * time.Millisecond
 )
 
 // fixture is a chain in front of stand-in targets. It implements the interfaces
@@ -97,7 +99,7 @@
 	key := &relay.KeyFilter{Configuration: f, MaxProofAge: func() time.Duration { return 4 * time.Second }}
 	directory := &cachedir.Set{}
 	forward := &relay.ForwardFilter{
-		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, RequestLog: requestLog, Clock: clock.System{},
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
 	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, &relay.QuotaFilter{Quota: f}, forward)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/explain"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -63,7 +64,7 @@
 		{"header too large", nil, callerRequest{path: "/once/", header: map[string]string{"X-Big": strings.Repeat("x", 9<<10)}}, http.StatusRequestHeaderFieldsTooLarge},
 		{"over the quota", func(f *fixture) { f.tokens = 9 }, callerRequest{path: "/once/"}, http.StatusTooManyRequests},
 		{"no target", func(f *fixture) { f.targets = nil }, callerRequest{path: "/once/"}, http.StatusServiceUnavailable},
-		{"only targets with outdated weights", func(f *fixture) { f.targets[0].WeightsExpired = true }, callerRequest{path: "/once/"}, http.StatusServiceUnavailable},
+		{"only targets with outdated weights", func(f *fixture) { f.targets[0].WeightsUsableUntil = clock.System{}.Elapsed() }, callerRequest{path: "/once/"}, http.StatusServiceUnavailable},
 		{"only leaving targets", func(f *fixture) { f.targets[0].Leaving = true }, callerRequest{path: "/once/"}, http.StatusServiceUnavailable},
 	}
 	for _, c := range cases {
--- a/pkg/relay/requestlog.go
+++ b/pkg/relay/requestlog.go
@@ -82,13 +82,18 @@
 }
 
 // RecordFailedAttempt logs and counts an attempt without a complete response.
-func (l *RequestLog) RecordFailedAttempt(ex *Exchange, choice placement.Choice, last *failure) {
+// now is the boot time.
+func (l *RequestLog) RecordFailedAttempt(ex *Exchange, choice placement.Choice, last *failure, now time.Duration) {
 	l.Metrics.Add("attempts_failed", 1)
 	_, reported := choice.Target.NewestLoad()
-	l.Log.Info("attempt failed", "request_id", ex.Metadata.ID, "target", choice.Target.ID, "address", choice.Target.Address,
+	args := []any{"request_id", ex.Metadata.ID, "target", choice.Target.ID, "address", choice.Target.Address,
 		"attempt", ex.Attempts, "reason", last.reason, "may_have_run", last.mayHaveRun, "cause", last.cause,
 		"weights", choice.Target.WeightVersion, "in_flight", choice.Target.Live.InFlight.Load(), "load_age", formatAge(reported),
-		"missing_tokens", choice.UncachedTokens, "expected_delay", choice.Cost)
+		"missing_tokens", choice.UncachedTokens, "expected_delay", choice.Cost}
+	if choice.Target.WeightsUsableUntil > 0 {
+		args = append(args, "weights_usable_for", choice.Target.WeightsUsableUntil-now)
+	}
+	l.Log.Info("attempt failed", args...)
 }
 
 // supersededStartLogLimit is the time before the end of use of superseded
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -234,18 +234,20 @@
 }
 
 // ReconcileExpired removes lapsed targets whose entries did not return within
-// lapsedGrace and marks the targets whose weights have become too old. It must be
+// lapsedGrace, and logs the targets whose weights are no longer used. It must be
 // called periodically.
 func (t *Targets) ReconcileExpired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	needsPublish := t.current.Load() != nil && len(t.announced) > 0
-	if t.StoreHealth.UnavailableWithin(lapsedGrace) {
-		if needsPublish {
-			t.publish()
+	if v := t.current.Load(); v != nil {
+		for pool, targets := range v.pools {
+			t.logExpired(pool, targets)
 		}
+	}
+	if t.StoreHealth.UnavailableWithin(lapsedGrace) {
 		return
 	}
+	needsPublish := false
 	for id, e := range t.entries {
 		if e.lapsed {
 			delete(t.entries, id)
@@ -333,18 +335,13 @@
 	return 0, false
 }
 
-// rolloutDeadlineMargin is subtracted from RolloutDeadline, because a request starts
-// some time after its target was chosen.
-const rolloutDeadlineMargin = 900 * time.Millisecond
-
 // reservedDivisor sets how many further targets are marked as about to load: one
 // for every reservedDivisor that load at the same time, and at least one. The
 // instance that sends the orders may be ahead of the list.
 const reservedDivisor = 3
 
 // markRollout sets AboutToLoad on the engines of a pool that load weights or are
-// next to do so, and WeightsExpired on those whose weights are past the rollout
-// deadline.
+// next to do so, and WeightsUsableUntil on those with superseded weights.
 func (t *Targets) markRollout(targets []*target.Target) {
 	var outdated []*target.Target
 	engines := 0
@@ -360,7 +357,6 @@
 		outdated = append(outdated, x)
 		if t.RolloutDeadline > 0 {
 			x.WeightsUsableUntil = at + t.RolloutDeadline
-			x.WeightsExpired = t.Clock.Elapsed() > x.WeightsUsableUntil-rolloutDeadlineMargin
 		}
 	}
 	rollout.SortByLoadOrder(outdated)
@@ -389,9 +385,8 @@
 		v.keys[shown.Key()] = true
 		v.hashes[gossip.HashTarget(shown.Key())] = &shown
 	}
-	for pool, targets := range v.pools {
+	for _, targets := range v.pools {
 		t.markRollout(targets)
-		t.logExpired(pool, targets)
 	}
 	t.current.Store(v)
 }
@@ -402,21 +397,20 @@
 // logExpired logs the targets of a pool whose weights are no longer used, each
 // once for each version.
 func (t *Targets) logExpired(pool string, targets []*target.Target) {
+	now := t.Clock.Elapsed()
 	var ids []string
-	var left time.Duration
 	count := 0
 	for _, x := range targets {
 		e := t.entries[x.ID]
-		if !x.WeightsExpired || e.expiredVersion == x.WeightVersion {
+		if e == nil || x.WeightsUsableUntil == 0 || now < x.WeightsUsableUntil || e.expiredVersion == x.WeightVersion {
 			continue
 		}
 		e.expiredVersion = x.WeightVersion
-		left = x.WeightsUsableUntil - t.Clock.Elapsed()
 		if count++; count <= maxLoggedTargets {
 			ids = append(ids, x.ID+"@"+x.WeightVersion)
 		}
 	}
 	if count > 0 {
-		t.Log.Info("targets get no more requests until they load newer weights", "pool", pool, "targets", count, "usable_for", left, "ids", strings.Join(ids, ","))
+		t.Log.Warn("targets get no requests until they load newer weights", "pool", pool, "targets", count, "ids", strings.Join(ids, ","))
 	}
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -19,21 +19,20 @@
 
 // Target is a snapshot of one target. It is immutable apart from Live.
 type Target struct {
-	ID             string
-	Role           objectstore.Role
-	Address        string
-	Zone           string
-	Labels         map[string]string
-	Leaving        bool
-	Incarnation    string // changes when the target restarts; its cache is then empty
-	Model          string
-	WeightVersion  string
-	Adapter        string
-	CanResume      bool
-	Reachable      bool
-	IsEngine       bool // a model engine, which caches parts of prompts; otherwise a plain service
-	AboutToLoad    bool // is loading weights or will be ordered to next
-	WeightsExpired bool // its weights were superseded too long ago to be used
+	ID            string
+	Role          objectstore.Role
+	Address       string
+	Zone          string
+	Labels        map[string]string
+	Leaving       bool
+	Incarnation   string // changes when the target restarts; its cache is then empty
+	Model         string
+	WeightVersion string
+	Adapter       string
+	CanResume     bool
+	Reachable     bool
+	IsEngine      bool // a model engine, which caches parts of prompts; otherwise a plain service
+	AboutToLoad   bool // is loading weights or will be ordered to next
 	// WeightsUsableUntil is the boot time until which a request may begin on its
 	// weights; zero if they are not superseded.
 	WeightsUsableUntil time.Duration
