--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -117,7 +117,6 @@
 func (f *ForwardFilter) targetRequest(ex *Exchange, choice placement.Choice) *targetconn.Request {
 	t := choice.Target
 	options := &ForwardOptions{
-		Timeout:     min(time.Until(ex.Deadline), timeOnWeights(t, f.Clock.Elapsed())),
 		InstanceID:  t.ID,
 		LastEventID: ex.Metadata.LastEventID,
 	}
@@ -138,7 +137,14 @@
 	id := ex.Metadata.ID
 	return &targetconn.Request{
 		Method: ex.Request.Method, Path: path, Host: ex.Request.Host,
-		Header: f.Dialect.TargetHeader(ex.Request.Header, options), Body: ex.Body,
+		Body: ex.Body,
+		Prepare: func() (http.Header, error) {
+			if err := f.checkCanSend(ex, t); err != nil {
+				return nil, err
+			}
+			options.Timeout = f.timeAtTarget(ex, t)
+			return f.Dialect.TargetHeader(ex.Request.Header, options), nil
+		},
 		MatchesResponse: func(h http.Header) bool {
 			return f.Dialect.ParseResponseHeader(0, h).RequestID == id
 		},
@@ -193,6 +199,9 @@
 	var failed *targetconn.Error
 	if errors.As(err, &failed) && failed.Stage == targetconn.StageConnect {
 		wait := time.Duration(0)
+		if errors.Is(err, errTargetLeft) || errors.Is(err, errWeightsExpired) {
+			return &failure{canTryOther: true, reason: "the target may not be used any more", cause: err}
+		}
 		if !errors.Is(err, targetconn.ErrTooManyConnections) && !errors.Is(err, context.Canceled) {
 			wait = f.Placer.RecordConnectFailure(t, time.Now())
 			f.LoadReporter.ReportDown(t.Key())
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -48,6 +48,7 @@
 	snapshot      *tables.Snapshot
 	proofAge      time.Duration
 	targets       []*target.Target
+	onList        func() // called before each read of the targets; it may change them
 	newestVersion string
 	tokens        int64 // tokens left in the quota; negative: no limit
 	limits        relay.RetryLimits
@@ -125,6 +126,9 @@
 func (f *fixture) InPool(string) []*target.Target {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.onList != nil {
+		f.onList()
+	}
 	return f.targets
 }
 
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -102,7 +102,11 @@
 		if ctx.Err() != nil || w.begun.Load() {
 			return
 		}
-		left := timeOnWeights(f.current(ex.Pool.Name, t), f.Clock.Elapsed())
+		now := f.current(ex.Pool.Name, t)
+		if now == nil {
+			return // the target has left
+		}
+		left := timeOnWeights(now, f.Clock.Elapsed())
 		if left <= 0 {
 			cancel(errWeightsExpired)
 			return
@@ -113,16 +117,6 @@
 	return w
 }
 
-// current returns the newest snapshot of a target, or t if it is no longer listed.
-func (f *ForwardFilter) current(pool string, t *target.Target) *target.Target {
-	for _, other := range f.Targets.InPool(pool) {
-		if other.Live == t.Live {
-			return other
-		}
-	}
-	return t
-}
-
 // stop ends the watch, since the request has begun or ended.
 func (w *weightsWatch) stop() {
 	w.begun.Store(true)
--- a/pkg/relay/weights_test.go
+++ b/pkg/relay/weights_test.go
@@ -25,6 +25,14 @@
 	return time.Now().Add(left)
 }
 
+// statedTime returns the timeout that a request states to the target.
+func statedTime(t *testing.T, seen platformtest.ReceivedRequest) time.Duration {
+	t.Helper()
+	limit, err := strconv.Atoi(seen.Header.Get(platformtest.HeaderDeadline))
+	assert.NilError(t, err)
+	return time.Duration(limit) * time.Millisecond
+}
+
 // A request that waits at a target with superseded weights must not begin there
 // after their use has ended.
 func TestRequestDoesNotBeginOnExpiredWeights(t *testing.T) {
@@ -63,9 +71,8 @@
 			time.Sleep(c.queueDelay) // the stand-in goes on after its connection was closed
 			for _, seen := range old.Requests() {
 				assert.Assert(t, !seen.ExecutedAt.After(usableUntil), "the request began %v after the end of use", seen.ExecutedAt.Sub(usableUntil))
-				limit, err := strconv.Atoi(seen.Header.Get(platformtest.HeaderDeadline))
-				assert.NilError(t, err)
-				assert.Assert(t, seen.ReceivedAt.Add(time.Duration(limit)*time.Millisecond).Before(usableUntil), "the target may begin it until %v ms after it was sent", limit)
+				limit := statedTime(t, seen)
+				assert.Assert(t, seen.ReceivedAt.Add(limit).Before(usableUntil), "the target may begin it until %v after it was sent", limit)
 			}
 		})
 	}
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -60,6 +60,10 @@
 	Method, Path, Host string
 	Header             http.Header
 	Body               []byte
+	// Prepare returns the header to send in place of Header, or an error if the
+	// request must not be sent any more. It is called when the connection is open,
+	// which may take a while. Nil means no call.
+	Prepare func() (http.Header, error)
 	// MatchesResponse reports whether a response header belongs to this
 	// request. Nil accepts every response.
 	MatchesResponse func(http.Header) bool
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -100,12 +100,21 @@
 // Do sends the request once and returns when the response header has arrived.
 // The body must be read before ctx ends. Errors have the type *Error. Their
 // cause is ErrTooManyConnections if the limit is reached and, once the request
-// was sent, the cause of ctx if it has ended.
+// was sent, the cause of ctx if it has ended. An error of Prepare is the cause of
+// an error with StageConnect.
 func (p *Pool) Do(ctx context.Context, to Destination, r *Request) (*Response, error) {
 	conn, err := p.acquire(ctx, to)
 	if err != nil {
 		return nil, &Error{Stage: StageConnect, Cause: err}
 	}
+	if r.Prepare != nil {
+		prepared := *r
+		if prepared.Header, err = r.Prepare(); err != nil {
+			p.discard(conn)
+			return nil, &Error{Stage: StageConnect, Cause: err}
+		}
+		r = &prepared
+	}
 	reused := conn.requestCount > 0
 	conn.requestCount++
 	stop := conn.closeOnCancel(ctx)
