--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -208,7 +208,7 @@
 	d.feed.CacheDirectories = d.cacheDirectories
 	d.targetConns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
-	d.gossip = &gossip.Gossip{ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, Log: log}
+	d.gossip = &gossip.Gossip{ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, Announcements: d.targets.ExactAnnouncements, OnAnnouncement: d.recordPeerAnnouncement, Log: log}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.callerServer = &http.Server{
 		Handler:           d.callerHandler(p.Dialect),
@@ -289,6 +289,11 @@
 	}
 }
 
+// recordPeerAnnouncement records what another instance told about announced weights.
+func (d *Daemon) recordPeerAnnouncement(a gossip.Announcement) {
+	d.targets.RecordAnnouncedVersion(a.Model, a.Version, a.Age, true)
+}
+
 // whenReaderKnown delays a controller at the first start of the whole system
 // until it is known whether another instance reads the store for this one, or
 // until readerKnownTimeout. Otherwise all instances would read the store at once.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -31,6 +31,9 @@
 	// maxRecentChanges is the number of changes kept for other instances. An
 	// instance that has missed more gets the full list.
 	maxRecentChanges = 1000
+	// usualGap is the longest time between two updates of another instance, or
+	// between a change and the response of a watch, that is no interruption.
+	usualGap = 1500 * time.Millisecond
 	// peerCheckInterval is the longest time between checks whether other
 	// instances still send the changes to this one.
 	peerCheckInterval = 300 * time.Millisecond
@@ -68,8 +71,18 @@
 	recent      []change
 	recentAfter uint64 // recent holds all changes after this revision
 	syncState   SyncState
+	// contactAt is the boot time of the last response of the store or of another
+	// instance, and of the start of the calls that have failed since.
+	contactAt time.Duration
+	watching  bool          // a call to the store is in progress
+	maxDelay  time.Duration // see MaxDelay
 }
 
+// MaxDelay returns how much later than usual the changes that are being delivered
+// may have come, because the contact to the store was interrupted or the process
+// was suspended; zero if it was not. It may be called by Replace and Apply only.
+func (f *Follower) MaxDelay() time.Duration { return f.maxDelay }
+
 // SyncState tells how current a view is.
 type SyncState struct {
 	IsSynced bool          // the view holds a full list
@@ -172,9 +185,16 @@
 func (f *Follower) Merge(c Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case !c.SyncState.IsSynced:
+	if !c.SyncState.IsSynced {
 		return
+	}
+	now := f.now()
+	f.maxDelay = 0
+	if gap := now - f.contactAt; !f.watching && f.contactAt > 0 && gap > usualGap {
+		f.maxDelay = gap
+	}
+	f.contactAt = now
+	switch {
 	case c.IsFullList:
 		if !f.syncState.IsSynced || c.SyncState.Revision > f.syncState.Revision {
 			f.replace(c.Objects, c.SyncState.Revision)
@@ -193,23 +213,28 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	end := f.beginCall()
 	objects, revision, err := f.Store.List(ctx, f.Kind)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	end(err)
 	if err != nil {
 		return err
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.replace(objects, revision)
 	f.syncState.AsOf = f.now()
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64) error {
+	end := f.beginCall()
 	events, revision, err := f.Store.Watch(ctx, f.Kind, after)
+	f.mu.Lock()
+	end(err)
 	if err != nil {
+		f.mu.Unlock()
 		return err
 	}
-	f.mu.Lock()
 	f.apply(events, revision)
 	f.syncState.AsOf = f.now()
 	f.mu.Unlock()
@@ -219,6 +244,35 @@
 	return nil
 }
 
+// beginCall records the start of a call to the store. The returned function
+// records its end and sets maxDelay; its caller holds mu.
+func (f *Follower) beginCall() (end func(err error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching = true
+	startedAt, startedMonotonic := f.now(), time.Now()
+	if f.contactAt == 0 {
+		f.contactAt = startedAt
+	}
+	failedSince := f.contactAt
+	return func(err error) {
+		f.watching = false
+		if err != nil {
+			return // contactAt stays, as changes may have been missed since
+		}
+		now := f.now()
+		f.maxDelay = 0
+		if gap := startedAt - failedSince; gap > usualGap {
+			f.maxDelay = now - failedSince
+		}
+		// The monotonic clock stands still while the process is suspended.
+		if suspended := now - startedAt - time.Since(startedMonotonic); suspended > usualGap {
+			f.maxDelay = max(f.maxDelay, suspended+usualGap)
+		}
+		f.contactAt = now
+	}
+}
+
 func (f *Follower) now() time.Duration {
 	if f.Clock == nil {
 		return 0
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -74,7 +74,11 @@
 	// OnReport is called for each report from another instance that is newer
 	// than the known one of its target.
 	OnReport func(targetHash uint64, load target.Load, at time.Time, down bool)
-	Log      hclog.Logger
+	// Announcements returns the announcements of weights up to an age.
+	// OnAnnouncement is called for each one of another instance. Nil means none.
+	Announcements  func(maxAge time.Duration) []Announcement
+	OnAnnouncement func(Announcement)
+	Log            hclog.Logger
 
 	mu      sync.Mutex
 	reports map[uint64]timedReport
@@ -151,6 +155,7 @@
 
 func (g *Gossip) send(conn net.PacketConn) {
 	peers := g.Peers()
+	g.sendAnnouncements(conn, peers)
 	reports := g.freshReports(time.Now())
 	if len(reports) == 0 || len(peers) == 0 {
 		return
@@ -160,6 +165,11 @@
 		g.Log.Warn("cannot encode load reports; none are sent in this round", "cause", err)
 		return
 	}
+	sendToSome(conn, peers, payload)
+}
+
+// sendToSome sends a datagram to fanOut peers, chosen at random.
+func sendToSome(conn net.PacketConn, peers []string, payload []byte) {
 	for n, at := range rand.Perm(len(peers)) {
 		if n == fanOut {
 			return
@@ -192,6 +202,9 @@
 // OnReport. A datagram that cannot be decoded or has another version is
 // dropped.
 func (g *Gossip) handleDatagram(payload []byte, now time.Time) {
+	if g.handleAnnouncements(payload) {
+		return
+	}
 	var d datagram
 	if cbor.Unmarshal(payload, &d) != nil || d.Version != version {
 		return
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -200,12 +200,12 @@
 func TestSupersededWeightsBecomeTooOld(t *testing.T) {
 	fake := clock.NewFake(time.Now())
 	x := newTargets(fake)
-	x.RecordAnnouncedVersion("m", "1", 0)
+	x.RecordAnnouncedVersion("m", "1", 0, true)
 	x.replace([]objectstore.Object{object("a", 1, "1 1 0"), object("b", 2, "1 2 0"), object("c", 3, "1 3 0")})
-	x.RecordAnnouncedVersion("m", "2", 0)
+	x.RecordAnnouncedVersion("m", "2", 0, true)
 	first := fake.Elapsed()
 	fake.Advance(6 * time.Second)
-	x.RecordAnnouncedVersion("m", "3", 0)
+	x.RecordAnnouncedVersion("m", "3", 0, true)
 	second := fake.Elapsed()
 	fake.Advance(6 * time.Second)
 	assert.Equal(t, x.NewestVersion("m"), "3")
@@ -219,6 +219,39 @@
 	assert.Equal(t, targetsByID(x)["a"].WeightVersion, "3")
 }
 
+// An instance that was suspended, restarted or without the store learns late that
+// weights were announced, and must not use superseded weights for longer than others.
+func TestAnnouncementLearnedLateCountsFromItsTime(t *testing.T) {
+	type learned struct {
+		version string
+		age     time.Duration
+		isExact bool
+	}
+	for _, c := range []struct {
+		name    string
+		learned []learned
+		want    time.Duration // age of the announcement that superseded version 1
+	}{
+		{"assumed age", []learned{{"2", 9 * time.Second, false}}, 9 * time.Second},
+		{"peer knows that it is younger than assumed", []learned{{"2", 9 * time.Second, false}, {"2", 2 * time.Second, true}}, 2 * time.Second},
+		{"peer knew it earlier", []learned{{"2", 0, true}, {"2", 6 * time.Second, true}}, 6 * time.Second},
+		{"peer knew it later", []learned{{"2", 6 * time.Second, true}, {"2", time.Second, true}}, 6 * time.Second},
+		{"assumption does not replace what a peer knows", []learned{{"2", 2 * time.Second, true}, {"2", 9 * time.Second, false}}, 2 * time.Second},
+		{"peer knows a version in between", []learned{{"3", time.Second, true}, {"2", 7 * time.Second, true}}, 7 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fake := clock.NewFake(time.Now())
+			fake.Advance(time.Hour)
+			x := newTargets(fake)
+			x.replace([]objectstore.Object{object("a", 1, "1 1 0")})
+			for _, l := range c.learned {
+				x.RecordAnnouncedVersion("m", l.version, l.age, l.isExact)
+			}
+			assert.Equal(t, targetsByID(x)["a"].WeightsUsableUntil, fake.Elapsed()+x.RolloutDeadline-c.want)
+		})
+	}
+}
+
 // If another target answers at a target's address, the target must not be used:
 // requests for one would reach the other.
 func TestReplacedTargetIsNotListed(t *testing.T) {
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,10 +55,12 @@
 }
 
 // announcement is one version of a model's weights and the boot time at which it
-// was announced.
+// was announced. Unless isExact is set, that is the earliest time possible.
 type announcement struct {
 	version string
 	at      time.Duration
+	isExact bool
+	logged  time.Duration // value of at that was logged last
 }
 
 // entry is one target and what is known about it from other sources than the list.
@@ -294,45 +297,89 @@
 	t.publish()
 }
 
-// RecordAnnouncedVersion records that weights were announced for a model, at most
-// age ago. It ignores versions that are not newer than the last one.
-func (t *Targets) RecordAnnouncedVersion(model, version string, age time.Duration) {
+// RecordAnnouncedVersion records that weights were announced for a model age ago,
+// or at most age ago unless isExact is set. An exact age replaces one that is
+// not; of two exact ones the greater is kept, because instances learn of
+// announcements late but never early.
+func (t *Targets) RecordAnnouncedVersion(model, version string, age time.Duration, isExact bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	next := announcement{version: version, at: t.Clock.Elapsed() - age, isExact: isExact}
+	next.logged = next.at
 	known := t.announced[model]
-	before := ""
-	if len(known) > 0 {
-		before = known[len(known)-1].version
-		if !isNewerVersion(version, before) {
+	at, found := slices.BinarySearchFunc(known, next, compareAnnouncements)
+	if found {
+		if !isExact || known[at].isExact && next.at+announcementTolerance >= known[at].at {
 			return
 		}
+		if before := known[at].logged; (next.at - before).Abs() >= loggedCorrection {
+			t.Log.Info("age of announced weights corrected", "model", model, "weights", version, "age", age, "assumed", t.Clock.Elapsed()-before)
+		} else {
+			next.logged = before
+		}
+		known = slices.Clone(known)
+		known[at] = next
+	} else {
+		t.Log.Info("weights named", "model", model, "weights", version, "newest", at == len(known), "age", age, "exact", isExact)
+		known = slices.Insert(slices.Clone(known), at, next)
 	}
 	if t.announced == nil {
 		t.announced = make(map[string][]announcement)
 	}
-	t.Log.Info("weights named", "model", model, "weights", version, "before", before, "age", age)
-	known = append(known, announcement{version, t.Clock.Elapsed() - age})
-	if len(known) > maxAnnouncements {
-		known = known[1:]
-	}
-	t.announced[model] = known
+	t.announced[model] = known[max(0, len(known)-maxAnnouncements):]
 	if t.current.Load() != nil {
 		t.publish()
 	}
 }
 
+func compareAnnouncements(a, b announcement) int {
+	switch {
+	case isNewerVersion(a.version, b.version):
+		return 1
+	case a.version == b.version:
+		return 0
+	}
+	return -1
+}
+
+const (
+	// announcementTolerance is the difference of ages that is not corrected: it is
+	// the time that a message takes.
+	announcementTolerance = 100 * time.Millisecond
+	// loggedCorrection is the least correction of an age that is logged. After a
+	// suspension many small ones may follow each other.
+	loggedCorrection = time.Second
+)
+
+// ExactAnnouncements returns the announcements whose age is known and at most
+// maxAge.
+func (t *Targets) ExactAnnouncements(maxAge time.Duration) []gossip.Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []gossip.Announcement
+	for model, known := range t.announced {
+		for _, a := range known {
+			if age := t.Clock.Elapsed() - a.at; a.isExact && age <= maxAge {
+				out = append(out, gossip.Announcement{Model: model, Version: a.version, Age: age})
+			}
+		}
+	}
+	return out
+}
+
 // maxAnnouncements is the number of announcements kept per model.
 const maxAnnouncements = 16
 
 // supersededAt returns the boot time at which weights newer than version were
 // first announced, or false if there are none.
 func (t *Targets) supersededAt(model, version string) (time.Duration, bool) {
+	first, superseded := time.Duration(0), false
 	for _, n := range t.announced[model] {
-		if isNewerVersion(n.version, version) {
-			return n.at, true
+		if isNewerVersion(n.version, version) && (!superseded || n.at < first) {
+			first, superseded = n.at, true
 		}
 	}
-	return 0, false
+	return first, superseded
 }
 
 // reservedDivisor sets how many further targets are marked as about to load: one
--- a/pkg/state/weights.go
+++ b/pkg/state/weights.go
@@ -18,9 +18,10 @@
 	Store objectstore.Store
 	Kind  string
 	Parse func([]byte) (model, version string, err error)
-	// OnAnnounced is called with each announced version and the greatest age that
-	// the announcement may have. It may get the same version again.
-	OnAnnounced func(model, version string, age time.Duration)
+	// OnAnnounced is called with each announced version and the age of the
+	// announcement. Unless isExact is set, that is the greatest age that it may
+	// have. The same version may be passed again.
+	OnAnnounced func(model, version string, age time.Duration, isExact bool)
 	// InitialAge is the age assumed for announcements in the first list.
 	InitialAge time.Duration
 	// FedByPeer reports whether other instances relay the changes; nil means never.
@@ -52,7 +53,8 @@
 			Apply: func(events []objectstore.Event) {
 				for _, e := range events {
 					if !e.Deleted {
-						w.announce(e.Object, 0)
+						delay := w.follower.MaxDelay()
+						w.announce(e.Object, delay, delay == 0)
 					}
 				}
 			},
@@ -62,21 +64,21 @@
 }
 
 func (w *WeightsWatcher) replace(objects []objectstore.Object) {
-	age := time.Duration(0)
+	age := w.follower.MaxDelay()
 	if !w.listed {
 		age = w.InitialAge
 	}
 	w.listed = true
 	for _, o := range objects {
-		w.announce(o, age)
+		w.announce(o, age, false)
 	}
 }
 
-func (w *WeightsWatcher) announce(o objectstore.Object, age time.Duration) {
+func (w *WeightsWatcher) announce(o objectstore.Object, age time.Duration, isExact bool) {
 	model, version, err := w.Parse(o.Value)
 	if err != nil {
 		w.Log.Warn("announcement of weights cannot be decoded and is ignored", "entry", o.Name, "revision", o.Version, "cause", err)
 		return
 	}
-	w.OnAnnounced(model, version, age)
+	w.OnAnnounced(model, version, age, isExact)
 }
