--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -37,6 +37,9 @@
 	// unansweredOrderTimeout is how long an order without a response may still be
 	// carried out.
 	unansweredOrderTimeout = 2 * time.Second
+	// endOfServiceLead is how long before the end of the use of its weights a
+	// target gets its last request.
+	endOfServiceLead = time.Second
 	// handoverMargin is added to the pause between the orders of two holders.
 	handoverMargin = 300 * time.Millisecond
 )
@@ -172,7 +175,13 @@
 	return r.InstanceCount()
 }
 
-// orderOutdated sends orders to outdated targets, up to MaxParallelLoads per pool.
+// isServing reports whether a target may still get requests on its weights.
+func (r *Controller) isServing(t *target.Target) bool {
+	return t.WeightsUsableUntil == 0 || r.Clock.Elapsed() < t.WeightsUsableUntil-endOfServiceLead
+}
+
+// orderOutdated sends orders to outdated targets, up to MaxParallelLoads per pool
+// of those that still serve. The others have nothing to lose and load at once.
 // It reports whether any target is outdated or loading.
 func (r *Controller) orderOutdated(ctx context.Context) bool {
 	pending := false
@@ -184,8 +193,8 @@
 		pending = true
 		limit := MaxParallelLoads(engines)
 		for _, t := range outdated {
-			if loading >= limit {
-				return
+			if loading >= limit && r.isServing(t) {
+				continue
 			}
 			if r.orderTarget(ctx, t) {
 				loading++
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -267,6 +267,30 @@
 	}
 }
 
+// Targets whose weights are past their use serve nothing and must not wait for each
+// other: callers would be refused meanwhile.
+func TestTargetsPastTheirUseLoadAtOnce(t *testing.T) {
+	f := newFleet(18)
+	r := f.newController(&leaseStore{}, "one")
+	f.simulate(t, 2*time.Second, r)
+	f.newest = "2"
+	for n, x := range f.list {
+		x.WeightsUsableUntil = f.clock.Elapsed() + time.Minute
+		if n >= 10 {
+			x.WeightsUsableUntil = f.clock.Elapsed()
+		}
+	}
+	r.reconcile(t.Context())
+	past := 0
+	for _, o := range f.orders {
+		if o.target >= "i-10" {
+			past++
+		}
+	}
+	assert.Equal(t, past, 8)
+	assert.Assert(t, len(f.orders)-past <= MaxParallelLoads(18), "%d targets that serve load at the same time", len(f.orders)-past)
+}
+
 // Targets that are leaving and services must get no orders.
 func TestOnlyStayingEnginesAreOrdered(t *testing.T) {
 	f := newFleet(4)
