--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -26,6 +26,9 @@
 	// response is read. A larger one may not fit the receive window of the
 	// target, which may answer before it has read all of it.
 	maxInlineRequestBytes = 8 << 10
+	// MaxHeadBytes bounds the header of a response, together with the headers of
+	// informational responses and of responses to earlier requests before it.
+	MaxHeadBytes = 64 << 10
 	// maxMismatchedResponses bounds the responses to earlier requests that are
 	// discarded before one request fails.
 	maxMismatchedResponses = 2
@@ -43,11 +46,16 @@
 // requests.
 var ErrResponseMismatch = errors.New("the target sent a response to another request")
 
+// ErrHeadTooLarge means that the header of a response, with the responses before it
+// that are skipped, exceeds MaxHeadBytes.
+var ErrHeadTooLarge = errors.New("the header of the target's response exceeds the size limit")
+
 // Conn is a connection to a target. Only one request may use it at a time.
 type Conn struct {
 	net.Conn
-	reader       *bufio.Reader
-	key          string // Destination.Key
+	input        *boundedReader
+	reader       *bufio.Reader // reads input
+	key          string        // Destination.Key
 	requestCount int
 	idleSince    time.Time
 	idleTimeout  time.Duration
@@ -55,6 +63,35 @@
 	outOfSync    bool       // further bytes may belong to other requests
 }
 
+// newConn returns a connection to the target with this Destination.Key.
+func newConn(raw net.Conn, key string) *Conn {
+	input := &boundedReader{Reader: raw}
+	return &Conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), key: key}
+}
+
+// boundedReader bounds what is read while a header is expected. http.ReadResponse
+// has no bound of its own.
+type boundedReader struct {
+	io.Reader
+	bounded  bool
+	left     int  // bytes that may be read while bounded
+	exceeded bool // more was asked for
+}
+
+// Read implements io.Reader. It returns ErrHeadTooLarge at the bound.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.bounded {
+		return b.Reader.Read(p)
+	}
+	if b.left <= 0 {
+		b.exceeded = true
+		return 0, ErrHeadTooLarge
+	}
+	n, err := b.Reader.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
 // Request is a request to a target.
 type Request struct {
 	Method, Path, Host string
@@ -140,8 +177,14 @@
 // readResponse returns the response to the request. It skips informational
 // responses and discards responses to earlier requests.
 func (c *Conn) readResponse(r *Request) (*http.Response, error) {
+	c.input.left = MaxHeadBytes
+	defer func() { c.input.bounded = false }()
 	for mismatched := 0; ; {
+		c.input.bounded = true
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if c.input.exceeded {
+			return nil, ErrHeadTooLarge // err may be about the line that was cut
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -156,6 +199,7 @@
 		if mismatched > maxMismatchedResponses || response.ContentLength < 0 {
 			return nil, ErrResponseMismatch
 		}
+		c.input.bounded = false
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes)); err != nil {
 			return nil, err
 		}
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -1,7 +1,6 @@
 package targetconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -200,7 +199,7 @@
 		return nil, err
 	}
 	p.OpenedConns.Add(1)
-	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), key: to.Key}, nil
+	return newConn(raw, to.Key), nil
 }
 
 // takeIdleOrReserve returns the most recently used idle connection. If there is
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -55,6 +56,29 @@
 	return string(body), err
 }
 
+// startRawTarget listens on a loopback address. Each connection is passed to
+// respond after the first bytes of a request, and closed when the test ends.
+func startRawTarget(t *testing.T, respond func(conn net.Conn)) targetconn.Destination {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go func() {
+				_, _ = conn.Read(make([]byte, 1024))
+				respond(conn)
+			}()
+		}
+	}()
+	return targetconn.Destination{Key: "x", Address: listener.Addr().String()}
+}
+
 // stageOf returns the stage of an error of the pool.
 func stageOf(t *testing.T, err error) targetconn.Stage {
 	t.Helper()
@@ -130,6 +154,72 @@
 	assert.Equal(t, stageOf(t, err), targetconn.StageSent)
 }
 
+// endlessBytes bounds what the tests write in place of an endless head, so that a
+// router without a bound does not fill the memory of the machine.
+const endlessBytes = 16 << 20
+
+// A head without end must not grow the memory of the router or hold the request
+// until its deadline.
+func TestHeadWithoutEndFails(t *testing.T) {
+	cases := map[string]struct{ start, repeated string }{
+		"status line":               {"HTTP/1.1 200 ", "O"},
+		"bytes that are no HTTP":    {"", "x"},
+		"header line":               {"HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		"header lines":              {"HTTP/1.1 200 OK\r\n", "X-Many: x\r\n"},
+		"continued header line":     {"HTTP/1.1 200 OK\r\nX-Long: x\r\n", " x\r\n"},
+		"informational responses":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"informational header line": {"HTTP/1.1 103 Early Hints\r\nLink: ", "x"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			destination := startRawTarget(t, func(conn net.Conn) {
+				_, _ = io.WriteString(conn, c.start)
+				chunk := strings.Repeat(c.repeated, 4096)
+				for n := 0; n < endlessBytes; n += len(chunk) {
+					if _, err := io.WriteString(conn, chunk); err != nil {
+						return
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			pool := targetconn.NewPool(time.Second, time.Second)
+			_, err := pool.Do(ctx, destination, newRequest("r1"))
+			assert.ErrorIs(t, err, targetconn.ErrHeadTooLarge)
+			assert.Equal(t, stageOf(t, err), targetconn.StageSent)
+		})
+	}
+}
+
+// A head up to the limit must be accepted, also after informational responses, or
+// valid responses are lost.
+func TestLargeHeadIsAccepted(t *testing.T) {
+	const headBytes = 60 << 10
+	for name, head := range map[string]string{
+		"one long line":           "X-Long: " + strings.Repeat("x", headBytes) + "\r\n",
+		"many lines":              strings.Repeat("X-Many: x\r\n", headBytes/11),
+		"informational responses": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := ""
+			if head == "" {
+				before = strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)
+			}
+			body := strings.Repeat("b", 1<<20)
+			destination := startRawTarget(t, func(conn net.Conn) {
+				_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: r1\r\n%sContent-Length: %d\r\n\r\n%s", before, idHeader, head, len(body), body)
+			})
+			pool := targetconn.NewPool(time.Second, time.Second)
+			response, err := pool.Do(t.Context(), destination, newRequest("r1"))
+			assert.NilError(t, err)
+			defer response.Release()
+			got, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Assert(t, string(got) == body, "%d bytes of the body, want %d", len(got), len(body))
+		})
+	}
+}
+
 // A refused connection must count as not sent, or a request that cannot have
 // run is reported as possibly run and is not sent to another target.
 func TestRefusedConnectionFailsAtConnect(t *testing.T) {
