--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -50,6 +50,10 @@
 // that are skipped, exceeds MaxHeadBytes.
 var ErrHeadTooLarge = errors.New("the header of the target's response exceeds the size limit")
 
+// ErrInvalidStatus means that the target sent a status that no response to this
+// request can have.
+var ErrInvalidStatus = errors.New("the target sent an invalid status")
+
 // Conn is a connection to a target. Only one request may use it at a time.
 type Conn struct {
 	net.Conn
@@ -188,7 +192,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		switch {
+		case response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrInvalidStatus
+		case response.StatusCode < 200:
 			continue
 		}
 		if r.MatchesResponse == nil || r.MatchesResponse(response.Header) {
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -220,6 +220,24 @@
 	}
 }
 
+// A status that no server may send must fail the request. net/http panics on a
+// status below 100, and after 101 the connection carries another protocol.
+func TestInvalidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "099", "101 Switching Protocols"} {
+		t.Run(status, func(t *testing.T) {
+			destination := startRawTarget(t, func(conn net.Conn) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s: r1\r\nContent-Length: 0\r\n\r\n", status, idHeader)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			pool := targetconn.NewPool(time.Second, time.Second)
+			_, err := pool.Do(ctx, destination, newRequest("r1"))
+			assert.ErrorIs(t, err, targetconn.ErrInvalidStatus)
+			assert.Equal(t, stageOf(t, err), targetconn.StageSent)
+		})
+	}
+}
+
 // A refused connection must count as not sent, or a request that cannot have
 // run is reported as possibly run and is not sent to another target.
 func TestRefusedConnectionFailsAtConnect(t *testing.T) {
