--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -203,11 +203,11 @@
 		}
 		c.outOfSync = true
 		mismatched++
-		if mismatched > maxMismatchedResponses || response.ContentLength < 0 {
+		if mismatched > maxMismatchedResponses || response.ContentLength < 0 || response.ContentLength > maxMismatchedBytes {
 			return nil, ErrResponseMismatch
 		}
 		c.input.bounded = false
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes)); err != nil {
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return nil, err
 		}
 	}
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -238,6 +238,19 @@
 	}
 }
 
+// The rest of a discarded response must not be read as the next response: its
+// bytes may look like one.
+func TestLargeMismatchedResponseFails(t *testing.T) {
+	forged := "HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\nContent-Length: 6\r\n\r\nforged"
+	body := strings.Repeat("x", 1<<20) + forged
+	destination := startRawTarget(t, func(conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: %d\r\n\r\n%s", idHeader, len(body), body)
+	})
+	pool := targetconn.NewPool(time.Second, time.Second)
+	_, err := pool.Do(t.Context(), destination, newRequest("r1"))
+	assert.ErrorIs(t, err, targetconn.ErrResponseMismatch)
+}
+
 // A refused connection must count as not sent, or a request that cannot have
 // run is reported as possibly run and is not sent to another target.
 func TestRefusedConnectionFailsAtConnect(t *testing.T) {
