--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -251,6 +251,61 @@
 	assert.ErrorIs(t, err, targetconn.ErrResponseMismatch)
 }
 
+// A response with neither a length nor chunks is complete if its connection is
+// closed, and cut off if it is reset. Chunk extensions and trailers without end
+// must fail.
+func TestEndOfBody(t *testing.T) {
+	const unframed, chunked = "\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name, body     string
+		endless, reset bool
+		want           string // empty with ok: the body is empty
+		ok             bool
+	}{
+		{"closed", unframed + "whole", false, false, "whole", true},
+		{"closed without a byte", unframed, false, false, "", true},
+		{"reset", unframed + "part", false, true, "", false},
+		{"reset without a byte", unframed, false, true, "", false},
+		{"chunks closed before the last one", chunked + "4\r\npart\r\n", false, false, "", false},
+		{"chunk extension without end", chunked + "4;", true, false, "", false},
+		{"chunk size without end", chunked, true, false, "", false},
+		{"trailer line without end", chunked + "4\r\npart\r\n0\r\nX-End: ", true, false, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			headRead := make(chan struct{})
+			destination := startRawTarget(t, func(conn net.Conn) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r1\r\n%s", idHeader, c.body)
+				for n := 0; c.endless && n < endlessBytes; n += 4096 {
+					if _, err := io.WriteString(conn, strings.Repeat("0", 4096)); err != nil {
+						return
+					}
+				}
+				<-headRead // a reset discards what the router has not read
+				if c.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			pool := targetconn.NewPool(time.Second, time.Second)
+			response, err := pool.Do(ctx, destination, newRequest("r1"))
+			assert.NilError(t, err)
+			defer response.Release()
+			close(headRead)
+			got, err := io.ReadAll(response.Body)
+			if c.ok {
+				assert.NilError(t, err)
+				assert.Equal(t, string(got), c.want)
+				return
+			}
+			assert.Equal(t, stageOf(t, err), targetconn.StageBody)
+			assert.Assert(t, !errors.Is(err, context.DeadlineExceeded), "the body was read until the deadline")
+		})
+	}
+}
+
 // A refused connection must count as not sent, or a request that cannot have
 // run is reported as possibly run and is not sent to another target.
 func TestRefusedConnectionFailsAtConnect(t *testing.T) {
