--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -84,12 +84,7 @@
 }
 
 func (f *ForwardFilter) sendStreamHeader(ex *Exchange, response *targetconn.Response) {
-	h := copyEndToEndHeaders(ex.Writer.Header(), response.Header)
-	if response.Close && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		// The target ends the stream by closing the connection, and so does the
-		// router.
-		h.Set("Transfer-Encoding", "identity")
-	}
+	copyEndToEndHeaders(ex.Writer.Header(), response.Header)
 	ex.sendHeader(response.StatusCode)
 }
 
--- /dev/null
+++ b/pkg/relay/framing_test.go
@@ -0,0 +1,192 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
+)
+
+// sendVersion sends a request with the given HTTP version on a new connection and
+// returns the response with its body and the error that ended the body.
+func (f *fixture) sendVersion(version, path string) (*http.Response, string, error) {
+	f.t.Helper()
+	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	assert.NilError(f.t, err)
+	defer conn.Close()
+	assert.NilError(f.t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: x\r\n"+platformtest.HeaderRequestID+": id-1\r\nAuthorization: Token %s\r\nContent-Length: 0\r\n\r\n", path, version, testKey)
+	assert.NilError(f.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(f.t, err)
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// streamEvents returns the events first to last of the stand-in's stream for id-1.
+func streamEvents(first, last int) string {
+	text := ""
+	for n := first; n <= last; n++ {
+		text += fmt.Sprintf("id: %d\ndata: id-1 event %d\n\n", n, n)
+	}
+	return text
+}
+
+// respondUnframed returns a response with neither a length nor chunks. Its
+// connection is closed or, with reset, reset once the caller has the body.
+func respondUnframed(body string, reset bool) func(*net.TCPConn, string) {
+	return func(conn *net.TCPConn, head string) {
+		_, _ = io.WriteString(conn, head+"Content-Type: text/event-stream\r\n\r\n"+body)
+		if reset {
+			time.Sleep(50 * time.Millisecond) // a reset discards what the router has not read
+			_ = conn.SetLinger(0)
+		}
+	}
+}
+
+// A stream that ends inside an event, by a reset or without an event is not
+// complete. It must go on after the last whole event where it may be resumed, and
+// must not look complete to the caller otherwise.
+func TestStreamWithoutLength(t *testing.T) {
+	const half = "id: 3\ndata: id-1 ev"
+	cases := []struct {
+		name  string
+		body  string
+		reset bool
+		whole bool   // the stream is complete
+		after string // Last-Event-Id of the second attempt
+	}{
+		{"closed after the last event", streamEvents(1, 4), false, true, ""},
+		{"closed inside an event", streamEvents(1, 2) + half, false, false, "2"},
+		{"closed inside an event, without its last line end", streamEvents(1, 2) + "id: 3\ndata: id-1 event 3\n", false, false, "2"},
+		{"closed inside the first event", "id: 1\nda", false, false, ""},
+		{"reset after an event", streamEvents(1, 2), true, false, "2"},
+		{"reset inside an event", streamEvents(1, 2) + half, true, false, "2"},
+		{"reset without an event", "", true, false, ""},
+	}
+	for _, c := range cases {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, path := range []string{"/stream/resumable/", "/stream/once/"} {
+				t.Run(c.name+version+path, func(t *testing.T) {
+					one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
+					var broken firstTarget
+					for _, testTarget := range []*platformtest.Target{one, two} {
+						testTarget.SetFaults(func(int, string) platformtest.Fault {
+							if broken.isFirst(testTarget.ID) {
+								return platformtest.Fault{Respond: respondUnframed(c.body, c.reset)}
+							}
+							return platformtest.Fault{}
+						})
+					}
+					f := newFixture(t, one, two)
+					response, body, err := f.sendVersion(version, path)
+					resumable := path == "/stream/resumable/"
+					if c.whole || resumable {
+						assert.NilError(t, err)
+						assert.Equal(t, response.StatusCode, http.StatusOK)
+						assert.Equal(t, body, streamEvents(1, 4))
+					} else if response.StatusCode == http.StatusOK {
+						assert.Assert(t, err != nil, "the caller got no error for the incomplete stream %q", body)
+					} else {
+						assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+					}
+					if c.whole || !resumable {
+						assert.Equal(t, countRuns(one, two), 1)
+						return
+					}
+					assert.Equal(t, countRuns(one, two), 2)
+					second := two
+					if broken.isFirst("i-2") {
+						second = one
+					}
+					assert.Equal(t, second.Requests()[0].Header.Get("Last-Event-Id"), c.after)
+					assert.Assert(t, strings.Contains(f.log.String(), `reason="stream cut off"`), f.log.String())
+				})
+			}
+		}
+	}
+}
+
+// An answer that is not a stream and has neither a length nor chunks is complete if
+// its connection is closed. One that is reset must not look complete to the caller,
+// also if its first part was already sent.
+func TestAnswerWithoutLength(t *testing.T) {
+	large := strings.Repeat("x", 300<<10) // more than is buffered
+	cases := []struct {
+		name, body string
+		reset      bool
+		status     int // of the caller's answer
+	}{
+		{"closed", "whole", false, http.StatusOK},
+		{"closed without a byte", "", false, http.StatusOK},
+		{"closed, large", large, false, http.StatusOK},
+		{"reset", "part", true, http.StatusBadGateway},
+		{"reset without a byte", "", true, http.StatusBadGateway},
+		{"reset, large", large, true, http.StatusOK},
+	}
+	for _, c := range cases {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(c.name+version, func(t *testing.T) {
+				testTarget := startTarget(t, "i-1")
+				testTarget.SetFaults(func(int, string) platformtest.Fault {
+					return platformtest.Fault{Respond: respondUnframed(c.body, c.reset)}
+				})
+				f := newFixture(t, testTarget)
+				response, body, err := f.sendVersion(version, "/once/")
+				assert.Equal(t, response.StatusCode, c.status)
+				assert.Equal(t, countRuns(testTarget), 1)
+				switch {
+				case !c.reset:
+					assert.NilError(t, err)
+					assert.Assert(t, body == c.body, "%d bytes, want %d", len(body), len(c.body))
+				case c.status == http.StatusOK:
+					assert.Assert(t, err != nil, "the caller got no error for an answer that was cut off")
+				default:
+					assert.Equal(t, response.Header.Get("X-Outcome"), "unknown")
+				}
+			})
+		}
+	}
+}
+
+// An answer whose end is the end of its connection looks complete when this process
+// is killed while it sends. Callers that know chunks must get chunks.
+func TestAnswerWithoutLengthIsSentInChunks(t *testing.T) {
+	large := strings.Repeat("x", 300<<10)
+	cases := map[string]struct{ path, rest string }{
+		"stream":                         {"/stream/once/", "\r\n" + streamEvents(1, 1)},
+		"large answer":                   {"/once/", "\r\n" + large},
+		"large answer in chunks, closed": {"/once/", fmt.Sprintf("Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(large), large)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			testTarget := startTarget(t, "i-1")
+			release := make(chan struct{})
+			defer close(release)
+			testTarget.SetFaults(func(int, string) platformtest.Fault {
+				return platformtest.Fault{Respond: func(conn *net.TCPConn, head string) {
+					_, _ = io.WriteString(conn, head+c.rest)
+					<-release
+				}}
+			})
+			f := newFixture(t, testTarget)
+			conn, reader := f.sendRaw(c.path, "id-1")
+			defer conn.Close()
+			response, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			_, err = response.Body.Read(make([]byte, 16))
+			assert.NilError(t, err)
+			f.server.CloseClientConnections()
+			_, err = io.ReadAll(response.Body)
+			assert.Assert(t, err != nil, "the caller got no error although the router closed the connection before the end")
+		})
+	}
+}
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -71,8 +71,6 @@
 	h := copyEndToEndHeaders(ex.Writer.Header(), head.header)
 	if head.statedLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(head.statedLength, 10))
-	} else if response.Close {
-		h.Set("Transfer-Encoding", "identity")
 	}
 	ex.sendHeader(head.status)
 	ex.FirstEventAt = time.Now()
