--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -24,6 +24,7 @@
 func (f *ForwardFilter) relayEvents(ex *Exchange, response *targetconn.Response, idle *idleTimer, markStarted func()) *failure {
 	buffer := make([]byte, 0, initialEventBufferBytes)
 	last := time.Now()
+	eventsBefore := ex.EventCount
 	for {
 		if len(buffer) == cap(buffer) {
 			if cap(buffer) >= maxEventBytes {
@@ -55,6 +56,11 @@
 		if len(buffer) > 0 {
 			return f.streamFailure(ex, io.ErrUnexpectedEOF)
 		}
+		if ex.EventCount == eventsBefore && endsWithConnection(response) {
+			// A target that crashed before its first event ends its stream in the
+			// same way.
+			return f.streamFailure(ex, io.ErrUnexpectedEOF)
+		}
 		if !ex.HeaderSent {
 			f.sendStreamHeader(ex, response)
 		}
@@ -62,6 +68,11 @@
 	}
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(response *targetconn.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 func (f *ForwardFilter) streamFailure(ex *Exchange, err error) *failure {
 	return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream cut off", cause: err}
 }
--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -68,6 +68,7 @@
 		{"closed inside an event", streamEvents(1, 2) + half, false, false, "2"},
 		{"closed inside an event, without its last line end", streamEvents(1, 2) + "id: 3\ndata: id-1 event 3\n", false, false, "2"},
 		{"closed inside the first event", "id: 1\nda", false, false, ""},
+		{"closed without an event", "", false, false, ""},
 		{"reset after an event", streamEvents(1, 2), true, false, "2"},
 		{"reset inside an event", streamEvents(1, 2) + half, true, false, "2"},
 		{"reset without an event", "", true, false, ""},
@@ -190,3 +191,25 @@
 		})
 	}
 }
+
+// A stream that states its end is complete also without an event: a caller may
+// resume after the last one.
+func TestEmptyStreamWithStatedEnd(t *testing.T) {
+	for name, rest := range map[string]string{
+		"length": "Content-Length: 0\r\n\r\n",
+		"chunks": "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			testTarget := startTarget(t, "i-1")
+			testTarget.SetFaults(func(int, string) platformtest.Fault {
+				return platformtest.Fault{Respond: func(conn *net.TCPConn, head string) { _, _ = io.WriteString(conn, head+rest) }}
+			})
+			f := newFixture(t, testTarget)
+			got := f.send(callerRequest{path: "/stream/resumable/", header: map[string]string{"Last-Event-Id": "4"}})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, "")
+			assert.Equal(t, countRuns(testTarget), 1)
+		})
+	}
+}
