--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -213,3 +213,35 @@
 		})
 	}
 }
+
+// When a stream is resumed, an answer of the second target that is not a stream
+// must not be written into the stream of the first.
+func TestAnswerToResumeIsNotPartOfStream(t *testing.T) {
+	for name, second := range map[string]platformtest.Fault{
+		"refused as unknown": {Status: http.StatusNotFound},
+		"another success":    {Status: http.StatusNoContent},
+		"large answer": {Status: http.StatusNotFound, Respond: func(conn *net.TCPConn, head string) {
+			_, _ = io.WriteString(conn, head+"\r\n"+strings.Repeat("x", 300<<10))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
+			var broken firstTarget
+			for _, testTarget := range []*platformtest.Target{one, two} {
+				testTarget.SetFaults(func(int, string) platformtest.Fault {
+					if broken.isFirst(testTarget.ID) {
+						return platformtest.Fault{Reset: true, ResetAfter: 2}
+					}
+					return second
+				})
+			}
+			f := newFixture(t, one, two)
+			got := f.send(callerRequest{path: "/stream/resumable/"})
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, countRuns(one, two), 2)
+			assert.Equal(t, got.body, streamEvents(1, 2))
+			assert.Assert(t, got.err != nil, "the caller got no error for the incomplete stream")
+			assert.Assert(t, strings.Contains(f.log.String(), `reason="stream not resumed"`), f.log.String())
+		})
+	}
+}
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -34,8 +34,13 @@
 }
 
 // relayBuffered sends a response that is not a stream to the caller. A response
-// with a 5xx status is not sent but returned in the failure.
+// with a 5xx status is not sent but returned in the failure. Nor is one sent into a
+// stream that has begun.
 func (f *ForwardFilter) relayBuffered(ex *Exchange, response *targetconn.Response) *failure {
+	if ex.HeaderSent {
+		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream not resumed",
+			cause: errors.New("status " + strconv.Itoa(response.StatusCode))}
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "response cut off", cause: err}
