--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -223,7 +223,7 @@
 // another identity or other weights; it does not count as an attempt. Status
 // 400 is final.
 func (f *ForwardFilter) classifyRefusal(ex *Exchange, t *target.Target, response *targetconn.Response, metadata ResponseMetadata) *failure {
-	drainRefusal(response)
+	response.Drain(maxDrainBytes, maxDrainTime)
 	failed := &failure{requestSent: true, canTryOther: true, retryAfter: refusalBackoff, reason: "refused by the target"}
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		ex.Attempts--
--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -245,3 +245,37 @@
 		})
 	}
 }
+
+// The body of a refusal is not used, so that one without end must not hold the
+// request: another target can still take it.
+func TestRefusalWithoutEndDoesNotHoldRequest(t *testing.T) {
+	for name, body := range map[string]string{
+		"length without bytes": "Content-Length: 10\r\n\r\n",
+		"neither":              "\r\npart",
+		"chunks":               "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
+			var refusing firstTarget
+			release := make(chan struct{})
+			defer close(release)
+			for _, testTarget := range []*platformtest.Target{one, two} {
+				testTarget.SetFaults(func(int, string) platformtest.Fault {
+					if !refusing.isFirst(testTarget.ID) {
+						return platformtest.Fault{}
+					}
+					return platformtest.Fault{Status: http.StatusServiceUnavailable, Respond: func(conn *net.TCPConn, head string) {
+						_, _ = io.WriteString(conn, head+platformtest.HeaderNotRun+": 1\r\n"+body)
+						<-release
+					}}
+				})
+			}
+			f := newFixture(t, one, two)
+			started := time.Now()
+			got := f.send(callerRequest{path: "/open/"})
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, "answer to id-1")
+			assert.Assert(t, time.Since(started) < 750*time.Millisecond, "answered after %v, half of the time that the caller allows is 750ms", time.Since(started))
+		})
+	}
+}
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -15,15 +15,13 @@
 // cannot be retried.
 const maxBufferedBytes = 256 << 10
 
-// maxDrainBytes bounds what is read of a refusal so that its connection can be
-// reused.
-const maxDrainBytes = 16 << 10
-
-// drainRefusal reads the rest of a refusal.
-func drainRefusal(response *targetconn.Response) {
-	// If the body cannot be read to its end, the connection is closed.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
-}
+const (
+	// maxDrainBytes bounds what is read of a refusal so that its connection can be
+	// reused.
+	maxDrainBytes = 16 << 10
+	// maxDrainTime bounds how long a refusal delays the next attempt.
+	maxDrainTime = 20 * time.Millisecond
+)
 
 // bufferedResponse is a response that was read in full.
 type bufferedResponse struct {
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -160,6 +160,20 @@
 	return n, err
 }
 
+// Drain reads the rest of a body that is not used, so that the connection can be
+// reused. It stops after maxBytes or after d; Release then closes the connection.
+func (r *Response) Drain(maxBytes int64, d time.Duration) {
+	if r.ContentLength > maxBytes {
+		return
+	}
+	if r.conn.SetReadDeadline(time.Now().Add(d)) != nil {
+		return // the connection is closed
+	}
+	// After an error the connection is closed as well.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes))
+	_ = r.conn.SetReadDeadline(time.Time{})
+}
+
 // Release returns the connection to the pool if the body was read to its end
 // and the connection can carry another request. Otherwise it closes the
 // connection, which cancels a request that still runs at the target.
