--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -279,3 +279,86 @@
 		})
 	}
 }
+
+// respondEndless returns a response whose start is followed by the repeated bytes
+// until the connection is closed, or until 16 MiB were written, so that a router
+// without a bound does not fill the memory of the machine. It then waits until the
+// router closes the connection.
+func respondEndless(start, repeated string) func(*net.TCPConn, string) {
+	const endlessBytes = 16 << 20
+	chunk := strings.Repeat(repeated, 16<<10/len(repeated))
+	return func(conn *net.TCPConn, head string) {
+		_, err := io.WriteString(conn, head+start)
+		for n := 0; err == nil && n < endlessBytes; n += len(chunk) {
+			_, err = io.WriteString(conn, chunk)
+		}
+		if err == nil {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}
+}
+
+// Bytes without end that are no answer must not hold the request: where it may run
+// again another target answers it, and otherwise the caller learns of the failure
+// at once. The target counts as failing and the log has the reason.
+func TestAnswerWithoutEnd(t *testing.T) {
+	cases := []struct{ name, start, repeated, reason string }{
+		{"header", "X-Long: ", "x", "the header of the target's response exceeds the size limit"},
+		{"event", "\r\n", "x", "an event of the stream exceeds the size limit"},
+		{"event after whole ones", "\r\n" + streamEvents(1, 2) + "id: 3\ndata: ", "x", "an event of the stream exceeds the size limit"},
+		{"chunk extension", "Transfer-Encoding: chunked\r\n\r\n4;", "x", "stream cut off"},
+	}
+	for _, c := range cases {
+		for _, path := range []string{"/stream/resumable/", "/stream/once/"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
+				var broken firstTarget
+				respond := respondEndless(c.start, c.repeated)
+				for _, testTarget := range []*platformtest.Target{one, two} {
+					testTarget.SetFaults(func(int, string) platformtest.Fault {
+						if broken.isFirst(testTarget.ID) {
+							return platformtest.Fault{Respond: respond}
+						}
+						return platformtest.Fault{}
+					})
+				}
+				f := newFixture(t, one, two)
+				started := time.Now()
+				response, body, err := f.sendVersion("HTTP/1.1", path)
+				assert.Assert(t, time.Since(started) < time.Second, "answered after %v, half of the route's deadline is 1s", time.Since(started))
+				switch {
+				case path == "/stream/resumable/":
+					assert.NilError(t, err)
+					assert.Equal(t, body, streamEvents(1, 4))
+				case response.StatusCode == http.StatusOK:
+					assert.Equal(t, body, streamEvents(1, 2))
+					assert.Assert(t, err != nil, "the caller got no error for the incomplete stream")
+				default:
+					assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+				}
+				eventually(t, "no log line with the reason", func() bool { return strings.Contains(f.log.String(), c.reason) })
+				bad := one
+				if broken.isFirst("i-2") {
+					bad = two
+				}
+				for range 4 {
+					assert.Equal(t, f.send(callerRequest{path: "/once/"}).status, http.StatusOK)
+				}
+				assert.Equal(t, len(bad.Requests()), 1, "the target still counts as healthy")
+			})
+		}
+	}
+}
+
+// An event just below the limit must arrive whole, or valid streams are cut off.
+func TestLargeEventIsAccepted(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", 1000<<10) + "\n\n"
+	testTarget := startTarget(t, "i-1")
+	testTarget.SetFaults(func(int, string) platformtest.Fault {
+		return platformtest.Fault{Respond: respondUnframed(event, false)}
+	})
+	f := newFixture(t, testTarget)
+	got := f.send(callerRequest{path: "/stream/once/"})
+	assert.NilError(t, got.err)
+	assert.Assert(t, got.body == event, "%d bytes, want %d", len(got.body), len(event))
+}
