--- a/pkg/gateway/deadlines.go
+++ b/pkg/gateway/deadlines.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"time"
 )
@@ -22,15 +21,3 @@
 	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
 	return func() { _ = controller.SetReadDeadline(time.Time{}) }
 }
-
-// unblockWrites sets a write deadline once ctx is done. A write that blocks
-// because the caller does not read ignores the context: without the deadline the
-// request would never end and would hold up a graceful shutdown. The returned
-// function stops the watch on ctx.
-func unblockWrites(ctx context.Context, w http.ResponseWriter) func() {
-	controller := http.NewResponseController(w)
-	stop := context.AfterFunc(ctx, func() {
-		_ = controller.SetWriteDeadline(time.Now().Add(finalWriteTimeout))
-	})
-	return func() { stop() }
-}
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/slowcaller"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -46,7 +47,7 @@
 	ctx, cancel := context.WithDeadline(ex.Context(), ex.Deadline)
 	defer cancel()
 	ex.Request = ex.Request.WithContext(ctx)
-	defer unblockWrites(ctx, ex.Writer)()
+	defer slowcaller.UnblockWrites(ctx, ex.Writer, finalWriteTimeout)()
 	return next(ex)
 }
 
--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
 )
 
@@ -298,6 +299,16 @@
 	}
 }
 
+// setDeadline sets the deadline of all routes. The caller holds mu.
+func (f *fixture) setDeadline(d time.Duration) {
+	changed := *f.snapshot.Tables
+	changed.Routes = append([]tables.Route(nil), changed.Routes...)
+	for i := range changed.Routes {
+		changed.Routes[i].Deadline = d
+	}
+	f.snapshot = tables.NewSnapshot(2, &changed)
+}
+
 // Bytes without end that are no answer must not hold the request: where it may run
 // again another target answers it, and otherwise the caller learns of the failure
 // at once. The target counts as failing and the log has the reason.
@@ -362,3 +373,38 @@
 	assert.NilError(t, got.err)
 	assert.Assert(t, got.body == event, "%d bytes, want %d", len(got.body), len(event))
 }
+
+// A body or a stream without end is forwarded until the deadline and must end there
+// with an error, also if the caller has stopped reading: until its handler returns,
+// the request holds memory and delays a planned stop.
+func TestBodyWithoutEndEndsAtDeadline(t *testing.T) {
+	cases := []struct{ name, path, start, repeated string }{
+		{"body", "/once/", "\r\n", "x"},
+		{"body in chunks", "/once/", "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+		{"stream", "/stream/once/", "\r\n", "id: 1\ndata: x\n\n"},
+	}
+	const timeout = 400 * time.Millisecond
+	for _, c := range cases {
+		for _, reads := range []bool{true, false} {
+			t.Run(fmt.Sprint(c.name, ", caller reads: ", reads), func(t *testing.T) {
+				testTarget := startTarget(t, "i-1")
+				respond := respondEndless(c.start, c.repeated)
+				testTarget.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{Respond: respond} })
+				f := newFixture(t, testTarget)
+				f.update(func() { f.setDeadline(timeout) })
+				started := time.Now()
+				conn, reader := f.sendRaw(c.path, "id-1")
+				defer conn.Close()
+				if reads {
+					response, err := http.ReadResponse(reader, nil)
+					assert.NilError(t, err)
+					_, err = io.Copy(io.Discard, response.Body)
+					assert.Assert(t, err != nil, "the caller got no error for an answer without end")
+				}
+				eventually(t, "the request has not ended", func() bool { return strings.Contains(f.log.String(), "request failed") })
+				assert.Assert(t, time.Since(started) < timeout+500*time.Millisecond, "ended after %v, its deadline is %v", time.Since(started), timeout)
+				eventually(t, "the target still works on the request", func() bool { return testTarget.RunningRequests() == 0 })
+			})
+		}
+	}
+}
--- a/pkg/relay/route.go
+++ b/pkg/relay/route.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/slowcaller"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
@@ -31,6 +32,9 @@
 // defaultTimeout applies if neither the caller nor the route states a timeout.
 const defaultTimeout = 30 * time.Second
 
+// finalWriteTimeout bounds writing the last answer after the deadline.
+const finalWriteTimeout = 100 * time.Millisecond
+
 // Handle implements Filter.
 func (f *RouteFilter) Handle(ex *Exchange, next Handler) error {
 	ex.Deadline = ex.Start.Add(defaultTimeout)
@@ -60,6 +64,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ex.Request.Context(), ex.Deadline)
 	defer cancel()
+	defer slowcaller.UnblockWrites(ctx, ex.Writer, finalWriteTimeout)()
 	ex.Request = ex.Request.WithContext(ctx)
 	return next(ex)
 }
