--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -281,22 +281,9 @@
 	}
 }
 
-// respondEndless returns a response whose start is followed by the repeated bytes
-// until the connection is closed, or until 16 MiB were written, so that a router
-// without a bound does not fill the memory of the machine. It then waits until the
-// router closes the connection.
+// respondEndless returns a response whose start is followed by repeated without end.
 func respondEndless(start, repeated string) func(*net.TCPConn, string) {
-	const endlessBytes = 16 << 20
-	chunk := strings.Repeat(repeated, 16<<10/len(repeated))
-	return func(conn *net.TCPConn, head string) {
-		_, err := io.WriteString(conn, head+start)
-		for n := 0; err == nil && n < endlessBytes; n += len(chunk) {
-			_, err = io.WriteString(conn, chunk)
-		}
-		if err == nil {
-			_, _ = io.Copy(io.Discard, conn)
-		}
-	}
+	return func(conn *net.TCPConn, head string) { platformtest.WriteEndless(conn, head+start, repeated) }
 }
 
 // setDeadline sets the deadline of all routes. The caller holds mu.
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -154,10 +154,6 @@
 	assert.Equal(t, stageOf(t, err), targetconn.StageSent)
 }
 
-// endlessBytes bounds what the tests write in place of an endless head, so that a
-// router without a bound does not fill the memory of the machine.
-const endlessBytes = 16 << 20
-
 // A head without end must not grow the memory of the router or hold the request
 // until its deadline.
 func TestHeadWithoutEndFails(t *testing.T) {
@@ -173,13 +169,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			destination := startRawTarget(t, func(conn net.Conn) {
-				_, _ = io.WriteString(conn, c.start)
-				chunk := strings.Repeat(c.repeated, 4096)
-				for n := 0; n < endlessBytes; n += len(chunk) {
-					if _, err := io.WriteString(conn, chunk); err != nil {
-						return
-					}
-				}
+				platformtest.WriteEndless(conn, c.start, c.repeated)
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
@@ -276,10 +266,9 @@
 			headRead := make(chan struct{})
 			destination := startRawTarget(t, func(conn net.Conn) {
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: r1\r\n%s", idHeader, c.body)
-				for n := 0; c.endless && n < endlessBytes; n += 4096 {
-					if _, err := io.WriteString(conn, strings.Repeat("0", 4096)); err != nil {
-						return
-					}
+				if c.endless {
+					platformtest.WriteEndless(conn, "", "0")
+					return
 				}
 				<-headRead // a reset discards what the router has not read
 				if c.reset {
