--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
 // Headers of requests to targets and of their responses, and constants of streams.
@@ -130,7 +131,7 @@
 // NewHTTPClient returns a client with its own connection pool, so that proxied
 // requests do not delay state reads.
 func NewHTTPClient() *HTTPClient {
-	transport := &http.Transport{MaxIdleConnsPerHost: controlIdleConns, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: controlIdleConns, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: targetconn.MaxHeadBytes}
 	return &HTTPClient{http: &http.Client{Transport: transport, Timeout: controlTimeout}}
 }
 
--- a/pkg/gateway/forwarder_test.go
+++ b/pkg/gateway/forwarder_test.go
@@ -15,6 +15,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
 // A non-repeatable request runs twice if http.Transport resends it. It does so
@@ -140,6 +141,10 @@
 		{"500 with X-Not-Run", handleRefuse(500, "1"), 500, apierr.OutcomeUnknown, false, "", 0},
 		{"closed in the response body", handleCutMidResponse, 200, "", false, apierr.CodeOutcomeUnknown, 0},
 		{"wrong request id", handleWrongRequestID, 502, apierr.OutcomeUnknown, false, apierr.CodeOutcomeUnknown, 0},
+		{"header too large", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", 2*targetconn.MaxHeadBytes))
+			handleOK(w, r)
+		}, 502, apierr.OutcomeUnknown, false, apierr.CodeOutcomeUnknown, 0},
 		{"no response", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 502, apierr.OutcomeUnknown, false, apierr.CodeOutcomeUnknown, 50 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -18,6 +18,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
 const (
@@ -64,6 +65,8 @@
 		DisableKeepAlives:   disableKeepAlives,
 		DisableCompression:  true,
 		Proxy:               nil,
+
+		MaxResponseHeaderBytes: targetconn.MaxHeadBytes,
 	}
 }
 
--- a/pkg/objectstore/httpapi/client.go
+++ b/pkg/objectstore/httpapi/client.go
@@ -27,6 +27,8 @@
 	watchWait = 25 * time.Second
 	// maxResponseBytes bounds a response. A list contains many values.
 	maxResponseBytes = 64 << 20
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 	// idleConnections is the number of idle connections that are kept.
 	idleConnections = 8
 )
@@ -45,6 +47,8 @@
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: transport}}
 }
