--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -22,19 +22,12 @@
 // relayEvents sends a stream of events to the caller, complete events only: if
 // the stream breaks off within an event, another target sends that event again.
 func (f *ForwardFilter) relayEvents(ex *Exchange, response *targetconn.Response, idle *idleTimer, markStarted func()) *failure {
-	buffer := make([]byte, 0, initialEventBufferBytes)
+	buffer := &eventBuffer{}
 	last := time.Now()
 	eventsBefore := ex.EventCount
 	for {
-		if len(buffer) == cap(buffer) {
-			if cap(buffer) >= maxEventBytes {
-				return f.streamFailure(ex, errEventTooLarge)
-			}
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
-		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if end := completeEventsLen(buffer); end > 0 {
+		events, err := buffer.readEvents(response.Body)
+		if len(events) > 0 {
 			markStarted()
 			idle.reset()
 			now := time.Now()
@@ -42,10 +35,9 @@
 				ex.LongestEventGap = max(ex.LongestEventGap, now.Sub(last))
 			}
 			last = now
-			if writeErr := f.sendEvents(ex, response, buffer[:end]); writeErr != nil {
+			if writeErr := f.sendEvents(ex, response, events); writeErr != nil {
 				return &failure{requestSent: true, mayHaveRun: true, reason: "the caller does not read", cause: writeErr}
 			}
-			buffer = append(buffer[:0], buffer[end:]...)
 		}
 		if err == nil {
 			continue
@@ -53,7 +45,7 @@
 		if !errors.Is(err, io.EOF) {
 			return f.streamFailure(ex, err)
 		}
-		if len(buffer) > 0 {
+		if buffer.isInsideEvent() {
 			return f.streamFailure(ex, io.ErrUnexpectedEOF)
 		}
 		if ex.EventCount == eventsBefore && endsWithConnection(response) {
@@ -104,16 +96,41 @@
 	idField  = []byte("id:")
 )
 
-// completeEventsLen returns the length of the complete events at the start of
-// data.
-func completeEventsLen(data []byte) int {
-	at := bytes.LastIndex(data, eventEnd)
-	if at < 0 {
-		return 0
+// eventBuffer holds the bytes of a stream until their events are complete.
+type eventBuffer struct {
+	data     []byte
+	returned int // length of the complete events at the start of data that were returned
+	searched int // no event ends in data between returned and here
+}
+
+// readEvents reads once and returns the events that are complete then, if any. They
+// are valid until the next call. The error is that of the reader, or
+// errEventTooLarge.
+func (b *eventBuffer) readEvents(r io.Reader) ([]byte, error) {
+	if b.returned > 0 {
+		b.data = append(b.data[:0], b.data[b.returned:]...)
+		b.searched -= b.returned
+		b.returned = 0
 	}
-	return at + len(eventEnd)
+	if len(b.data) == cap(b.data) {
+		if cap(b.data) >= maxEventBytes {
+			return nil, errEventTooLarge
+		}
+		b.data = append(make([]byte, 0, max(initialEventBufferBytes, 2*cap(b.data))), b.data...)
+	}
+	n, err := r.Read(b.data[len(b.data):cap(b.data)])
+	b.data = b.data[:len(b.data)+n]
+	from := max(0, b.searched-len(eventEnd)+1)
+	if at := bytes.LastIndex(b.data[from:], eventEnd); at >= 0 {
+		b.returned = from + at + len(eventEnd)
+	}
+	b.searched = len(b.data)
+	return b.data[:b.returned], err
 }
 
+// isInsideEvent reports whether an event has begun and is not complete.
+func (b *eventBuffer) isInsideEvent() bool { return len(b.data) > b.returned }
+
 // lastEventID returns the ID of the last event that has one.
 func lastEventID(events []byte) string {
 	for len(events) > 0 {
