--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -112,6 +112,8 @@
 	ParseTables      func([]byte) (*tables.Snapshot, error)
 	ParseTarget      func(id string, value []byte) (*target.Target, error)
 	ParseWeights     func([]byte) (model, version string, err error)
+	// WatchWait returns how long the store holds a watch of a kind without changes.
+	WatchWait func(kind string) time.Duration
 	// ConfigurationKind, TargetKind and WeightsKind are kinds of objects in the
 	// store. ConfigurationName is the name of the configuration's object.
 	ConfigurationKind, ConfigurationName, TargetKind, WeightsKind string
@@ -167,11 +169,11 @@
 		Readers: d.ranking.readers, ReaderOffset: xxhash.Sum64String(s.Instance), PeerClient: d.peerEndpoint, StoreHealth: storeHealth, Clock: d.clock, Log: log,
 	}
 	d.targets = &state.Targets{
-		Store: p.Store, Kind: p.TargetKind, Parse: p.ParseTarget, Clock: d.clock, StoreHealth: storeHealth, Log: log, RolloutDeadline: s.MaxRolloutDelay,
+		Store: p.Store, Kind: p.TargetKind, WatchWait: p.WatchWait(p.TargetKind), Parse: p.ParseTarget, Clock: d.clock, StoreHealth: storeHealth, Log: log, RolloutDeadline: s.MaxRolloutDelay,
 		WatchPause: d.targetWatchPause, FedByPeer: d.feed.FedByPeer, OnChange: d.feed.NotifyChanged, MaxViewAge: time.Duration(maxFeedAgeShare * float64(s.MaxTargetLeaveDelay)),
 	}
 	d.weights = &state.WeightsWatcher{
-		Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, OnAnnounced: d.targets.RecordAnnouncedVersion, Clock: d.clock, StoreHealth: storeHealth, Log: log,
+		Store: p.Store, Kind: p.WeightsKind, Parse: p.ParseWeights, OnNewest: d.targets.RecordNewestVersion, WatchWait: p.WatchWait(p.WeightsKind), Clock: d.clock, StoreHealth: storeHealth, Log: log,
 		FedByPeer: d.feed.FedByPeer, OnChange: d.feed.NotifyChanged,
 	}
 	if !s.FirstStart {
@@ -190,7 +192,7 @@
 	d.configuration = &state.Configuration{
 		Store: p.Store, Kind: p.ConfigurationKind, Name: p.ConfigurationName, Parse: p.ParseTables,
 		OnApplied: d.applyConfiguration, ProofInterval: d.proofInterval, Clock: d.clock, StoreHealth: storeHealth, Log: log,
-		FedByPeer: d.feed.FedByPeer, OnStoreChange: d.feed.NotifyChanged,
+		FedByPeer: d.feed.FedByPeer, OnStoreChange: d.feed.NotifyChanged, WatchWait: p.WatchWait(p.ConfigurationKind),
 	}
 	d.feed.Proofs = d.configuration
 	d.feed.Followers = map[string]*follow.Follower{
@@ -208,7 +210,7 @@
 	d.feed.CacheDirectories = d.cacheDirectories
 	d.targetConns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
-	d.gossip = &gossip.Gossip{ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, Announcements: d.targets.ExactAnnouncements, OnAnnouncement: d.recordPeerAnnouncement, Log: log}
+	d.gossip = &gossip.Gossip{ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, Supersessions: d.targets.Supersessions, OnSupersession: d.targets.RecordSupersession, Log: log}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.callerServer = &http.Server{
 		Handler:           d.callerHandler(p.Dialect),
@@ -289,11 +291,6 @@
 	}
 }
 
-// recordPeerAnnouncement records what another instance told about announced weights.
-func (d *Daemon) recordPeerAnnouncement(a gossip.Announcement) {
-	d.targets.RecordAnnouncedVersion(a.Model, a.Version, a.Age, true)
-}
-
 // whenReaderKnown delays a controller at the first start of the whole system
 // until it is known whether another instance reads the store for this one, or
 // until readerKnownTimeout. Otherwise all instances would read the store at once.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -31,9 +31,6 @@
 	// maxRecentChanges is the number of changes kept for other instances. An
 	// instance that has missed more gets the full list.
 	maxRecentChanges = 1000
-	// usualGap is the longest time between two updates of another instance, or
-	// between a change and the response of a watch, that is no interruption.
-	usualGap = 1500 * time.Millisecond
 	// peerCheckInterval is the longest time between checks whether other
 	// instances still send the changes to this one.
 	peerCheckInterval = 300 * time.Millisecond
@@ -59,6 +56,9 @@
 	// does not call the store. Nil means that it always calls the store.
 	FedByPeer  func() bool
 	MaxViewAge time.Duration
+	// WatchWait is how long the store holds a watch without changes; zero if that
+	// is not known.
+	WatchWait time.Duration
 	// OnChange is called after each change of the view, under the lock of the
 	// follower. Nil means no call.
 	OnChange    func()
@@ -71,23 +71,16 @@
 	recent      []change
 	recentAfter uint64 // recent holds all changes after this revision
 	syncState   SyncState
-	// contactAt is the boot time of the last response of the store or of another
-	// instance, and of the start of the calls that have failed since.
-	contactAt time.Duration
-	watching  bool          // a call to the store is in progress
-	maxDelay  time.Duration // see MaxDelay
 }
 
-// MaxDelay returns how much later than usual the changes that are being delivered
-// may have come, because the contact to the store was interrupted or the process
-// was suspended; zero if it was not. It may be called by Replace and Apply only.
-func (f *Follower) MaxDelay() time.Duration { return f.maxDelay }
-
 // SyncState tells how current a view is.
 type SyncState struct {
-	IsSynced bool          // the view holds a full list
-	Revision uint64        // of the store; the view includes all changes up to it
-	AsOf     time.Duration // time since boot at which the store last confirmed Revision
+	IsSynced bool   // the view holds a full list
+	Revision uint64 // of the store; the view includes all changes up to it
+	// AsOf is the time since boot up to which the view is known to be complete. It
+	// counts from the start of calls and from the waits that the store keeps, not
+	// from when a response was read: the process may have been stopped meanwhile.
+	AsOf time.Duration
 }
 
 // change is an event and the revision of the store at which it was read.
@@ -153,6 +146,11 @@
 	return f.MaxViewAge - (f.Clock.Elapsed() - state.AsOf)
 }
 
+// CompleteUntil returns the time since boot up to which the view is known to be
+// complete without the changes that are being delivered; zero before the first
+// list. It may be called by Replace and Apply only.
+func (f *Follower) CompleteUntil() time.Duration { return f.syncState.AsOf }
+
 // SyncState returns the current state of the view.
 func (f *Follower) SyncState() SyncState {
 	f.mu.Lock()
@@ -185,16 +183,9 @@
 func (f *Follower) Merge(c Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !c.SyncState.IsSynced {
-		return
-	}
-	now := f.now()
-	f.maxDelay = 0
-	if gap := now - f.contactAt; !f.watching && f.contactAt > 0 && gap > usualGap {
-		f.maxDelay = gap
-	}
-	f.contactAt = now
 	switch {
+	case !c.SyncState.IsSynced:
+		return
 	case c.IsFullList:
 		if !f.syncState.IsSynced || c.SyncState.Revision > f.syncState.Revision {
 			f.replace(c.Objects, c.SyncState.Revision)
@@ -213,30 +204,31 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	end := f.beginCall()
+	startedAt := f.now()
 	objects, revision, err := f.Store.List(ctx, f.Kind)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	end(err)
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.replace(objects, revision)
-	f.syncState.AsOf = f.now()
+	f.syncState.AsOf = max(f.syncState.AsOf, startedAt)
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64) error {
-	end := f.beginCall()
+	startedAt := f.now()
 	events, revision, err := f.Store.Watch(ctx, f.Kind, after)
-	f.mu.Lock()
-	end(err)
 	if err != nil {
-		f.mu.Unlock()
 		return err
 	}
+	completeUntil := startedAt
+	if len(events) == 0 && f.now()-startedAt >= f.WatchWait {
+		completeUntil += f.WatchWait
+	}
+	f.mu.Lock()
 	f.apply(events, revision)
-	f.syncState.AsOf = f.now()
+	f.syncState.AsOf = max(f.syncState.AsOf, completeUntil)
 	f.mu.Unlock()
 	if len(events) > 0 && f.WatchPause != nil {
 		clock.Sleep(ctx, f.WatchPause())
@@ -244,35 +236,6 @@
 	return nil
 }
 
-// beginCall records the start of a call to the store. The returned function
-// records its end and sets maxDelay; its caller holds mu.
-func (f *Follower) beginCall() (end func(err error)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.watching = true
-	startedAt, startedMonotonic := f.now(), time.Now()
-	if f.contactAt == 0 {
-		f.contactAt = startedAt
-	}
-	failedSince := f.contactAt
-	return func(err error) {
-		f.watching = false
-		if err != nil {
-			return // contactAt stays, as changes may have been missed since
-		}
-		now := f.now()
-		f.maxDelay = 0
-		if gap := startedAt - failedSince; gap > usualGap {
-			f.maxDelay = now - failedSince
-		}
-		// The monotonic clock stands still while the process is suspended.
-		if suspended := now - startedAt - time.Since(startedMonotonic); suspended > usualGap {
-			f.maxDelay = max(f.maxDelay, suspended+usualGap)
-		}
-		f.contactAt = now
-	}
-}
-
 func (f *Follower) now() time.Duration {
 	if f.Clock == nil {
 		return 0
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -74,10 +74,10 @@
 	// OnReport is called for each report from another instance that is newer
 	// than the known one of its target.
 	OnReport func(targetHash uint64, load target.Load, at time.Time, down bool)
-	// Announcements returns the announcements of weights up to an age.
-	// OnAnnouncement is called for each one of another instance. Nil means none.
-	Announcements  func(maxAge time.Duration) []Announcement
-	OnAnnouncement func(Announcement)
+	// Supersessions returns the superseded weights up to an age. OnSupersession is
+	// called for each one of another instance. Nil means none.
+	Supersessions  func(maxAge time.Duration) []Supersession
+	OnSupersession func(Supersession)
 	Log            hclog.Logger
 
 	mu      sync.Mutex
@@ -155,7 +155,7 @@
 
 func (g *Gossip) send(conn net.PacketConn) {
 	peers := g.Peers()
-	g.sendAnnouncements(conn, peers)
+	g.sendSupersessions(conn, peers)
 	reports := g.freshReports(time.Now())
 	if len(reports) == 0 || len(peers) == 0 {
 		return
@@ -202,7 +202,7 @@
 // OnReport. A datagram that cannot be decoded or has another version is
 // dropped.
 func (g *Gossip) handleDatagram(payload []byte, now time.Time) {
-	if g.handleAnnouncements(payload) {
+	if g.handleSupersessions(payload) {
 		return
 	}
 	var d datagram
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -16,9 +16,8 @@
 // then refuses a request that it cannot begin in time.
 
 const (
-	// weightsMargin covers the way to the target, and the time that an
-	// announcement of weights takes to this instance.
-	weightsMargin = 400 * time.Millisecond
+	// weightsMargin covers the way to the target.
+	weightsMargin = 200 * time.Millisecond
 	// minTimeOnWeights is the least time that is left for a request at a target
 	// with superseded weights.
 	minTimeOnWeights = 500 * time.Millisecond
@@ -102,11 +101,10 @@
 		if ctx.Err() != nil || w.begun.Load() {
 			return
 		}
-		now := f.current(ex.Pool.Name, t)
-		if now == nil {
-			return // the target has left
+		left := shortest
+		if now := f.current(ex.Pool.Name, t); now != nil {
+			left = timeOnWeights(now, f.Clock.Elapsed())
 		}
-		left := timeOnWeights(now, f.Clock.Elapsed())
 		if left <= 0 {
 			cancel(errWeightsExpired)
 			return
--- a/pkg/relay/weights_test.go
+++ b/pkg/relay/weights_test.go
@@ -77,3 +77,26 @@
 		})
 	}
 }
+
+// A request that was sent before newer weights were announced, and has not begun
+// when the use of the older ones ends, must be cancelled.
+func TestRequestSentBeforeAnnouncementDoesNotOutlastTheWeights(t *testing.T) {
+	old := startTarget(t, "i-1")
+	old.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{QueueDelay: 1900 * time.Millisecond} })
+	f := newFixture(t, old)
+	f.update(func() {
+		f.targets[0].IsEngine, f.targets[0].Model, f.targets[0].WeightVersion = true, "m", "1"
+	})
+	started := time.Now()
+	time.AfterFunc(rolloutDeadline/4, func() {
+		f.update(func() {
+			superseded := *f.targets[0]
+			superseded.WeightsUsableUntil = clock.System{}.Elapsed() + rolloutDeadline/2
+			f.targets = []*target.Target{&superseded}
+		})
+	})
+	got := f.send(callerRequest{path: "/stream/once/", timeout: 2 * time.Second, header: map[string]string{"Lacewingwheel-Model": "m"}})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway, "it may have begun")
+	assert.Assert(t, time.Since(started) <= rolloutDeadline, "cancelled after %v", time.Since(started))
+}
--- a/pkg/rollout/order.go
+++ b/pkg/rollout/order.go
@@ -24,8 +24,7 @@
 func SortByLoadOrder(outdated []*target.Target) {
 	slices.SortFunc(outdated, func(a, b *target.Target) int {
 		return cmp.Or(
-			cmp.Compare(len(a.WeightVersion), len(b.WeightVersion)), // versions are whole numbers
-			cmp.Compare(a.WeightVersion, b.WeightVersion),
+			target.CompareVersions(a.WeightVersion, b.WeightVersion),
 			cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)),
 		)
 	})
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -177,7 +177,7 @@
 
 // isServing reports whether a target may still get requests on its weights.
 func (r *Controller) isServing(t *target.Target) bool {
-	return t.WeightsUsableUntil == 0 || r.Clock.Elapsed() < t.WeightsUsableUntil-endOfServiceLead
+	return t.WeightsUsableUntil == 0 || t.WeightsUseIsAssumed || r.Clock.Elapsed() < t.WeightsUsableUntil-endOfServiceLead
 }
 
 // orderOutdated sends orders to outdated targets, up to MaxParallelLoads per pool
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -55,6 +55,8 @@
 	// OnStoreChange is called after each change of the stored objects; nil means no
 	// call.
 	OnStoreChange func()
+	// WatchWait is how long the store holds a watch without changes.
+	WatchWait time.Duration
 
 	once     sync.Once
 	follower *follow.Follower
@@ -110,7 +112,7 @@
 func (c *Configuration) Follower() *follow.Follower {
 	c.once.Do(func() {
 		c.follower = &follow.Follower{
-			Store: c.Store, Kind: c.Kind, FedByPeer: c.FedByPeer, MaxViewAge: configurationMaxAge, OnChange: c.OnStoreChange, Clock: c.Clock, StoreHealth: c.StoreHealth, Log: c.Log,
+			Store: c.Store, Kind: c.Kind, FedByPeer: c.FedByPeer, MaxViewAge: configurationMaxAge, WatchWait: c.WatchWait, OnChange: c.OnStoreChange, Clock: c.Clock, StoreHealth: c.StoreHealth, Log: c.Log,
 			Replace: func(objects []objectstore.Object) {
 				for _, o := range objects {
 					c.applyIfNewer(o)
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,6 +38,8 @@
 	// MaxViewAge is the age of the list from which this instance reads changes
 	// itself although others relay them.
 	MaxViewAge time.Duration
+	// WatchWait is how long the store holds a watch without changes.
+	WatchWait time.Duration
 	// OnChange is called after each change of the list; nil means no call.
 	OnChange func()
 	// RolloutDeadline is the time from the announcement of weights to the last
@@ -48,19 +49,10 @@
 	once     sync.Once
 	follower *follow.Follower
 
-	mu        sync.Mutex
-	entries   map[string]*entry
-	announced map[string][]announcement // by model, the oldest first
-	current   atomic.Pointer[targetView]
-}
-
-// announcement is one version of a model's weights and the boot time at which it
-// was announced. Unless isExact is set, that is the earliest time possible.
-type announcement struct {
-	version string
-	at      time.Duration
-	isExact bool
-	logged  time.Duration // value of at that was logged last
+	mu      sync.Mutex
+	entries map[string]*entry
+	weights weightsHistory
+	current atomic.Pointer[targetView]
 }
 
 // entry is one target and what is known about it from other sources than the list.
@@ -137,7 +129,7 @@
 		t.entries = make(map[string]*entry)
 		t.follower = &follow.Follower{
 			Store: t.Store, Kind: t.Kind, Replace: t.replace, Apply: t.apply, WatchPause: t.WatchPause,
-			FedByPeer: t.FedByPeer, MaxViewAge: t.MaxViewAge, OnChange: t.OnChange, Clock: t.Clock, StoreHealth: t.StoreHealth, Log: t.Log,
+			FedByPeer: t.FedByPeer, MaxViewAge: t.MaxViewAge, WatchWait: t.WatchWait, OnChange: t.OnChange, Clock: t.Clock, StoreHealth: t.StoreHealth, Log: t.Log,
 		}
 	})
 	return t.follower
@@ -195,7 +187,7 @@
 		// Within one incarnation a target that is leaving stays so; only a
 		// restart ends it.
 		parsed.Leaving = parsed.Leaving || e.target.Leaving
-		if e.reportedVersion != "" && isNewerVersion(e.reportedVersion, parsed.WeightVersion) {
+		if e.reportedVersion != "" && target.IsNewerVersion(e.reportedVersion, parsed.WeightVersion) {
 			next.reportedVersion = e.reportedVersion
 		}
 		t.logChange(e.target, parsed)
@@ -214,15 +206,6 @@
 	}
 }
 
-// isNewerVersion reports whether weight version a is newer than b. Versions are
-// whole numbers in decimal, so the longer one is the larger.
-func isNewerVersion(a, b string) bool {
-	if len(a) != len(b) {
-		return len(a) > len(b)
-	}
-	return a > b
-}
-
 // removeOrKeepLapsed removes a target that is no longer listed. During an outage of
 // the store and shortly after it, the target is marked as lapsed instead: its entry
 // may only have failed to be renewed.
@@ -286,10 +269,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[known.ID]
-	if e == nil || e.target == nil || e.target.Key() != known.Key() || !isNewerVersion(version, e.target.WeightVersion) {
+	if e == nil || e.target == nil || e.target.Key() != known.Key() || !target.IsNewerVersion(version, e.target.WeightVersion) {
 		return
 	}
-	if e.reportedVersion != "" && !isNewerVersion(version, e.reportedVersion) {
+	if e.reportedVersion != "" && !target.IsNewerVersion(version, e.reportedVersion) {
 		return
 	}
 	e.reportedVersion = version
@@ -297,91 +280,6 @@
 	t.publish()
 }
 
-// RecordAnnouncedVersion records that weights were announced for a model age ago,
-// or at most age ago unless isExact is set. An exact age replaces one that is
-// not; of two exact ones the greater is kept, because instances learn of
-// announcements late but never early.
-func (t *Targets) RecordAnnouncedVersion(model, version string, age time.Duration, isExact bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	next := announcement{version: version, at: t.Clock.Elapsed() - age, isExact: isExact}
-	next.logged = next.at
-	known := t.announced[model]
-	at, found := slices.BinarySearchFunc(known, next, compareAnnouncements)
-	if found {
-		if !isExact || known[at].isExact && next.at+announcementTolerance >= known[at].at {
-			return
-		}
-		if before := known[at].logged; (next.at - before).Abs() >= loggedCorrection {
-			t.Log.Info("age of announced weights corrected", "model", model, "weights", version, "age", age, "assumed", t.Clock.Elapsed()-before)
-		} else {
-			next.logged = before
-		}
-		known = slices.Clone(known)
-		known[at] = next
-	} else {
-		t.Log.Info("weights named", "model", model, "weights", version, "newest", at == len(known), "age", age, "exact", isExact)
-		known = slices.Insert(slices.Clone(known), at, next)
-	}
-	if t.announced == nil {
-		t.announced = make(map[string][]announcement)
-	}
-	t.announced[model] = known[max(0, len(known)-maxAnnouncements):]
-	if t.current.Load() != nil {
-		t.publish()
-	}
-}
-
-func compareAnnouncements(a, b announcement) int {
-	switch {
-	case isNewerVersion(a.version, b.version):
-		return 1
-	case a.version == b.version:
-		return 0
-	}
-	return -1
-}
-
-const (
-	// announcementTolerance is the difference of ages that is not corrected: it is
-	// the time that a message takes.
-	announcementTolerance = 100 * time.Millisecond
-	// loggedCorrection is the least correction of an age that is logged. After a
-	// suspension many small ones may follow each other.
-	loggedCorrection = time.Second
-)
-
-// ExactAnnouncements returns the announcements whose age is known and at most
-// maxAge.
-func (t *Targets) ExactAnnouncements(maxAge time.Duration) []gossip.Announcement {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []gossip.Announcement
-	for model, known := range t.announced {
-		for _, a := range known {
-			if age := t.Clock.Elapsed() - a.at; a.isExact && age <= maxAge {
-				out = append(out, gossip.Announcement{Model: model, Version: a.version, Age: age})
-			}
-		}
-	}
-	return out
-}
-
-// maxAnnouncements is the number of announcements kept per model.
-const maxAnnouncements = 16
-
-// supersededAt returns the boot time at which weights newer than version were
-// first announced, or false if there are none.
-func (t *Targets) supersededAt(model, version string) (time.Duration, bool) {
-	first, superseded := time.Duration(0), false
-	for _, n := range t.announced[model] {
-		if isNewerVersion(n.version, version) && (!superseded || n.at < first) {
-			first, superseded = n.at, true
-		}
-	}
-	return first, superseded
-}
-
 // reservedDivisor sets how many further targets are marked as about to load: one
 // for every reservedDivisor that load at the same time, and at least one. The
 // instance that sends the orders may be ahead of the list.
@@ -397,13 +295,15 @@
 			continue
 		}
 		engines++
-		at, superseded := t.supersededAt(x.Model, x.WeightVersion)
-		if !superseded || x.Leaving {
+		at, isAssumed, superseded := t.weights.supersededAfter(x.Model, x.WeightVersion)
+		if !superseded {
 			continue
 		}
-		outdated = append(outdated, x)
 		if t.RolloutDeadline > 0 {
-			x.WeightsUsableUntil = at + t.RolloutDeadline
+			x.WeightsUsableUntil, x.WeightsUseIsAssumed = at+t.RolloutDeadline, isAssumed
+		}
+		if !x.Leaving {
+			outdated = append(outdated, x)
 		}
 	}
 	rollout.SortByLoadOrder(outdated)
@@ -417,8 +317,8 @@
 // because the marks of markRollout are set for each view.
 func (t *Targets) publish() {
 	v := &targetView{pools: make(map[string][]*target.Target), keys: make(map[string]bool), hashes: make(map[uint64]*target.Target), versions: make(map[string]string)}
-	for model, known := range t.announced {
-		v.versions[model] = known[len(known)-1].version
+	for model, h := range t.weights.models {
+		v.versions[model] = h.newest
 	}
 	for _, e := range t.entries {
 		if e.target == nil || e.addressTaken {
--- a/pkg/state/weights.go
+++ b/pkg/state/weights.go
@@ -18,12 +18,14 @@
 	Store objectstore.Store
 	Kind  string
 	Parse func([]byte) (model, version string, err error)
-	// OnAnnounced is called with each announced version and the age of the
-	// announcement. Unless isExact is set, that is the greatest age that it may
-	// have. The same version may be passed again.
-	OnAnnounced func(model, version string, age time.Duration, isExact bool)
+	// OnNewest is called with the newest version of a model and the boot time up to
+	// which the version before it is known to have been the newest. That time is
+	// assumed, not known, for the first list. The same version may be passed again.
+	OnNewest func(model, version string, before time.Duration, isAssumed bool)
 	// InitialAge is the age assumed for announcements in the first list.
 	InitialAge time.Duration
+	// WatchWait is how long the store holds a watch without changes.
+	WatchWait time.Duration
 	// FedByPeer reports whether other instances relay the changes; nil means never.
 	FedByPeer func() bool
 	// OnChange is called after each change of the announcements; nil means no call.
@@ -32,7 +34,6 @@
 	StoreHealth *follow.StoreHealth
 	Log         hclog.Logger
 
-	listed   bool
 	once     sync.Once
 	follower *follow.Follower
 }
@@ -41,20 +42,19 @@
 func (w *WeightsWatcher) Run(ctx context.Context) { w.Follower().Run(ctx) }
 
 // weightsMaxAge is the age of the view from which an instance reads announcements
-// itself although others relay them. A watch waits for up to eight seconds.
-const weightsMaxAge = 10 * time.Second
+// itself although others relay them. It is a few waits of their watches.
+const weightsMaxAge = 4 * time.Second
 
 // Follower returns the follower of the announcements, the same one on each call.
 func (w *WeightsWatcher) Follower() *follow.Follower {
 	w.once.Do(func() {
 		w.follower = &follow.Follower{
-			Store: w.Store, Kind: w.Kind, FedByPeer: w.FedByPeer, MaxViewAge: weightsMaxAge, OnChange: w.OnChange, Clock: w.Clock, StoreHealth: w.StoreHealth, Log: w.Log,
+			Store: w.Store, Kind: w.Kind, FedByPeer: w.FedByPeer, MaxViewAge: weightsMaxAge, WatchWait: w.WatchWait, OnChange: w.OnChange, Clock: w.Clock, StoreHealth: w.StoreHealth, Log: w.Log,
 			Replace: w.replace,
 			Apply: func(events []objectstore.Event) {
 				for _, e := range events {
 					if !e.Deleted {
-						delay := w.follower.MaxDelay()
-						w.announce(e.Object, delay, delay == 0)
+						w.announce(e.Object)
 					}
 				}
 			},
@@ -64,21 +64,21 @@
 }
 
 func (w *WeightsWatcher) replace(objects []objectstore.Object) {
-	age := w.follower.MaxDelay()
-	if !w.listed {
-		age = w.InitialAge
-	}
-	w.listed = true
 	for _, o := range objects {
-		w.announce(o, age, false)
+		w.announce(o)
 	}
 }
 
-func (w *WeightsWatcher) announce(o objectstore.Object, age time.Duration, isExact bool) {
+func (w *WeightsWatcher) announce(o objectstore.Object) {
 	model, version, err := w.Parse(o.Value)
 	if err != nil {
 		w.Log.Warn("announcement of weights cannot be decoded and is ignored", "entry", o.Name, "revision", o.Version, "cause", err)
 		return
 	}
-	w.OnAnnounced(model, version, age, isExact)
+	before := w.follower.CompleteUntil()
+	isAssumed := before == 0
+	if isAssumed {
+		before = w.Clock.Elapsed() - w.InitialAge
+	}
+	w.OnNewest(model, version, before, isAssumed)
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -3,6 +3,7 @@
 package target
 
 import (
+	"cmp"
 	"sync/atomic"
 	"time"
 
@@ -36,11 +37,22 @@
 	// WeightsUsableUntil is the boot time until which a request may begin on its
 	// weights; zero if they are not superseded.
 	WeightsUsableUntil time.Duration
-	Slots              int    // requests that it can run concurrently; zero if unknown
-	CacheTokens        int    // memory for running requests and cached parts, in tokens; zero if unknown
-	Pool               string // empty if the list of targets does not name it
-	Load               Load   // as of the snapshot; NewestLoad may be more recent
-	Live               *LiveState
+	// WeightsUseIsAssumed is set if the true end of their use may be later.
+	WeightsUseIsAssumed bool
+	Slots               int    // requests that it can run concurrently; zero if unknown
+	CacheTokens         int    // memory for running requests and cached parts, in tokens; zero if unknown
+	Pool                string // empty if the list of targets does not name it
+	Load                Load   // as of the snapshot; NewestLoad may be more recent
+	Live                *LiveState
+}
+
+// IsNewerVersion reports whether weight version a is newer than b.
+func IsNewerVersion(a, b string) bool { return CompareVersions(a, b) > 0 }
+
+// CompareVersions compares two weight versions, with the older one first. Versions
+// are whole numbers in decimal, so the longer one is the larger.
+func CompareVersions(a, b string) int {
+	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
 }
 
 // Key returns a key that is unique to the target and its incarnation.
