--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -214,7 +214,7 @@
 		}
 		engines++
 		newest := r.Source.NewestVersion(t.Model)
-		if newest == "" || t.WeightVersion == newest {
+		if newest == "" || !target.IsNewerVersion(newest, t.WeightVersion) {
 			delete(r.openOrders, t.Key())
 			continue
 		}
@@ -250,8 +250,8 @@
 		r.Log.Info("status of target not read; its order is delayed", "target", t.ID, "cause", err)
 		return false
 	}
-	if status.Versions[t.Model] == newest {
-		r.Source.RecordReportedVersion(t, newest)
+	if loaded := status.Versions[t.Model]; !target.IsNewerVersion(newest, loaded) {
+		r.Source.RecordReportedVersion(t, loaded)
 		delete(r.openOrders, t.Key())
 		return false
 	}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -291,6 +291,21 @@
 	assert.Assert(t, len(f.orders)-past <= MaxParallelLoads(18), "%d targets that serve load at the same time", len(f.orders)-past)
 }
 
+// A holder that does not know the newest weights yet must not order a target that
+// has them back to older ones.
+func TestTargetWithNewerWeightsIsNotOrderedBack(t *testing.T) {
+	f := newFleet(5)
+	r := f.newController(&leaseStore{}, "one")
+	f.simulate(t, time.Second, r)
+	f.newest = "2"
+	f.engines["i-00"].version, f.engines["i-01"].version = "3", "10"
+	f.list[1].WeightVersion = "1" // the list is behind the target
+	f.simulate(t, 14*time.Second, r)
+	assert.Equal(t, f.engines["i-00"].version, "3")
+	assert.Equal(t, f.engines["i-01"].version, "10")
+	assert.Equal(t, len(f.orders), 3)
+}
+
 // Targets that are leaving and services must get no orders.
 func TestOnlyStayingEnginesAreOrdered(t *testing.T) {
 	f := newFleet(4)
