--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
@@ -110,7 +113,61 @@
 	}
 	failure.Outcome, failure.Status = callerStatus(failure)
 	w.Header().Set(c.dialect.RequestIDHeader(), ex.Metadata.ID)
+	c.sendFailure(ex, w, r, failure)
+}
+
+// maxDiscardedBytes bounds the part of a request body that is read after the
+// response.
+const maxDiscardedBytes = 64 << 20
+
+// sendFailure sends a failure. If the request body was not read, it sends the
+// failure at once and then reads the body: if the connection were closed with
+// unread bytes, a caller that is still writing would get a reset instead of the
+// response.
+func (c *Chain) sendFailure(ex *Exchange, w http.ResponseWriter, r *http.Request, failure *apierr.Error) {
+	isRead := ex.Body != nil && failure.Code != apierr.CodeBodyTooLarge
+	if isRead || r.Body == nil || r.Body == http.NoBody {
+		writeFailure(w, failure, ex.Metadata.ID)
+		return
+	}
+	// Without full duplex, the server reads from the body before it sends the
+	// response.
+	controller := http.NewResponseController(w)
+	err := controller.EnableFullDuplex()
 	writeFailure(w, failure, ex.Metadata.ID)
+	if err = errors.Join(err, controller.Flush()); err == nil {
+		err = discardBody(w, r, ex.Deadline)
+	}
+	if err == nil {
+		return
+	}
+	c.requestLog.RecordUnreadBody(ex, err)
+	if tooLarge := (*http.MaxBytesError)(nil); !errors.As(err, &tooLarge) {
+		// The next bytes of the connection must not be parsed as a request.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// discardBody reads the rest of a request body, up to maxDiscardedBytes and the
+// deadline. At maxDiscardedBytes it makes the server half-close the connection
+// after the response.
+func discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxDiscardedBytes)); err != nil {
+		return err
+	}
+	// After the body the server waits for the caller to close the connection. A
+	// deadline that passes meanwhile cancels the later requests of the connection.
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if !time.Now().Before(deadline) {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
 }
 
 // callerStatus returns the outcome and the status to send. Callers take some
--- a/pkg/relay/requestlog.go
+++ b/pkg/relay/requestlog.go
@@ -81,6 +81,13 @@
 	l.Log.Warn("request failed", args...)
 }
 
+// RecordUnreadBody logs and counts a failed request whose body was not read to its
+// end, so that the caller may not have received the response.
+func (l *RequestLog) RecordUnreadBody(ex *Exchange, cause error) {
+	l.Metrics.Add("bodies_unread", 1)
+	l.Log.Info("body of the failed request not read to its end", "request_id", ex.Metadata.ID, "took", time.Since(ex.Start), "cause", cause)
+}
+
 // RecordFailedAttempt logs and counts an attempt without a complete response.
 // now is the boot time.
 func (l *RequestLog) RecordFailedAttempt(ex *Exchange, choice placement.Choice, last *failure, now time.Duration) {
