--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -149,8 +149,12 @@
 	assert.Equal(t, x.sendStatus("/stream/a", "key-2"), http.StatusUnauthorized)
 
 	x.putConfiguration("/stream/new/")
-	x.waitFor("the new route is served", func() bool { return x.sendStatus("/stream/new/", "key-1") == http.StatusOK })
-	assert.Equal(t, x.sendStatus("/stream/a", "key-1"), http.StatusNotFound)
+	// The first configuration serves the new path, too.
+	x.waitFor("the old route is not served", func() bool { return x.sendStatus("/stream/a", "key-1") == http.StatusNotFound })
+	for range 20 {
+		assert.Equal(t, x.sendStatus("/stream/new/", "key-1"), http.StatusOK)
+		assert.Equal(t, x.sendStatus("/stream/a", "key-1"), http.StatusNotFound, "the old route is served again")
+	}
 
 	x.apiKeys = []string{"key-2"}
 	x.putConfiguration("/stream/new/")
