--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -145,6 +145,7 @@
 	storeCalls       relay.LatencyHistograms
 	callerServer     *http.Server
 	idleTimeout      *idleTimeout
+	listen           func(network, address string) (net.Listener, error) // net.Listen except in tests
 	stopping         atomic.Bool
 	startedAt        time.Duration // time since boot
 }
@@ -153,7 +154,7 @@
 // settings and must allow concurrent calls.
 func New(settings func() *Settings, p Platform, log hclog.Logger) *Daemon {
 	s := settings()
-	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init()}
+	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init(), listen: net.Listen}
 	d.startedAt = d.clock.Elapsed()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
@@ -163,7 +164,7 @@
 	storeHealth := &follow.StoreHealth{Clock: d.clock, Log: log}
 	self := state.Member{Name: s.Instance, Incarnation: incarnation, DatagramAddress: s.GossipListen, Zone: s.Zone, Cores: s.Cores}
 	d.members = state.NewMembers(p.Store, d.clock, self, s.FirstStart, log)
-	d.peerEndpoint = &peerEndpoint{members: d.members, registry: peer.NewRegistry(), log: log}
+	d.peerEndpoint = &peerEndpoint{members: d.members, registry: peer.NewRegistry(), log: log, listenPacket: net.ListenPacket}
 	d.ranking = &dutyRanking{members: d.members}
 	d.feed = &feed.Feed{
 		Readers: d.ranking.readers, ReaderOffset: xxhash.Sum64String(s.Instance), PeerClient: d.peerEndpoint, StoreHealth: storeHealth, Clock: d.clock, Log: log,
@@ -368,11 +369,11 @@
 // listener cannot be opened or fails. It must be called once.
 func (d *Daemon) Run(ctx context.Context) error {
 	s := d.settings()
-	callerListener, err := net.Listen("tcp4", s.CallerListen)
+	callerListener, err := d.listen("tcp4", s.CallerListen)
 	if err != nil {
 		return err
 	}
-	readyListener, err := net.Listen("tcp4", s.ReadyListen)
+	readyListener, err := d.listen("tcp4", s.ReadyListen)
 	if err != nil {
 		return errors.Join(err, callerListener.Close())
 	}
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -35,14 +35,6 @@
 	apiKeys              []string
 }
 
-func freePort(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func startDaemon(t *testing.T, targetCount int) *testDaemon {
 	t.Helper()
 	x := &testDaemon{t: t, store: platformtest.NewStore(), stopped: make(chan error, 1), apiKeys: []string{"key-1"}}
@@ -58,8 +50,9 @@
 	}
 	x.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": 1})
 	x.putConfiguration("/stream/")
+	sockets := newHeldSockets(t)
 	x.settings = &daemon.Settings{
-		Instance: "edge-1", Zone: "a", CallerListen: freePort(t), ReadyListen: freePort(t), MetricsListen: freePort(t),
+		Instance: "edge-1", Zone: "a", CallerListen: sockets.tcpAddress(t), ReadyListen: sockets.tcpAddress(t), MetricsListen: sockets.tcpAddress(t),
 		StoreAddress: strings.TrimPrefix(server.URL, "http://"), FirstStart: true,
 		StopTimeout: 8 * time.Second, MaxRevocationDelay: 2 * time.Second, MaxRolloutDelay: 12 * time.Second, OrderHandoverPause: 100 * time.Millisecond,
 		RetryRatio: 0.2, ExtraRetries: 50, RetryWindow: 10 * time.Second, QuotaOverage: 0.1, QuotaSlack: 1000,
@@ -68,6 +61,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
 	d := daemon.New(current, platform.New(current), hclog.NewNullLogger())
+	d.UseSockets(sockets.listen, sockets.listenPacket)
 	var once sync.Once
 	go func() { x.stopped <- d.Run(ctx) }()
 	t.Cleanup(func() {
--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 	members  *state.Members
 	registry *peer.Registry
 	log      hclog.Logger
+	// listenPacket opens the socket, like net.ListenPacket.
+	listenPacket func(network, address string) (net.PacketConn, error)
 
 	transport atomic.Pointer[peer.Transport]
 }
@@ -61,10 +64,14 @@
 		return // ctx has ended
 	}
 	pair, err := issuer.Issue(s.Instance)
+	var socket net.PacketConn
+	if err == nil {
+		socket, err = x.listenPacket("udp", s.ExchangeListen)
+	}
 	if err == nil {
 		var transport *peer.Transport
 		identity := &peer.Identity{KeyPair: pair, CABundle: issuer.CABundle()}
-		if transport, err = peer.Listen(s.ExchangeListen, identity, x.registry, x.log); err == nil {
+		if transport, err = peer.New(socket, identity, x.registry, x.log); err == nil {
 			x.serve(ctx, transport, s.ExchangeListen)
 			return
 		}
--- a/pkg/daemon/peers_test.go
+++ b/pkg/daemon/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -35,14 +34,6 @@
 	w.store.ServeHTTP(rw, r)
 }
 
-func freePacketPort(t *testing.T) string {
-	t.Helper()
-	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer c.Close()
-	return c.LocalAddr().String()
-}
-
 // startTwoDaemons starts two instances that call the same store, each through its
 // own proxy.
 func startTwoDaemons(t *testing.T) (instances [2]*testDaemon, proxies [2]*storeProxy) {
@@ -50,6 +41,7 @@
 	store := platformtest.NewStore()
 	testTarget, err := platformtest.StartTarget("i-0")
 	assert.NilError(t, err)
+	sockets := newHeldSockets(t)
 	testTarget.Model = "m"
 	t.Cleanup(testTarget.Stop)
 	for i := range instances {
@@ -64,14 +56,15 @@
 			x.putConfiguration("/stream/")
 		}
 		x.settings = &daemon.Settings{
-			Instance: []string{"edge-1", "edge-2"}[i], Zone: "a", CallerListen: freePort(t), ReadyListen: freePort(t), MetricsListen: freePort(t),
-			GossipListen: freePacketPort(t), ExchangeListen: freePacketPort(t), StoreAddress: strings.TrimPrefix(server.URL, "http://"), FirstStart: true,
+			Instance: []string{"edge-1", "edge-2"}[i], Zone: "a", CallerListen: sockets.tcpAddress(t), ReadyListen: sockets.tcpAddress(t), MetricsListen: sockets.tcpAddress(t),
+			GossipListen: sockets.udpAddress(t), ExchangeListen: sockets.udpAddress(t), StoreAddress: strings.TrimPrefix(server.URL, "http://"), FirstStart: true,
 			StopTimeout: 4 * time.Second, MaxTargetLeaveDelay: 2 * time.Second, MaxRevocationDelay: 3 * time.Second, MaxRolloutDelay: 12 * time.Second, OrderHandoverPause: 100 * time.Millisecond,
 			RetryRatio: 0.2, ExtraRetries: 50, RetryWindow: 10 * time.Second, QuotaWindow: 8 * time.Second, QuotaOverage: 0.1, QuotaSlack: 10,
 		}
 		current := func() *daemon.Settings { return x.settings }
 		ctx, cancel := context.WithCancel(context.Background())
 		d := daemon.New(current, platform.New(current), hclog.NewNullLogger())
+		d.UseSockets(sockets.listen, sockets.listenPacket)
 		go func() { x.stopped <- d.Run(ctx) }()
 		t.Cleanup(func() { cancel(); <-x.stopped })
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -69,6 +69,8 @@
 	// ListenAddress is the UDP address, host:port. If it is empty, no reports
 	// are exchanged.
 	ListenAddress string
+	// ListenPacket opens the socket. Nil means net.ListenPacket.
+	ListenPacket func(network, address string) (net.PacketConn, error)
 	// Peers returns the addresses of the other instances.
 	Peers func() []string
 	// OnReport is called for each report from another instance that is newer
@@ -119,7 +121,11 @@
 	if g.ListenAddress == "" {
 		return
 	}
-	conn, err := net.ListenPacket("udp4", g.ListenAddress)
+	listenPacket := g.ListenPacket
+	if listenPacket == nil {
+		listenPacket = net.ListenPacket
+	}
+	conn, err := listenPacket("udp4", g.ListenAddress)
 	if err != nil {
 		g.Log.Warn("cannot listen for load reports; none are exchanged with other instances", "address", g.ListenAddress, "cause", err)
 		return
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -38,7 +38,7 @@
 	registry *Registry
 	log      hclog.Logger
 
-	socket          *net.UDPConn
+	socket          net.PacketConn
 	quic            *quic.Transport
 	listener        *quic.Listener
 	pool            *connectionPool
@@ -51,20 +51,21 @@
 	startClose context.CancelFunc
 }
 
-// Listen opens the UDP socket at an address. Requests are served once Serve runs.
-// Close releases the socket.
+// Listen opens the UDP socket at an address and returns a transport that uses it.
 func Listen(address string, identity *Identity, registry *Registry, log hclog.Logger) (*Transport, error) {
-	udp, err := net.ResolveUDPAddr("udp", address)
+	socket, err := net.ListenPacket("udp", address)
 	if err != nil {
 		return nil, err
 	}
+	return New(socket, identity, registry, log)
+}
+
+// New returns a transport that uses a UDP socket. Requests are served once Serve
+// runs. Close closes the socket, and so does New when it fails.
+func New(socket net.PacketConn, identity *Identity, registry *Registry, log hclog.Logger) (*Transport, error) {
 	resetKey, err := identity.resetKey()
 	if err != nil {
-		return nil, err
-	}
-	socket, err := net.ListenUDP("udp", udp)
-	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, socket.Close())
 	}
 	t := &Transport{
 		identity: identity, registry: registry, log: log, socket: socket,
