--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -13,28 +13,24 @@
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
-// freeUDPAddresses returns n different addresses. All sockets stay open until
-// the last address is drawn, because the kernel may give the port of a closed
-// socket again.
-func freeUDPAddresses(t *testing.T, n int) []string {
+// openSockets returns n open UDP sockets and their addresses.
+func openSockets(t *testing.T, n int) ([]net.PacketConn, []string) {
 	t.Helper()
-	addresses := make([]string, n)
-	for i := range addresses {
-		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	sockets, addresses := make([]net.PacketConn, n), make([]string, n)
+	for i := range sockets {
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		assert.NilError(t, err)
-		defer c.Close()
-		addresses[i] = c.LocalAddr().String()
+		t.Cleanup(func() { _ = socket.Close() }) // normally Run has closed it
+		sockets[i], addresses[i] = socket, socket.LocalAddr().String()
 	}
-	return addresses
+	return sockets, addresses
 }
 
 // A report must reach all instances before it is too old to count, not only
 // those to which the first sender chose to send it.
 func TestReportsReachAll(t *testing.T) {
 	const instances = 12
-	addresses := freeUDPAddresses(t, instances)
-	// If an instance cannot listen, for example because another process took its
-	// port, its warning on the test's output tells this from a lost report.
+	sockets, addresses := openSockets(t, instances)
 	log := hclog.New(&hclog.LoggerOptions{Output: t.Output()})
 	var mu sync.Mutex
 	learned := make([]map[uint64]target.Load, instances)
@@ -45,7 +41,8 @@
 		learned[i] = make(map[uint64]target.Load)
 		all[i] = &Gossip{
 			ListenAddress: addresses[i], Log: log,
-			Peers: func() []string { return addresses },
+			ListenPacket: func(_, _ string) (net.PacketConn, error) { return sockets[i], nil },
+			Peers:        func() []string { return addresses },
 			OnReport: func(hash uint64, load target.Load, _ time.Time, _ bool) {
 				mu.Lock()
 				defer mu.Unlock()
