--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -17,8 +17,9 @@
 )
 
 // sendVersion sends a request with the given HTTP version on a new connection and
-// returns the response with its body and the error that ended the body.
-func (f *fixture) sendVersion(version, path string) (*http.Response, string, error) {
+// returns the response with its body and the error that ended the body. It closes
+// delivered, unless that is nil, after that many bytes of the body.
+func (f *fixture) sendVersion(version, path string, delivered chan struct{}, bytes int) (*http.Response, string, error) {
 	f.t.Helper()
 	conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
 	assert.NilError(f.t, err)
@@ -28,8 +29,16 @@
 	assert.NilError(f.t, err)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	assert.NilError(f.t, err)
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	var body strings.Builder
+	if delivered != nil {
+		if _, err = io.CopyN(&body, response.Body, int64(bytes)); err == nil {
+			close(delivered)
+		}
+	}
+	if err == nil {
+		_, err = io.Copy(&body, response.Body)
+	}
+	return response, body.String(), err
 }
 
 // streamEvents returns the events first to last of the stand-in's stream for id-1.
@@ -42,12 +51,16 @@
 }
 
 // respondUnframed returns a response with neither a length nor chunks. Its
-// connection is closed or, with reset, reset once the caller has the body.
-func respondUnframed(body string, reset bool) func(*net.TCPConn, string) {
+// connection is closed or, with reset, reset once delivered is closed. A reset
+// discards what the router has not read.
+func respondUnframed(body string, reset bool, delivered <-chan struct{}) func(*net.TCPConn, string) {
 	return func(conn *net.TCPConn, head string) {
 		_, _ = io.WriteString(conn, head+"Content-Type: text/event-stream\r\n\r\n"+body)
 		if reset {
-			time.Sleep(50 * time.Millisecond) // a reset discards what the router has not read
+			select {
+			case <-delivered:
+			case <-time.After(200 * time.Millisecond): // nothing of it can reach the caller
+			}
 			_ = conn.SetLinger(0)
 		}
 	}
@@ -79,17 +92,21 @@
 			for _, path := range []string{"/stream/resumable/", "/stream/once/"} {
 				t.Run(c.name+version+path, func(t *testing.T) {
 					one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
+					var delivered chan struct{}
+					if c.reset && c.after != "" {
+						delivered = make(chan struct{})
+					}
 					var broken firstTarget
 					for _, testTarget := range []*platformtest.Target{one, two} {
 						testTarget.SetFaults(func(int, string) platformtest.Fault {
 							if broken.isFirst(testTarget.ID) {
-								return platformtest.Fault{Respond: respondUnframed(c.body, c.reset)}
+								return platformtest.Fault{Respond: respondUnframed(c.body, c.reset, delivered)}
 							}
 							return platformtest.Fault{}
 						})
 					}
 					f := newFixture(t, one, two)
-					response, body, err := f.sendVersion(version, path)
+					response, body, err := f.sendVersion(version, path, delivered, len(streamEvents(1, 2)))
 					resumable := path == "/stream/resumable/"
 					if c.whole || resumable {
 						assert.NilError(t, err)
@@ -138,11 +155,15 @@
 		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
 			t.Run(c.name+version, func(t *testing.T) {
 				testTarget := startTarget(t, "i-1")
+				var delivered chan struct{}
+				if c.reset && c.status == http.StatusOK {
+					delivered = make(chan struct{})
+				}
 				testTarget.SetFaults(func(int, string) platformtest.Fault {
-					return platformtest.Fault{Respond: respondUnframed(c.body, c.reset)}
+					return platformtest.Fault{Respond: respondUnframed(c.body, c.reset, delivered)}
 				})
 				f := newFixture(t, testTarget)
-				response, body, err := f.sendVersion(version, "/once/")
+				response, body, err := f.sendVersion(version, "/once/", delivered, 1)
 				assert.Equal(t, response.StatusCode, c.status)
 				assert.Equal(t, countRuns(testTarget), 1)
 				switch {
@@ -322,7 +343,7 @@
 				}
 				f := newFixture(t, one, two)
 				started := time.Now()
-				response, body, err := f.sendVersion("HTTP/1.1", path)
+				response, body, err := f.sendVersion("HTTP/1.1", path, nil, 0)
 				assert.Assert(t, time.Since(started) < time.Second, "answered after %v, half of the route's deadline is 1s", time.Since(started))
 				switch {
 				case path == "/stream/resumable/":
@@ -353,7 +374,7 @@
 	event := "id: 1\ndata: " + strings.Repeat("x", 1000<<10) + "\n\n"
 	testTarget := startTarget(t, "i-1")
 	testTarget.SetFaults(func(int, string) platformtest.Fault {
-		return platformtest.Fault{Respond: respondUnframed(event, false)}
+		return platformtest.Fault{Respond: respondUnframed(event, false, nil)}
 	})
 	f := newFixture(t, testTarget)
 	got := f.send(callerRequest{path: "/stream/once/"})
