--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -321,11 +321,15 @@
 // again another target answers it, and otherwise the caller learns of the failure
 // at once. The target counts as failing and the log has the reason.
 func TestAnswerWithoutEnd(t *testing.T) {
-	cases := []struct{ name, start, repeated, reason string }{
-		{"header", "X-Long: ", "x", "the header of the target's response exceeds the size limit"},
-		{"event", "\r\n", "x", "an event of the stream exceeds the size limit"},
-		{"event after whole ones", "\r\n" + streamEvents(1, 2) + "id: 3\ndata: ", "x", "an event of the stream exceeds the size limit"},
-		{"chunk extension", "Transfer-Encoding: chunked\r\n\r\n4;", "x", "stream cut off"},
+	cases := []struct {
+		name, start, repeated, reason string
+		unsigned                      bool
+	}{
+		{"body without the target's signature", "\r\n", "x", "response without the target's signature", true},
+		{"header", "X-Long: ", "x", "the header of the target's response exceeds the size limit", false},
+		{"event", "\r\n", "x", "an event of the stream exceeds the size limit", false},
+		{"event after whole ones", "\r\n" + streamEvents(1, 2) + "id: 3\ndata: ", "x", "an event of the stream exceeds the size limit", false},
+		{"chunk extension", "Transfer-Encoding: chunked\r\n\r\n4;", "x", "stream cut off", false},
 	}
 	for _, c := range cases {
 		for _, path := range []string{"/stream/resumable/", "/stream/once/"} {
@@ -336,7 +340,7 @@
 				for _, testTarget := range []*platformtest.Target{one, two} {
 					testTarget.SetFaults(func(int, string) platformtest.Fault {
 						if broken.isFirst(testTarget.ID) {
-							return platformtest.Fault{Respond: respond}
+							return platformtest.Fault{Respond: respond, OmitSignature: c.unsigned}
 						}
 						return platformtest.Fault{}
 					})
