--- a/pkg/state/identity.go
+++ b/pkg/state/identity.go
@@ -38,6 +38,10 @@
 		if objectstore.IsKind(err, objectstore.KindNotFound) {
 			ca, err = createAuthority(ctx, store)
 		}
+		if objectstore.IsKind(err, objectstore.KindExists) {
+			// Another instance was faster.
+			ca, err = readAuthority(ctx, store)
+		}
 		if err == nil {
 			return ca, nil
 		}
