--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -34,9 +36,8 @@
 	// expectedLoadTime is the time between the acceptance of an order and the next
 	// call to the target. A load takes about 1.3 s.
 	expectedLoadTime = 1250 * time.Millisecond
-	// unansweredOrderTimeout is how long an order without a response may still be
-	// carried out.
-	unansweredOrderTimeout = 2 * time.Second
+	// maxConcurrentCalls bounds the targets that are called at the same time.
+	maxConcurrentCalls = 32
 	// endOfServiceLead is how long before the end of the use of its weights a
 	// target gets its last request.
 	endOfServiceLead = time.Second
@@ -113,9 +114,13 @@
 // to the target before nextCheckAt, and it counts as loading until loadsUntil.
 // Both are boot times.
 type openOrder struct {
-	version     string
 	nextCheckAt time.Duration
 	loadsUntil  time.Duration
+	failures    int // attempts that brought no order to the target, as far as known
+	// isUnanswered is set if the order had no response, and acceptedBefore is then
+	// the number of orders that the target had accepted before.
+	isUnanswered   bool
+	acceptedBefore int64
 }
 
 // Run competes for the lease and sends orders while it holds the lease, until ctx
@@ -175,14 +180,9 @@
 	return r.InstanceCount()
 }
 
-// isServing reports whether a target may still get requests on its weights.
-func (r *Controller) isServing(t *target.Target) bool {
-	return t.WeightsUsableUntil == 0 || t.WeightsUseIsAssumed || r.Clock.Elapsed() < t.WeightsUsableUntil-endOfServiceLead
-}
-
 // orderOutdated sends orders to outdated targets, up to MaxParallelLoads per pool
-// of those that still serve. The others have nothing to lose and load at once.
-// It reports whether any target is outdated or loading.
+// of those that still serve. The others have nothing to lose and load at once. It
+// reports whether any target is outdated or loading.
 func (r *Controller) orderOutdated(ctx context.Context) bool {
 	pending := false
 	r.Source.ForEachPool(func(pool string, targets []*target.Target) {
@@ -191,19 +191,67 @@
 			return
 		}
 		pending = true
-		limit := MaxParallelLoads(engines)
-		for _, t := range outdated {
-			if loading >= limit && r.isServing(t) {
-				continue
-			}
-			if r.orderTarget(ctx, t) {
-				loading++
+		for limit := MaxParallelLoads(engines); ; {
+			var batch []*target.Target
+			batch, outdated = r.nextBatch(outdated, limit-loading)
+			if len(batch) == 0 {
+				return
 			}
+			loading += r.orderBatch(ctx, batch)
 		}
 	})
 	return pending
 }
 
+// nextBatch returns the targets to order now: as many of those that still serve as
+// there are places, and all others, up to maxConcurrentCalls. rest are those after
+// the last one looked at.
+func (r *Controller) nextBatch(outdated []*target.Target, places int) (batch, rest []*target.Target) {
+	for n, t := range outdated {
+		if len(batch) == maxConcurrentCalls {
+			return batch, outdated[n:]
+		}
+		if serving := r.isServing(t); !serving || places > 0 {
+			batch = append(batch, t)
+			if serving {
+				places--
+			}
+		}
+	}
+	return batch, nil
+}
+
+// orderBatch orders targets at the same time, so that one that does not answer does
+// not delay the others. It returns how many count as loading.
+func (r *Controller) orderBatch(ctx context.Context, batch []*target.Target) int {
+	outcomes := make([]openOrder, len(batch))
+	var group sync.WaitGroup
+	for n, t := range batch {
+		group.Go(func() { outcomes[n] = r.orderTarget(ctx, t) })
+	}
+	group.Wait()
+	loading, now := 0, r.Clock.Elapsed()
+	for n, o := range outcomes {
+		if o.nextCheckAt == 0 {
+			delete(r.openOrders, batch[n].Key())
+			continue
+		}
+		if before := r.openOrders[batch[n].Key()]; before != nil {
+			o.failures += before.failures
+		}
+		r.openOrders[batch[n].Key()] = &o
+		if now < o.loadsUntil {
+			loading++
+		}
+	}
+	return loading
+}
+
+// isServing reports whether a target may still get requests on its weights.
+func (r *Controller) isServing(t *target.Target) bool {
+	return t.WeightsUsableUntil == 0 || t.WeightsUseIsAssumed || r.Clock.Elapsed() < t.WeightsUsableUntil-endOfServiceLead
+}
+
 // selectOutdated returns the targets that may get an order now, in load order, the
 // number of targets that are loading, and the number of engines.
 func (r *Controller) selectOutdated(targets []*target.Target) (outdated []*target.Target, loading, engines int) {
@@ -232,35 +280,51 @@
 		outdated = append(outdated, t)
 	}
 	SortByLoadOrder(outdated)
+	slices.SortStableFunc(outdated, func(a, b *target.Target) int { return r.turn(a) - r.turn(b) })
 	return outdated, loading, engines
 }
 
+// turn returns the place of a target in the order of calls. Targets that may have
+// accepted an order come first: they may be loading. Targets that were called in vain
+// come last, so that one that never answers does not take the place of others.
+func (r *Controller) turn(t *target.Target) int {
+	o := r.openOrders[t.Key()]
+	switch {
+	case o == nil:
+		return 0
+	case o.isUnanswered:
+		return -1
+	}
+	return o.failures
+}
+
 // orderTarget orders one target to load the newest weights if it needs them and is
-// not busy. It reports whether the target counts as loading.
-func (r *Controller) orderTarget(ctx context.Context, t *target.Target) bool {
+// not busy. It may be called concurrently. The zero value means that there is
+// nothing to wait for.
+func (r *Controller) orderTarget(ctx context.Context, t *target.Target) openOrder {
 	newest := r.Source.NewestVersion(t.Model)
 	if !r.Lease.Held() {
-		return false
+		return openOrder{}
 	}
 	call, cancel := context.WithTimeout(ctx, min(orderTimeout, r.Lease.Remaining()))
 	defer cancel()
 	status, err := r.Client.Status(call, t)
 	if err != nil {
-		r.setOpenOrder(t, newest, pollInterval, 0)
 		r.Log.Info("status of target not read; its order is delayed", "target", t.ID, "cause", err)
-		return false
+		return r.waitAfterFailure(pollInterval, 0)
 	}
 	if loaded := status.Versions[t.Model]; !target.IsNewerVersion(newest, loaded) {
 		r.Source.RecordReportedVersion(t, loaded)
-		delete(r.openOrders, t.Key())
-		return false
+		return openOrder{}
 	}
 	if status.Busy {
-		r.setOpenOrder(t, newest, pollInterval, pollInterval)
-		return true
+		return r.waitFor(pollInterval, pollInterval)
+	}
+	if last := r.openOrders[t.Key()]; last != nil && last.isUnanswered && last.acceptedBefore == status.AcceptedOrders {
+		return r.waitAfterFailure(0, 0) // ordered again when it is its turn
 	}
 	if !r.Lease.Held() {
-		return false
+		return openOrder{}
 	}
 	order := Order{Model: t.Model, Version: newest, Holder: r.Holder, Fence: r.Lease.Fence(), ExpectedOrders: status.AcceptedOrders}
 	result, err := r.Client.SendOrder(call, t, order)
@@ -268,23 +332,31 @@
 		"fence", order.Fence, "after", order.ExpectedOrders, "result", int(result), "cause", err)
 	switch result {
 	case OrderAccepted:
-		r.setOpenOrder(t, newest, expectedLoadTime, expectedLoadTime+2*pollInterval)
-		return true
+		return r.waitFor(expectedLoadTime, expectedLoadTime+2*pollInterval)
 	case AlreadyLoaded:
 		r.Source.RecordReportedVersion(t, newest)
-		return false
+		return openOrder{}
 	case OrderUnanswered:
-		r.setOpenOrder(t, newest, unansweredOrderTimeout/2, unansweredOrderTimeout)
-		return true
+		// If it was accepted, the target is busy at the next check. If not, it is
+		// ordered again: should both orders reach it, it refuses the later one.
+		o := r.waitFor(pollInterval, 2*pollInterval)
+		o.isUnanswered, o.acceptedBefore = true, order.ExpectedOrders
+		return o
 	default:
-		r.setOpenOrder(t, newest, 2*pollInterval, 0)
-		return false
+		return r.waitAfterFailure(2*pollInterval, 0)
 	}
 }
 
-// setOpenOrder records that the target is to be checked again after check and
+// waitFor returns an order whose target is to be checked again after check and
 // counts as loading for the duration loading.
-func (r *Controller) setOpenOrder(t *target.Target, version string, check, loading time.Duration) {
+func (r *Controller) waitFor(check, loading time.Duration) openOrder {
 	now := r.Clock.Elapsed()
-	r.openOrders[t.Key()] = &openOrder{version: version, nextCheckAt: now + check, loadsUntil: now + loading}
+	return openOrder{nextCheckAt: now + check, loadsUntil: now + loading}
+}
+
+// waitAfterFailure is waitFor for a target that was called in vain.
+func (r *Controller) waitAfterFailure(check, loading time.Duration) openOrder {
+	o := r.waitFor(check, loading)
+	o.failures = 1
+	return o
 }
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -20,12 +20,18 @@
 // fleet simulates a pool of engines that accept orders, on a fake clock. It
 // implements TargetSource and Client.
 type fleet struct {
+	mu          sync.Mutex // orders are sent concurrently
 	clock       *clock.Fake
 	newest      string
 	engines     map[string]*engine
 	list        []*target.Target
 	orders      []receivedOrder
 	loseAnswers int // number of next orders whose response is lost
+	// unanswered are targets that carry out no order and answer none within
+	// answerDelay.
+	unanswered  map[string]bool
+	answerDelay time.Duration
+	delayedTo   time.Duration // calls that started together wait together
 }
 
 type engine struct {
@@ -78,18 +84,46 @@
 	return n
 }
 
-func (f *fleet) ForEachPool(do func(string, []*target.Target))    { do("pool", f.list) }
-func (f *fleet) NewestVersion(string) string                      { return f.newest }
-func (f *fleet) RecordReportedVersion(t *target.Target, v string) { t.WeightVersion = v }
+func (f *fleet) ForEachPool(do func(string, []*target.Target)) {
+	f.mu.Lock()
+	snapshot := make([]*target.Target, len(f.list))
+	for n, t := range f.list {
+		shown := *t
+		snapshot[n] = &shown
+	}
+	f.mu.Unlock()
+	do("pool", snapshot)
+}
+func (f *fleet) NewestVersion(string) string { return f.newest }
+func (f *fleet) RecordReportedVersion(t *target.Target, v string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, listed := range f.list {
+		if listed.ID == t.ID {
+			listed.WeightVersion = v
+		}
+	}
+}
 
 func (f *fleet) Status(_ context.Context, t *target.Target) (Status, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.finishLoads()
 	e := f.engines[t.ID]
 	return Status{Busy: e.loading != "", AcceptedOrders: e.accepted, Versions: map[string]string{"m": e.version}}, nil
 }
 
 func (f *fleet) SendOrder(_ context.Context, t *target.Target, o Order) (Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.finishLoads()
+	if f.unanswered[t.ID] {
+		if f.clock.Elapsed() >= f.delayedTo {
+			f.clock.Advance(f.answerDelay)
+			f.delayedTo = f.clock.Elapsed() + time.Millisecond
+		}
+		return OrderUnanswered, context.DeadlineExceeded
+	}
 	f.orders = append(f.orders, receivedOrder{f.clock.Elapsed(), t.ID, o})
 	e := f.engines[t.ID]
 	if e.loading != "" || e.accepted != o.ExpectedOrders {
@@ -157,7 +191,9 @@
 				next[i] = f.clock.Elapsed() + r.reconcile(t.Context())
 			}
 		}
+		f.mu.Lock()
 		f.finishLoads()
+		f.mu.Unlock()
 		assert.Assert(t, f.loadingCount() <= MaxParallelLoads(len(f.engines)), "%d targets load at the same time", f.loadingCount())
 	}
 }
@@ -306,6 +342,18 @@
 	assert.Equal(t, len(f.orders), 3)
 }
 
+// A target that does not answer must not delay the others, or the lease is lost and
+// the rollout takes too long.
+func TestUnansweredOrdersDoNotDelayOthers(t *testing.T) {
+	f := newFleet(18)
+	f.unanswered, f.answerDelay = map[string]bool{"i-03": true, "i-07": true, "i-11": true}, orderTimeout
+	r := f.newController(&leaseStore{}, "one")
+	f.simulate(t, 2*time.Second, r)
+	f.newest = "2"
+	f.simulate(t, 11*time.Second, r)
+	assert.Equal(t, f.outdatedCount(), len(f.unanswered))
+}
+
 // Targets that are leaving and services must get no orders.
 func TestOnlyStayingEnginesAreOrdered(t *testing.T) {
 	f := newFleet(4)
