--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -102,7 +102,11 @@
 		}
 		tried[choice.Target.Key()] = true
 		ex.Target = choice.Target
+		eventsBefore := ex.EventCount
 		last = f.attempt(ex, r, choice)
+		if brokeBeforeFirstEvent(ex, last, eventsBefore) {
+			f.RequestLog.RecordBrokenAttempt(ex, choice.Target, last)
+		}
 		if last == nil {
 			return next(ex)
 		}
