--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -26,6 +26,9 @@
 	return digest("request", []byte(organisation), []byte(method), []byte(path), body)
 }
 
+// DigestPart returns the digest of the ID of a prompt part.
+func DigestPart(id string) Digest { return digest("prompt-part", []byte(id)) }
+
 // digest hashes each field after its length, so that different lists of fields
 // never give the same input.
 func digest(domain string, fields ...[]byte) Digest {
