--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -1,8 +1,8 @@
-// Package gossip distributes load reports of targets between instances. Each
-// instance sends the newest reports it has to a few others, chosen at random,
-// in UDP datagrams that may be lost. Reports only guide placement and
-// correctness does not depend on them, so they need neither order nor
-// acknowledgement.
+// Package gossip distributes load reports of targets, and notices of other
+// packages, between instances. Each instance sends the newest ones it has to a few
+// others, chosen at random, in UDP datagrams that may be lost. Reports only guide
+// placement and correctness does not depend on them, so they need neither order
+// nor acknowledgement; senders of notices repeat them.
 package gossip
 
 import (
@@ -35,8 +35,10 @@
 	// maxDatagram bounds the size in bytes of a received datagram.
 	maxDatagram = 4 << 10
 	// version is the version of the datagram format. Datagrams of other
-	// versions are ignored.
-	version = 1
+	// versions are ignored. Notices have a version of their own, so that
+	// instances which do not know them still read load reports.
+	version       = 1
+	noticeVersion = 2
 )
 
 // report is the load of one target as it is sent.
@@ -56,6 +58,13 @@
 	Reports []report
 }
 
+// noticeDatagram carries one notice.
+type noticeDatagram struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Notice  []byte
+}
+
 // timedReport is the newest report of a target.
 type timedReport struct {
 	load       target.Load
@@ -80,7 +89,12 @@
 	// called for each one of another instance. Nil means none.
 	Supersessions  func(maxAge time.Duration) []Supersession
 	OnSupersession func(Supersession)
-	Log            hclog.Logger
+	// Notices returns further messages to send each round, about 1,100 bytes each
+	// at most, and OnNotice is called for each one from another instance. Both may
+	// be nil.
+	Notices  func() [][]byte
+	OnNotice func(notice []byte)
+	Log      hclog.Logger
 
 	mu      sync.Mutex
 	reports map[uint64]timedReport
@@ -159,23 +173,37 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
-func (g *Gossip) send(conn net.PacketConn) {
-	peers := g.Peers()
-	g.sendSupersessions(conn, peers)
-	reports := g.freshReports(time.Now())
-	if len(reports) == 0 || len(peers) == 0 {
-		return
+// datagrams returns the encoded datagrams of a round.
+func (g *Gossip) datagrams(now time.Time) [][]byte {
+	var payloads [][]byte
+	add := func(d any) {
+		payload, err := cbor.Marshal(d)
+		if err != nil {
+			g.Log.Warn("cannot encode a datagram; it is not sent in this round", "cause", err)
+			return
+		}
+		payloads = append(payloads, payload)
 	}
-	payload, err := cbor.Marshal(datagram{Version: version, Reports: reports})
-	if err != nil {
-		g.Log.Warn("cannot encode load reports; none are sent in this round", "cause", err)
-		return
+	if reports := g.freshReports(now); len(reports) > 0 {
+		add(datagram{Version: version, Reports: reports})
+	}
+	if d := g.supersessions(); len(d.Records) > 0 {
+		add(d)
+	}
+	if g.Notices != nil {
+		for _, notice := range g.Notices() {
+			add(noticeDatagram{Version: noticeVersion, Notice: notice})
+		}
 	}
-	sendToSome(conn, peers, payload)
+	return payloads
 }
 
-// sendToSome sends a datagram to fanOut peers, chosen at random.
-func sendToSome(conn net.PacketConn, peers []string, payload []byte) {
+func (g *Gossip) send(conn net.PacketConn) {
+	peers := g.Peers()
+	payloads := g.datagrams(time.Now())
+	if len(payloads) == 0 || len(peers) == 0 {
+		return
+	}
 	for n, at := range rand.Perm(len(peers)) {
 		if n == fanOut {
 			return
@@ -184,8 +212,10 @@
 		if err != nil {
 			continue
 		}
-		// A failed send has the same effect as a lost datagram.
-		_, _ = conn.WriteTo(payload, address)
+		for _, payload := range payloads {
+			// A failed send has the same effect as a lost datagram.
+			_, _ = conn.WriteTo(payload, address)
+		}
 	}
 }
 
@@ -205,12 +235,17 @@
 }
 
 // handleDatagram records the reports of a datagram and passes the newer ones to
-// OnReport. A datagram that cannot be decoded or has another version is
-// dropped.
+// OnReport, or passes a notice to OnNotice. A datagram that cannot be decoded or
+// has another version is dropped.
 func (g *Gossip) handleDatagram(payload []byte, now time.Time) {
 	if g.handleSupersessions(payload) {
 		return
 	}
+	var n noticeDatagram
+	if g.OnNotice != nil && cbor.Unmarshal(payload, &n) == nil && n.Version == noticeVersion {
+		g.OnNotice(n.Notice)
+		return
+	}
 	var d datagram
 	if cbor.Unmarshal(payload, &d) != nil || d.Version != version {
 		return
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -97,3 +97,22 @@
 	}
 	assert.Equal(t, len(g.freshReports(time.Now())), maxReports)
 }
+
+// A notice must reach other instances unchanged, and instances that do not know
+// notices must ignore its datagram and still read load reports. Otherwise a rolling
+// update stops the exchange of loads.
+func TestNoticesAreIgnoredByOlderInstances(t *testing.T) {
+	var got []string
+	reports := 0
+	countReport := func(uint64, target.Load, time.Time, bool) { reports++ }
+	sender := &Gossip{Notices: func() [][]byte { return [][]byte{[]byte("one"), []byte("two")} }, Log: hclog.NewNullLogger()}
+	sender.ReportLoad("t/1", target.Load{Running: 1})
+	newer := &Gossip{OnReport: countReport, OnNotice: func(n []byte) { got = append(got, string(n)) }, Log: hclog.NewNullLogger()}
+	older := &Gossip{OnReport: countReport, Log: hclog.NewNullLogger()}
+	for _, payload := range sender.datagrams(time.Now()) {
+		newer.handleDatagram(payload, time.Now())
+		older.handleDatagram(payload, time.Now())
+	}
+	assert.DeepEqual(t, got, []string{"one", "two"})
+	assert.Equal(t, reports, 2)
+}
--- a/pkg/gossip/supersessions.go
+++ b/pkg/gossip/supersessions.go
@@ -1,7 +1,7 @@
 package gossip
 
 import (
-	"net"
+	"cmp"
 	"slices"
 	"time"
 
@@ -40,22 +40,18 @@
 	Records []supersessionRecord
 }
 
-// supersessionPayload returns the datagram with the newest supersessions, or nil
-// if there are none.
-func (g *Gossip) supersessionPayload() ([]byte, error) {
+// supersessions returns the datagram with the newest supersessions.
+func (g *Gossip) supersessions() supersessionDatagram {
+	d := supersessionDatagram{Version: supersessionVersion}
 	if g.Supersessions == nil {
-		return nil, nil
+		return d
 	}
 	known := g.Supersessions(MaxSupersessionAge)
-	if len(known) == 0 {
-		return nil, nil
-	}
-	slices.SortFunc(known, func(a, b Supersession) int { return int(a.Age - b.Age) })
-	d := supersessionDatagram{Version: supersessionVersion}
+	slices.SortFunc(known, func(a, b Supersession) int { return cmp.Compare(a.Age, b.Age) })
 	for _, a := range known[:min(len(known), maxSupersessionRecords)] {
-		d.Records = append(d.Records, supersessionRecord{Model: a.Model, Version: a.Version, AgeMS: uint32(a.Age.Milliseconds())})
+		d.Records = append(d.Records, supersessionRecord{Model: a.Model, Version: a.Version, AgeMS: uint32((a.Age + time.Millisecond - 1).Milliseconds())})
 	}
-	return cbor.Marshal(d)
+	return d
 }
 
 // handleSupersessions passes the supersessions of a datagram to OnSupersession. It
@@ -73,15 +69,3 @@
 	}
 	return true
 }
-
-// sendSupersessions sends the supersessions to some of the peers.
-func (g *Gossip) sendSupersessions(conn net.PacketConn, peers []string) {
-	payload, err := g.supersessionPayload()
-	if err != nil {
-		g.Log.Warn("cannot encode superseded weights; none are sent in this round", "cause", err)
-		return
-	}
-	if payload != nil {
-		sendToSome(conn, peers, payload)
-	}
-}
--- a/pkg/gossip/supersessions_test.go
+++ b/pkg/gossip/supersessions_test.go
@@ -17,8 +17,9 @@
 		assert.Equal(t, maxAge, MaxSupersessionAge)
 		return []Supersession{want}
 	}, Log: hclog.NewNullLogger()}
-	payload, err := sender.supersessionPayload()
-	assert.NilError(t, err)
+	payloads := sender.datagrams(time.Now())
+	assert.Equal(t, len(payloads), 1)
+	payload := payloads[0]
 	var got []Supersession
 	receiver := &Gossip{OnSupersession: func(a Supersession) { got = append(got, a) }, Log: hclog.NewNullLogger()}
 	receiver.handleDatagram(payload, time.Now())
