--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -432,3 +432,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, testTarget.AcceptedConns(), 2)
 }
+
+// A target that refuses connections must count as down, one that accepts them must
+// not. Otherwise crashes are not noticed, or each lost connection counts as one.
+func TestIsDown(t *testing.T) {
+	testTarget, _ := startTarget(t)
+	assert.Assert(t, !targetconn.IsDown(t.Context(), testTarget.Address))
+	testTarget.Stop()
+	assert.Assert(t, targetconn.IsDown(t.Context(), testTarget.Address))
+}
