--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/rollout"
 	"lacewingwheel.example/lacewingwheel/pkg/share"
@@ -138,6 +139,8 @@
 	ranking          *dutyRanking
 	platformStore    objectstore.Store
 	gossip           *gossip.Gossip
+	poisonDetector   *poison.Detector
+	quarantineKeeper *quarantineKeeper
 	targetConns      *targetconn.Pool
 	placer           *placement.Placer
 	metrics          *expvar.Map
@@ -211,7 +214,17 @@
 	d.feed.CacheDirectories = d.cacheDirectories
 	d.targetConns = targetconn.NewPool(dialTimeout, unackedTimeout)
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
-	d.gossip = &gossip.Gossip{ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, Supersessions: d.targets.Supersessions, OnSupersession: d.targets.RecordSupersession, Log: log}
+	d.poisonDetector = poison.NewDetector(d.clock)
+	d.quarantineKeeper = &quarantineKeeper{
+		detector: d.poisonDetector, store: p.Store, storeHealth: storeHealth, isFirst: d.ranking.isFirst, firstStart: s.FirstStart, clock: d.clock, metrics: d.metrics, log: log,
+		pending: make(map[poison.Fingerprint]pendingQuarantine), stored: make(map[poison.Fingerprint]uint64),
+	}
+	d.poisonDetector.OnChange = d.quarantineKeeper.recordChange
+	d.gossip = &gossip.Gossip{
+		ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport,
+		Supersessions: d.targets.Supersessions, OnSupersession: d.targets.RecordSupersession,
+		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
+	}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.callerServer = &http.Server{
 		Handler:           d.callerHandler(p.Dialect),
@@ -252,12 +265,13 @@
 func (d *Daemon) callerHandler(dialect relay.Dialect) http.Handler {
 	requestLog := d.requestLog
 	keyFilter := &relay.KeyFilter{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
+	quarantineFilter := &relay.QuarantineFilter{Detector: d.poisonDetector, Clock: d.clock, RequestLog: requestLog}
 	forwardFilter := &relay.ForwardFilter{
-		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, KeyFilter: keyFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
 		RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
 	}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, keyFilter, relay.BodyFilter{}, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, keyFilter, relay.BodyFilter{}, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -382,7 +396,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.runRollout), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.requestLog.Run, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.runRollout), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/quarantine_test.go
+++ b/pkg/daemon/quarantine_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,8 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/daemon"
+	"lacewingwheel.example/lacewingwheel/platform"
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
 )
 
@@ -152,3 +156,38 @@
 	}
 	assert.Check(t, sent >= 20 && 2*served >= sent, "%d of %d sound requests served from %v after the fifth crash on", served, sent, recoveryTime)
 }
+
+// A quarantine must outlast the stop of all instances, and no target may be reached
+// by requests with the part after the restart. Otherwise each restart of the fleet
+// costs further targets.
+func TestQuarantineOutlastsAllInstances(t *testing.T) {
+	const kind = "lacewingwheel-quarantines"
+	x := startDaemon(t, 5)
+	targets := addCrashingTargets(t, x, 5)
+	x.waitFor("the quarantine is stored", func() bool {
+		x.sendParts(fmt.Sprintf("%s%d", crashingID, nextRequestID.Add(1)), "a1:100,dead:50,f1:10")
+		return len(x.store.Names(kind)) > 0
+	})
+	x.stop()
+	err := <-x.stopped
+	assert.NilError(t, err)
+	x.stopped <- err
+
+	again := *x.settings
+	again.FirstStart = false
+	sockets := newHeldSockets(t)
+	again.CallerListen, again.ReadyListen, again.MetricsListen = sockets.tcpAddress(t), sockets.tcpAddress(t), sockets.tcpAddress(t)
+	y := &testDaemon{t: t, store: x.store, targets: targets, settings: &again, stopped: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(t.Context())
+	current := func() *daemon.Settings { return y.settings }
+	d := daemon.New(current, platform.New(current), hclog.NewNullLogger())
+	d.UseSockets(sockets.listen, sockets.listenPacket)
+	go func() { y.stopped <- d.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-y.stopped })
+	y.waitFor("ready", func() bool { return y.readyStatus() == http.StatusOK })
+	startedAt := time.Now()
+	y.waitFor("the part is refused", func() bool {
+		return y.sendParts(fmt.Sprintf("%s%d", crashingID, nextRequestID.Add(1)), "a1:100,dead:50,f1:10") == http.StatusUnprocessableEntity
+	})
+	assert.Assert(t, countCrashingSince(targets, startedAt) <= maxLateRequests)
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -90,7 +90,10 @@
 	}
 	var failed *failure
 	if ex.Route.StreamsEvents && response.StatusCode == http.StatusOK {
-		failed = f.relayEvents(ex, response, idle, onFirstEvent)
+		failed = f.relayEvents(ex, response, idle, func() {
+			onFirstEvent()
+			f.QuarantineFilter.recordSuccess(ex)
+		})
 	} else {
 		failed = f.relayBuffered(ex, response)
 	}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -41,6 +42,10 @@
 	EventCount      int
 	LongestEventGap time.Duration // longest time between two consecutive events
 	Status          int           // sent to the caller
+
+	Fingerprints  []poison.Fingerprint // of the shared parts of the prompt, then of the request
+	attemptSentAt time.Duration        // start of the current attempt, since boot
+	attemptBroke  bool                 // the target broke the connection of the last attempt before its first event
 }
 
 // Context returns the context of the request. It ends at the deadline and when
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -49,6 +49,7 @@
 	RetryBudget      *RetryBudget
 	LoadReporter     LoadReporter
 	KeyFilter        *KeyFilter
+	QuarantineFilter *QuarantineFilter
 	RequestLog       *RequestLog
 	Clock            clock.Clock
 	// RolloutDeadline is the time from the announcement of weights to the last
@@ -103,15 +104,14 @@
 		tried[choice.Target.Key()] = true
 		ex.Target = choice.Target
 		eventsBefore := ex.EventCount
+		f.QuarantineFilter.startAttempt(ex)
 		last = f.attempt(ex, r, choice)
-		if brokeBeforeFirstEvent(ex, last, eventsBefore) {
-			f.RequestLog.RecordBrokenAttempt(ex, choice.Target, last)
-		}
+		f.QuarantineFilter.finishAttempt(ex, last, eventsBefore)
 		if last == nil {
 			return next(ex)
 		}
 		f.RequestLog.RecordFailedAttempt(ex, choice, last, f.Clock.Elapsed())
-		if !f.canRetry(ex, last) {
+		if !f.canRetry(ex, last) || f.QuarantineFilter.stopsRetry(ex, last) {
 			break
 		}
 	}
@@ -148,6 +148,9 @@
 	if time.Until(ex.Deadline) < minAttemptTime {
 		return f.contextError(ex, context.DeadlineExceeded)
 	}
+	if err := f.QuarantineFilter.check(ex); err != nil {
+		return err
+	}
 	if ex.Attempts == 0 || f.KeyFilter == nil {
 		return nil
 	}
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -21,6 +21,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -54,6 +55,7 @@
 	limits        relay.RetryLimits
 	conns         *targetconn.Pool
 	placer        *placement.Placer
+	detector      *poison.Detector
 }
 
 type lockedBuffer struct {
@@ -79,6 +81,7 @@
 		t: t, log: &lockedBuffer{}, metrics: new(expvar.Map).Init(), tokens: -1, newestVersion: "",
 		limits: relay.RetryLimits{Ratio: 1, ExtraRetries: 100, Window: 10 * time.Second},
 		conns:  targetconn.NewPool(time.Second, time.Second), placer: placement.New(placement.DefaultParams(), "zone-a"),
+		detector: poison.NewDetector(clock.System{}),
 	}
 	organisation := tables.Organisation{Name: "one", Rate: 1, Burst: 1, DefaultCost: 10, Keys: []tables.APIKey{{Digest: tables.HashKey(testKey)}}}
 	f.snapshot = tables.NewSnapshot(1, &tables.Tables{
@@ -98,12 +101,13 @@
 	}
 	requestLog := &relay.RequestLog{Log: hclog.New(&hclog.LoggerOptions{Output: f.log}), Metrics: f.metrics}
 	key := &relay.KeyFilter{Configuration: f, MaxProofAge: func() time.Duration { return 4 * time.Second }}
+	quarantine := &relay.QuarantineFilter{Detector: f.detector, Clock: clock.System{}, RequestLog: requestLog}
 	directory := &cachedir.Set{}
 	forward := &relay.ForwardFilter{
-		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
-	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, &relay.QuotaFilter{Quota: f}, forward)
+	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, quarantine, &relay.QuotaFilter{Quota: f}, forward)
 	f.server = httptest.NewUnstartedServer(chain)
 	f.server.Config.ConnContext = relay.ContextWithConn
 	f.server.Start()
