--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -11,6 +10,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
 // CrashDetector distinguishes a crashed target from a broken connection.
@@ -39,14 +39,18 @@
 	Client engine.Client
 }
 
-// Crashed implements CrashDetector.
+// Crashed implements CrashDetector. A service has no incarnation: only whether it
+// accepts connections is checked.
 func (p *CrashProbe) Crashed(ctx context.Context, t *target.Target, kind tables.PoolKind) bool {
+	if kind != tables.PoolEngine {
+		return targetconn.IsDown(ctx, t.Address)
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 	defer cancel()
 	for range crashProbeCount {
-		crashed, err := p.probe(ctx, t, kind)
+		state, err := p.Client.State(ctx, t.Address)
 		if err == nil || ctx.Err() != nil {
-			return crashed
+			return err == nil && t.Incarnation != "" && state.Incarnation != t.Incarnation
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return true
@@ -56,20 +60,6 @@
 	return false
 }
 
-// probe reads an engine's state and reports whether its incarnation has changed.
-// A service has no incarnation: only whether it accepts connections is checked.
-func (p *CrashProbe) probe(ctx context.Context, t *target.Target, kind tables.PoolKind) (bool, error) {
-	if kind == tables.PoolEngine {
-		state, err := p.Client.State(ctx, t.Address)
-		return err == nil && t.Incarnation != "" && state.Incarnation != t.Incarnation, err
-	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", t.Address)
-	if err != nil {
-		return false, err
-	}
-	return false, conn.Close()
-}
-
 // recordCrash records the request as a suspect if the attempt lost its
 // connection because the target crashed.
 func (f *Forwarder) recordCrash(ex *Exchange, failure *attemptError) {
--- a/pkg/targetconn/probe.go
+++ b/pkg/targetconn/probe.go
@@ -28,7 +28,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), downProbeTimeout)
 	defer cancel()
 	for range downProbes {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		if err == nil {
 			_ = conn.Close() // nothing was sent on it
 			return false
