--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -371,8 +371,11 @@
 // holds mu.
 func (d *Detector) strongest(now time.Duration) (Fingerprint, evidence, bool) {
 	due := make(map[Fingerprint]evidence)
-	for f := range d.suspects {
+	for f, crashes := range d.suspects {
 		_, known := d.quarantined[f]
+		if len(crashes) < crashesToQuarantine {
+			continue
+		}
 		if e := d.countCrashes(f, nil); !known && e.crashes >= crashesToQuarantine && now-e.sufficient >= settleTime {
 			due[f] = e
 		}
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -336,3 +337,13 @@
 	assert.Assert(t, !y.isQuarantined("p"))
 	assert.Equal(t, len(y.changes), 0)
 }
+
+// Callers choose the IDs of parts. An ID that is long or has special characters must not
+// become part of the name of a stored object.
+func TestUnusualPartIDsAreDigested(t *testing.T) {
+	assert.Equal(t, OfPart("5c1e07a2"), Fingerprint("part-5c1e07a2"))
+	for _, id := range []string{"../x", "a/b", "a b", "\x00", "ä", strings.Repeat("a", maxPartIDBytes+1)} {
+		f := string(OfPart(id))
+		assert.Assert(t, strings.HasPrefix(f, digestPrefix) && len(f) == len(digestPrefix)+digestCharacters, "%q has the fingerprint %q", id, f)
+	}
+}
--- a/pkg/poison/fingerprint.go
+++ b/pkg/poison/fingerprint.go
@@ -4,6 +4,8 @@
 package poison
 
 import (
+	"strings"
+
 	"lacewingwheel.example/lacewingwheel/pkg/claim"
 )
 
@@ -12,16 +14,20 @@
 
 const (
 	partPrefix       = "part-"
-	longPartPrefix   = "part-digest-"
+	digestPrefix     = "part-digest-"
 	requestPrefix    = "request-"
 	maxPartIDBytes   = 32
 	digestCharacters = 32
 )
 
-// OfPart returns the fingerprint of a part of prompts.
+// OfPart returns the fingerprint of a part of prompts. Callers choose the ID, and
+// fingerprints are names of stored objects, so that an ID that is long or has other
+// characters than letters and digits is replaced by its digest.
 func OfPart(id string) Fingerprint {
-	if len(id) > maxPartIDBytes {
-		return Fingerprint(longPartPrefix + claim.DigestPart(id).String()[:digestCharacters])
+	if len(id) > maxPartIDBytes || strings.ContainsFunc(id, func(r rune) bool {
+		return (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	}) {
+		return Fingerprint(digestPrefix + claim.DigestPart(id).String()[:digestCharacters])
 	}
 	return Fingerprint(partPrefix + id)
 }
--- a/pkg/poison/notices.go
+++ b/pkg/poison/notices.go
@@ -135,7 +135,7 @@
 		return
 	}
 	now := d.Clock.Elapsed()
-	ago := func(us int64) time.Duration { return now - time.Duration(us)*time.Microsecond }
+	ago := func(us int64) time.Duration { return now - time.Duration(max(0, us))*time.Microsecond }
 	for _, s := range n.Successes {
 		d.RecordSuccess(ago(s.SentAgeUS), s.Fingerprint)
 	}
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -36,6 +36,10 @@
 	return next(ex)
 }
 
+// maxSharedParts bounds the shared parts of a prompt that are looked at, so that the
+// fingerprints of a request fit into one message to other instances.
+const maxSharedParts = 24
+
 // fingerprints returns the fingerprints of the shared parts and of the request.
 // The last part of a prompt counts as content of the request.
 func fingerprints(ex *Exchange) []poison.Fingerprint {
@@ -152,14 +156,14 @@
 	return false
 }
 
-// sharedPartIDs returns the IDs of the parts of the prompt that other requests
-// can share, which are all but the last.
+// sharedPartIDs returns the IDs of the first maxSharedParts parts of the prompt that
+// other requests can share, which are all but the last.
 func sharedPartIDs(ex *Exchange) []string {
 	parts := ex.Metadata.PromptParts
 	if len(parts) == 0 {
 		return nil
 	}
-	ids := make([]string, len(parts)-1)
+	ids := make([]string, min(len(parts)-1, maxSharedParts))
 	for n := range ids {
 		ids[n] = parts[n].ID
 	}
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -106,3 +106,21 @@
 		assert.Assert(t, !f.detector.StopsRetries(poison.OfPart("b")))
 	}
 }
+
+// The fingerprints of a request with very many parts must fit into one message to other
+// instances.
+func TestManyPartsAreBounded(t *testing.T) {
+	const maxPacketBytes = 1200
+	testTarget := startTarget(t, "i-1")
+	testTarget.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{Crash: true} })
+	testTarget.SetCrashes(time.Minute, nil)
+	f := newFixture(t, testTarget)
+	parts := "c:1"
+	for n := range 200 {
+		parts = fmt.Sprintf("%032d:1,%s", n, parts)
+	}
+	f.send(callerRequest{path: "/once/", header: promptParts(parts)})
+	notices := f.detector.Notices()
+	assert.Equal(t, len(notices), 1)
+	assert.Assert(t, len(notices[0]) <= maxPacketBytes, "the notice has %d bytes", len(notices[0]))
+}
