--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -166,21 +167,23 @@
 	return true
 }
 
-// addSuspect records a crash of a fingerprint. The caller holds mu.
+// addSuspect records a crash of a fingerprint, once for all requests with it that
+// were in flight at the crash. The caller holds mu.
 func (d *Detector) addSuspect(f Fingerprint, c *Crash) {
 	crashes, known := d.suspects[f]
 	if !known && len(d.suspects) >= maxSuspects {
 		d.evictSuspect()
 	}
-	at, _ := slices.BinarySearchFunc(crashes, c.At, func(other *Crash, at time.Duration) int {
-		if other.At <= at {
-			return -1
-		}
-		return 1
-	})
-	crashes = slices.Insert(crashes, at, c)
+	if n := slices.IndexFunc(crashes, c.isSameAs); n < 0 {
+		crashes = append(crashes, c)
+	} else if c.SentAt > crashes[n].SentAt {
+		crashes[n] = c // more likely to follow the crash before
+	}
+	slices.SortStableFunc(crashes, func(a, b *Crash) int { return cmp.Compare(a.At, b.At) })
 	if len(crashes) > maxCrashes {
-		crashes = slices.Delete(crashes, 0, 1)
+		// The first ones decide when there are enough, the last ones whether a
+		// success ended the suspicion.
+		crashes = slices.Delete(crashes, maxCrashes/2, maxCrashes/2+1)
 	}
 	d.suspects[f] = crashes
 }
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -347,3 +347,25 @@
 		assert.Assert(t, strings.HasPrefix(f, digestPrefix) && len(f) == len(digestPrefix)+digestCharacters, "%q has the fingerprint %q", id, f)
 	}
 }
+
+// A part must be quarantined however many requests with it are in flight at each
+// crash and however fast crashes follow, or it crashes all targets one by one.
+func TestBusyPartIsQuarantined(t *testing.T) {
+	for _, c := range []struct {
+		perCrash int
+		interval time.Duration
+	}{{1, 10 * time.Millisecond}, {1, 100 * time.Millisecond}, {4, 100 * time.Millisecond}, {8, 100 * time.Millisecond}, {40, 50 * time.Millisecond}} {
+		x := newInstance()
+		started := x.clock.Elapsed()
+		for target, request := uint64(1), 0; !x.isQuarantined("part-bad"); target++ {
+			x.advance(c.interval)
+			for range c.perCrash {
+				request++
+				x.crash(target, c.interval/2, "part-shared", "part-bad", Fingerprint(fmt.Sprintf("request-%d", request)))
+			}
+			x.RecordSuccess(x.clock.Elapsed(), "part-shared")
+			assert.Assert(t, x.clock.Elapsed()-started < 3*time.Second, "%d requests per crash, a crash every %v", c.perCrash, c.interval)
+		}
+		assert.Equal(t, len(x.Quarantines()), 1, "%v", x.Quarantines())
+	}
+}
