--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -232,16 +232,26 @@
 // same crash. The caller holds mu.
 func (d *Detector) isExplained(f Fingerprint, c *Crash) bool {
 	for q := range d.quarantined {
-		if q == f {
-			continue
-		}
-		if slices.Contains(c.Fingerprints, q) || slices.ContainsFunc(d.suspects[q], c.isSameAs) {
+		switch {
+		case q == f:
+		case slices.Contains(c.Fingerprints, q):
+			return true
+		case q.isRequest() && d.isPartOf(f, q):
+			// Other requests with the part crashed targets too: it may be the part.
+		case slices.ContainsFunc(d.suspects[q], c.isSameAs):
 			return true
 		}
 	}
 	return false
 }
 
+// isPartOf reports whether a request that is suspect has a part. The caller holds
+// mu.
+func (d *Detector) isPartOf(part, request Fingerprint) bool {
+	crashes := d.suspects[request]
+	return len(crashes) > 0 && slices.Contains(crashes[0].Fingerprints, part)
+}
+
 // isSameAs reports whether both requests were in flight at the same crash: at the
 // same target and at the same time.
 func (c *Crash) isSameAs(other *Crash) bool {
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -369,3 +369,17 @@
 		assert.Equal(t, len(x.Quarantines()), 1, "%v", x.Quarantines())
 	}
 }
+
+// A request that is repeated and crashes targets must not hide that other requests
+// with one of its parts do so too.
+func TestQuarantinedRequestDoesNotExcuseItsPart(t *testing.T) {
+	x := newInstance()
+	x.AddQuarantine(Quarantine{Fingerprint: "request-1", Until: x.clock.Elapsed() + QuarantineDuration, LastCrash: x.clock.Elapsed(), Crashes: 3, Source: SourcePeer})
+	for target := uint64(1); target <= crashesToQuarantine; target++ {
+		x.advance(100 * time.Millisecond)
+		x.crash(target, 50*time.Millisecond, "part-bad", "request-1")
+		x.crash(target, 40*time.Millisecond, "part-bad", Fingerprint(fmt.Sprintf("request-%d", target+1)))
+	}
+	x.advance(settleTime)
+	assert.Assert(t, x.isQuarantined("part-bad"))
+}
--- a/pkg/poison/fingerprint.go
+++ b/pkg/poison/fingerprint.go
@@ -32,6 +32,9 @@
 	return Fingerprint(partPrefix + id)
 }
 
+// isRequest reports whether f is the fingerprint of a request's content.
+func (f Fingerprint) isRequest() bool { return strings.HasPrefix(string(f), requestPrefix) }
+
 // OfRequest returns the fingerprint of a request's content.
 func OfRequest(digest claim.Digest) Fingerprint {
 	return Fingerprint(requestPrefix + digest.String()[:digestCharacters])
