--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -111,9 +111,10 @@
 	successes, olderSuccesses map[Fingerprint]time.Duration
 	// spreadSuccesses are the successes that ended a suspicion.
 	spreadSuccesses map[Fingerprint]spreadSuccess
-	// remembered has the times of recorded crashes by their IDs.
-	remembered map[uint64]time.Duration
-	lifted     map[Fingerprint]time.Duration
+	// remembered has the times of recorded crashes by their IDs, in two
+	// generations.
+	remembered, olderRemembered map[uint64]time.Duration
+	lifted                      map[Fingerprint]time.Duration
 }
 
 type spreadSuccess struct {
@@ -157,12 +158,17 @@
 	return counts
 }
 
-// remember reports whether the crash is new. It rejects all crashes while there are
-// too many. The caller holds mu.
+// remember reports whether the crash is new. The caller holds mu.
 func (d *Detector) remember(c *Crash) bool {
-	if _, known := d.remembered[c.ID]; known || len(d.remembered) >= maxRemembered {
+	if _, known := d.remembered[c.ID]; known {
 		return false
 	}
+	if _, known := d.olderRemembered[c.ID]; known {
+		return false
+	}
+	if len(d.remembered) >= maxRemembered {
+		d.olderRemembered, d.remembered = d.remembered, make(map[uint64]time.Duration)
+	}
 	d.remembered[c.ID] = c.At
 	return true
 }
@@ -422,7 +428,9 @@
 // instances for long enough. The caller holds mu.
 func (d *Detector) removeOld(now time.Duration) {
 	d.recent = slices.DeleteFunc(d.recent, func(c *Crash) bool { return now-c.At >= spreadTime })
-	maps.DeleteFunc(d.remembered, func(_ uint64, at time.Duration) bool { return now-at >= rememberTime })
+	isOld := func(_ uint64, at time.Duration) bool { return now-at >= rememberTime }
+	maps.DeleteFunc(d.remembered, isOld)
+	maps.DeleteFunc(d.olderRemembered, isOld)
 	maps.DeleteFunc(d.lifted, func(_ Fingerprint, at time.Duration) bool { return now-at >= rememberTime })
 	for f, s := range d.spreadSuccesses {
 		if now-s.recordedAt >= spreadTime {
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -383,3 +383,14 @@
 	x.advance(settleTime)
 	assert.Assert(t, x.isQuarantined("part-bad"))
 }
+
+// Many crashes must not keep later ones from being counted.
+func TestManyCrashesDoNotStopDetection(t *testing.T) {
+	x := newInstance()
+	for n := range maxRemembered + 10 {
+		x.crash(uint64(n), time.Millisecond, Fingerprint(fmt.Sprintf("request-other-%d", n)))
+	}
+	x.crashInSequence(crashesToQuarantine, "part-bad")
+	x.advance(settleTime)
+	assert.Assert(t, x.isQuarantined("part-bad"))
+}
