--- a/pkg/poison/notices.go
+++ b/pkg/poison/notices.go
@@ -12,6 +12,9 @@
 	maxNoticeBytes = 1100
 	// maxNotices bounds the notices of one round.
 	maxNotices = 4
+	// maxNoticedQuarantines bounds the quarantines of one round, which are repeated
+	// for as long as they last.
+	maxNoticedQuarantines = 16
 	// fixedBytes is the encoded size of an entry without its fingerprints, and
 	// fingerprintBytes the size that a fingerprint adds to its text.
 	fixedBytes       = 36
@@ -53,13 +56,13 @@
 
 // Notices returns what other instances should know now: quarantines, recent
 // successes and recent crashes, encoded for HandleNotice. If not all fit, it picks
-// some at random.
+// some at random, quarantines first.
 func (d *Detector) Notices() [][]byte {
 	d.mu.Lock()
 	now := d.Clock.Elapsed()
-	var entries []any
+	var quarantines, entries []any
 	for _, q := range d.quarantined {
-		entries = append(entries, wireQuarantine{Fingerprint: q.Fingerprint, Crashes: q.Crashes, LastCrashAgeUS: (now - q.LastCrash).Microseconds(), RemainingMS: (q.Until - now).Milliseconds()})
+		quarantines = append(quarantines, wireQuarantine{Fingerprint: q.Fingerprint, Crashes: q.Crashes, LastCrashAgeUS: (now - q.LastCrash).Microseconds(), RemainingMS: (q.Until - now).Milliseconds()})
 	}
 	for f, s := range d.spreadSuccesses {
 		if now-s.recordedAt < spreadTime {
@@ -72,8 +75,10 @@
 		}
 	}
 	d.mu.Unlock()
-	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
-	return encodeNotices(entries)
+	for _, list := range [][]any{quarantines, entries} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return encodeNotices(append(quarantines[:min(len(quarantines), maxNoticedQuarantines)], entries...))
 }
 
 func encodeNotices(entries []any) [][]byte {
