--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,8 +41,11 @@
 
 // storedQuarantine is the value of a stored quarantine.
 type storedQuarantine struct {
-	Until   time.Time `json:"until"`
-	Crashes int       `json:"crashes"`
+	Until time.Time `json:"until"`
+	// LastCrash tells a quarantine that a later success has ended from one that
+	// goes on.
+	LastCrash time.Time `json:"last_crash"`
+	Crashes   int       `json:"crashes"`
 }
 
 // quarantineKeeper logs and counts the changes of quarantines, and keeps them in
@@ -160,16 +164,21 @@
 	f, remaining := poison.Fingerprint(o.Name), q.Until.Sub(k.clock.Now())
 	k.mu.Lock()
 	k.stored[f] = o.Version
-	if remaining < -clockTolerance {
-		k.ended = append(k.ended, f)
+	hasEnded := slices.Contains(k.ended, f)
+	if remaining < -clockTolerance && !hasEnded {
+		k.ended, hasEnded = append(k.ended, f), true
 	}
 	k.mu.Unlock()
-	if remaining < -clockTolerance {
+	if hasEnded {
 		return
 	}
 	now := k.clock.Elapsed()
+	lastCrash := now
+	if !q.LastCrash.IsZero() {
+		lastCrash = now - max(0, k.clock.Now().Sub(q.LastCrash))
+	}
 	k.detector.AddQuarantine(poison.Quarantine{
-		Fingerprint: f, Until: now + max(remaining, clockTolerance), LastCrash: now, Crashes: q.Crashes, Source: poison.SourceStore,
+		Fingerprint: f, Until: now + max(remaining, clockTolerance), LastCrash: lastCrash, Crashes: q.Crashes, Source: poison.SourceStore,
 	})
 }
 
@@ -216,7 +225,9 @@
 	if !objectstore.IsKind(err, objectstore.KindNotFound) {
 		return object.Version, err
 	}
-	value, err := json.Marshal(storedQuarantine{Until: k.clock.Now().Add(q.Until - k.clock.Elapsed()), Crashes: q.Crashes})
+	value, err := json.Marshal(storedQuarantine{
+		Until: k.clock.Now().Add(q.Until - k.clock.Elapsed()), LastCrash: k.clock.Now().Add(q.LastCrash - k.clock.Elapsed()), Crashes: q.Crashes,
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -227,22 +238,23 @@
 // deleteEnded deletes the objects of quarantines that have ended.
 func (k *quarantineKeeper) deleteEnded(ctx context.Context) {
 	k.mu.Lock()
-	ended := k.ended
-	k.ended = nil
+	ended := slices.Clone(k.ended)
 	k.mu.Unlock()
 	for _, f := range ended {
 		k.mu.Lock()
-		version, ok := k.stored[f]
-		delete(k.stored, f)
+		version := k.stored[f]
 		k.mu.Unlock()
-		if !ok {
-			continue
-		}
 		ctx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 		err := k.store.Delete(ctx, kindQuarantines, string(f), version)
 		cancel()
-		if err != nil && !objectstore.IsKind(err, objectstore.KindNotFound) {
-			k.log.Info("ended quarantine not deleted; it is left until it is read after its end", "fingerprint", f, "cause", err)
+		// After a conflict, the object is one that another instance has stored since.
+		if err != nil && !objectstore.IsKind(err, objectstore.KindNotFound) && !objectstore.IsKind(err, objectstore.KindConflict) {
+			k.log.Info("ended quarantine not deleted; the next attempt follows", "fingerprint", f, "cause", err)
+			return
 		}
+		k.mu.Lock()
+		delete(k.stored, f)
+		k.ended = slices.DeleteFunc(k.ended, func(other poison.Fingerprint) bool { return other == f })
+		k.mu.Unlock()
 	}
 }
