--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -85,7 +85,8 @@
 	case poison.ChangeQuarantined:
 		k.metrics.Add("quarantines_"+string(q.Source), 1)
 		k.log.Warn("quarantined", append(args, "source", q.Source, "for", q.Until-k.clock.Elapsed())...)
-		if q.Source == poison.SourceOwn {
+		// The instance that found it may not reach the store.
+		if q.Source == poison.SourceOwn || q.Source == poison.SourcePeer && k.isFirst(quarantineDuty) {
 			k.enqueue(q)
 		}
 	case poison.ChangeLifted:
@@ -101,7 +102,7 @@
 
 func (k *quarantineKeeper) enqueue(q poison.Quarantine) {
 	p := pendingQuarantine{quarantine: q}
-	if !k.isFirst(quarantineDuty) {
+	if q.Source != poison.SourceOwn || !k.isFirst(quarantineDuty) {
 		p.notBefore = k.clock.Elapsed() + quarantineBackupDelay + rand.N(quarantineBackupDelay)
 	}
 	k.mu.Lock()
--- a/pkg/daemon/quarantinekeeper_test.go
+++ b/pkg/daemon/quarantinekeeper_test.go
@@ -101,3 +101,20 @@
 	k.deleteEnded(t.Context())
 	assert.Equal(t, len(store.objects), 0)
 }
+
+// A quarantine that only an instance without the store has found must be stored by
+// another one, or a stop of all instances loses it.
+func TestQuarantineOfAnotherInstanceIsStored(t *testing.T) {
+	for _, isFirst := range []bool{true, false} {
+		fake := clock.NewFake(time.Now())
+		fake.Advance(time.Hour)
+		store := &quarantineStore{objects: make(map[string]objectstore.Object)}
+		k := newKeeper(fake, store, isFirst)
+		k.detector.AddQuarantine(quarantineOf(fake, poison.SourcePeer))
+		k.write(t.Context())
+		assert.Equal(t, len(store.objects), 0, "the instance that found it stores it first")
+		fake.Advance(2 * quarantineBackupDelay)
+		k.write(t.Context())
+		assert.Equal(t, len(store.objects) == 1, isFirst)
+	}
+}
