--- a/pkg/relay/weights_test.go
+++ b/pkg/relay/weights_test.go
@@ -64,7 +64,7 @@
 					})
 				})
 			}
-			got := f.send(callerRequest{path: c.path, timeout: 2 * time.Second, header: map[string]string{"Lacewingwheel-Model": "m"}})
+			got := f.send(callerRequest{path: c.path, timeout: 2 * time.Second, header: map[string]string{platformtest.HeaderModel: "m"}})
 			assert.NilError(t, got.err)
 			assert.Equal(t, got.status, c.wantStatus, "%s", f.log)
 			assert.Equal(t, len(old.Requests()), c.wantSent)
@@ -95,7 +95,7 @@
 			f.targets = []*target.Target{&superseded}
 		})
 	})
-	got := f.send(callerRequest{path: "/stream/once/", timeout: 2 * time.Second, header: map[string]string{"Lacewingwheel-Model": "m"}})
+	got := f.send(callerRequest{path: "/stream/once/", timeout: 2 * time.Second, header: map[string]string{platformtest.HeaderModel: "m"}})
 	assert.NilError(t, got.err)
 	assert.Equal(t, got.status, http.StatusBadGateway, "it may have begun")
 	assert.Assert(t, time.Since(started) <= rolloutDeadline, "cancelled after %v", time.Since(started))
