--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -1,8 +1,9 @@
-// Package gossip distributes load reports of targets, and notices of other
-// packages, between instances. Each instance sends the newest ones it has to a few
-// others, chosen at random, in UDP datagrams that may be lost. Reports only guide
-// placement and correctness does not depend on them, so they need neither order
-// nor acknowledgement; senders of notices repeat them.
+// Package gossip distributes load reports of targets, what is known of superseded
+// weights, and notices of other packages between instances. Each instance sends the
+// newest ones it has to a few others, chosen at random, in UDP datagrams that may be
+// lost and are not authenticated. They need neither order nor acknowledgement:
+// load reports only guide placement, and the others are repeated until they are
+// old. An instance that gets none falls back to what it has seen itself.
 package gossip
 
 import (
