--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -35,7 +35,7 @@
 	// each, maxQuarantined the fingerprints in quarantine, maxRecent the crashes that
 	// are sent to other instances, and maxRemembered those that are known.
 	maxSuspects    = 4096
-	maxCrashes     = 16
+	maxCrashes     = 128
 	maxQuarantined = 256
 	maxRecent      = 512
 	maxRemembered  = 4096
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -394,3 +394,21 @@
 	x.advance(settleTime)
 	assert.Assert(t, x.isQuarantined("part-bad"))
 }
+
+// Sound parts that were in flight at any crash of a quarantined part must be excused,
+// also if that part crashed many targets before it was found.
+func TestManyCrashesOfOnePartExcuseAllBystanders(t *testing.T) {
+	const crashes = 100 // as many as a fleet of about a hundred targets has
+	x := newInstance()
+	now := x.clock.Elapsed()
+	x.AddQuarantine(Quarantine{Fingerprint: "part-bad", Until: now + QuarantineDuration, LastCrash: now, Crashes: crashesToQuarantine, Source: SourcePeer})
+	for n := range crashes {
+		x.advance(20 * time.Millisecond)
+		x.crash(uint64(n), 10*time.Millisecond, "part-bad", Fingerprint(fmt.Sprintf("request-bad-%d", n)))
+		if n >= 40 && n < 43 {
+			x.crash(uint64(n), 10*time.Millisecond, "part-sound", Fingerprint(fmt.Sprintf("request-sound-%d", n)))
+		}
+	}
+	x.advance(settleTime)
+	assert.Assert(t, !x.isQuarantined("part-sound"))
+}
