pkg/share, pkg/peer: assign refill to brokers for a time; keep connections to slow instances

Cause: each instance sent its surplus tokens to each broker every 240 ms: at 295 instances 15 brokers, 62 requests a second sent and as many received. Change: an instance gives up the rate of its refill for a duration, and the broker adds it to its pool; at most 10 messages a second from each instance. The refill given up is the largest of the commitments that the broker may still count, so that lost answers and restarts never count it twice. A connection is replaced after a timeout only if no packet has arrived on it for a second.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -190,6 +190,9 @@
 		},
 		Instances: d.members.KnownCount, CanLend: d.peerEndpoint.canExchange, Now: d.clock.Elapsed,
 	}
+	if !s.FirstStart {
+		d.buckets.RefillFrom = d.startedAt + share.MaxAssignment
+	}
 	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: d.ranking.brokers, Transfer: d.peerEndpoint, Clock: d.clock, Log: log}
 	d.peerEndpoint.handleQuota(d.borrower)
 	d.idleTimeout = newIdleTimeout()
--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
@@ -105,23 +106,33 @@
 	return peer.QuotaRequest.Call(ctx, transport, address, request)
 }
 
-// Deposit implements share.Transferer.
-func (x *peerEndpoint) Deposit(ctx context.Context, address string, tokens map[string]float64) error {
+// Assign implements share.Transferer.
+func (x *peerEndpoint) Assign(ctx context.Context, address string, assignments map[string]share.Assignment, duration time.Duration) (received bool, err error) {
 	transport := x.transport.Load()
 	if transport == nil {
-		return errNoAuthority
+		return false, errNoAuthority
 	}
-	_, err := peer.QuotaDeposit.Call(ctx, transport, address, peer.QuotaDepositBody{Tokens: tokens})
-	return err
+	body := peer.QuotaAssignBody{
+		Instance: x.members.Self.Name, Tokens: make(map[string]float64), Rates: make(map[string]float64), DurationMillis: duration.Milliseconds(),
+	}
+	for organisation, a := range assignments {
+		body.Tokens[organisation], body.Rates[organisation] = a.Tokens, a.Rate
+	}
+	_, err = peer.QuotaAssign.Call(ctx, transport, address, body)
+	return err == nil || peer.MayHaveRun(err), err
 }
 
-// handleQuota registers the handlers for requests that borrow or deposit tokens.
+// handleQuota registers the handlers for requests that borrow or assign tokens.
 func (x *peerEndpoint) handleQuota(b *share.Borrower) {
 	peer.QuotaRequest.Handle(x.registry, func(_ context.Context, request quota.Request) (quota.Grant, error) {
 		return b.HandleRequest(request), nil
 	})
-	peer.QuotaDeposit.Handle(x.registry, func(_ context.Context, body peer.QuotaDepositBody) (peer.EmptyBody, error) {
-		b.HandleDeposit(body.Tokens)
+	peer.QuotaAssign.Handle(x.registry, func(_ context.Context, body peer.QuotaAssignBody) (peer.EmptyBody, error) {
+		assignments := make(map[string]share.Assignment, len(body.Rates))
+		for organisation, rate := range body.Rates {
+			assignments[organisation] = share.Assignment{Tokens: body.Tokens[organisation], Rate: rate}
+		}
+		b.HandleAssignments(body.Instance, assignments, time.Duration(body.DurationMillis)*time.Millisecond)
 		return peer.EmptyBody{}, nil
 	})
 }
--- a/pkg/daemon/sockets_test.go
+++ b/pkg/daemon/sockets_test.go
@@ -17,7 +17,7 @@
 	packetConns map[string]net.PacketConn
 }
 
-func newHeldSockets(t *testing.T) *heldSockets {
+func newHeldSockets(t testing.TB) *heldSockets {
 	h := &heldSockets{listeners: make(map[string]net.Listener), packetConns: make(map[string]net.PacketConn)}
 	t.Cleanup(func() {
 		h.mu.Lock()
@@ -33,7 +33,7 @@
 }
 
 // tcpAddress returns the address of a new TCP listener.
-func (h *heldSockets) tcpAddress(t *testing.T) string {
+func (h *heldSockets) tcpAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -44,7 +44,7 @@
 }
 
 // udpAddress returns the address of a new UDP socket.
-func (h *heldSockets) udpAddress(t *testing.T) string {
+func (h *heldSockets) udpAddress(t testing.TB) string {
 	t.Helper()
 	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/pkg/peer/connections.go
+++ b/pkg/peer/connections.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"context"
 	"sync"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -12,6 +13,10 @@
 // a caller, because several callers may wait for the same attempt.
 const dialTimeout = 2 * handshakeIdleTimeout
 
+// maxSilence is how long a connection on which requests timed out is used although
+// no packet has arrived on it since. A peer that was replaced resets it earlier.
+const maxSilence = time.Second
+
 // connectionPool caches up to limit open connections by address. When it is full,
 // it evicts the least recently used connection without references.
 type connectionPool struct {
@@ -34,8 +39,16 @@
 
 	refs     int
 	detached bool // no longer in the pool; closed when the last reference is released
+	// silentSince is when the first request began that timed out without any packet
+	// from the peer, and silentAt the number of packets received until then. Zero if
+	// none did.
+	silentSince time.Time
+	silentAt    uint64
 }
 
+// packetsReceived returns the number of packets that arrived on an open connection.
+func (e *pooledConn) packetsReceived() uint64 { return e.conn.ConnectionStats().PacketsReceived }
+
 // connRef is a reference to a pooled connection. Its holder must release it.
 type connRef struct {
 	*pooledConn
@@ -109,14 +122,19 @@
 	}
 }
 
-// isBroken reports whether the dial failed or the connection has ended since.
+// isBroken reports whether the dial failed, the connection has ended since, or the
+// peer was silent for too long while requests waited for it. The caller holds the mu
+// of the pool.
 func (e *pooledConn) isBroken() bool {
 	select {
 	case <-e.ready:
-		return e.err != nil || e.conn.Context().Err() != nil
 	default:
 		return false
 	}
+	if e.err != nil || e.conn.Context().Err() != nil {
+		return true
+	}
+	return !e.silentSince.IsZero() && time.Since(e.silentSince) >= maxSilence && e.packetsReceived() == e.silentAt
 }
 
 // evict removes the least recently used connection without references and reports
@@ -166,6 +184,19 @@
 	}
 }
 
+// recordSilence records that a request timed out. startedAt is when it began, and
+// received the number of packets until then.
+func (r *connRef) recordSilence(startedAt time.Time, received uint64) {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	switch {
+	case r.packetsReceived() != received:
+		r.silentSince = time.Time{}
+	case r.silentSince.IsZero() || r.silentAt != received:
+		r.silentSince, r.silentAt = startedAt, received
+	}
+}
+
 // discard removes the connection from the pool, so that the next caller dials
 // again. Other references stay valid.
 func (r *connRef) discard() {
--- a/pkg/peer/errors.go
+++ b/pkg/peer/errors.go
@@ -57,6 +57,15 @@
 	return KindFailed
 }
 
+// MayHaveRun reports whether the peer may have run a request that failed with err.
+func MayHaveRun(err error) bool {
+	switch KindOf(err) {
+	case KindLocal, KindUnknownType, KindUnsupportedVersion, KindBusy:
+		return false
+	}
+	return true
+}
+
 // typeError is the type of error responses.
 const typeError MessageType = "error"
 
--- a/pkg/peer/messages_quota.go
+++ b/pkg/peer/messages_quota.go
@@ -17,14 +17,19 @@
 // QuotaReturn gives unspent tokens back to the lender.
 var QuotaReturn = &Message[quota.Return, EmptyBody]{Request: "quota.return", Response: "quota.return.answer", Timeout: quotaTimeout}
 
-// QuotaDepositBody holds the deposited tokens by organisation.
-type QuotaDepositBody struct {
-	Tokens map[string]float64 `cbor:"tokens"`
+// QuotaAssignBody holds what an instance gives up, by organisation: tokens and the
+// rate of its refill, in tokens per second, for a duration from now on.
+type QuotaAssignBody struct {
+	Instance       string             `cbor:"instance"`
+	Tokens         map[string]float64 `cbor:"tokens"`
+	Rates          map[string]float64 `cbor:"rates"`
+	DurationMillis int64              `cbor:"duration_ms"`
 }
 
-// QuotaDeposit hands surplus tokens to their broker. The sender has deducted them
-// already; if the message is lost, so are the tokens.
-var QuotaDeposit = &Message[QuotaDepositBody, EmptyBody]{Request: "quota.deposit", Response: "quota.deposit.answer", Timeout: quotaTimeout}
+// QuotaAssign hands refill and surplus tokens to their broker. The sender has given
+// them up already; if the message is lost, so are they. It replaces the refill that
+// the instance assigned to the broker before.
+var QuotaAssign = &Message[QuotaAssignBody, EmptyBody]{Request: "quota.assign", Response: "quota.assign.answer", Timeout: quotaTimeout}
 
 // QuotaClient sends quota requests and returns to other instances. It implements
 // quota.Transferer.
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -176,11 +177,18 @@
 		return envelope{}, classifyError(address, err)
 	}
 	defer ref.release()
+	startedAt, received := time.Now(), ref.packetsReceived()
 	response, err := roundTrip(ctx, ref.conn, request)
 	if err == nil {
 		return response, nil
 	}
-	if !isPeerError(err) {
+	switch {
+	case isPeerError(err):
+	case ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+		// The peer may only be slow, and a handshake takes more of its processor
+		// time than many requests.
+		ref.recordSilence(startedAt, received)
+	default:
 		// The connection may belong to a process that no longer runs.
 		ref.discard()
 	}
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -217,3 +219,81 @@
 		t.Fatal("the server has closed; the connection of the client is still open")
 	}
 }
+
+// silentPackets is a socket that can drop all packets, as if its peers were cut off.
+type silentPackets struct {
+	net.PacketConn
+	silent atomic.Bool
+}
+
+func (s *silentPackets) WriteTo(p []byte, to net.Addr) (int, error) {
+	if s.silent.Load() {
+		return len(p), nil
+	}
+	return s.PacketConn.WriteTo(p, to)
+}
+
+// A request that timed out, or whose caller left, closed the connection to a peer that
+// was only slow. The handshake of the next request made the peer slower still.
+func TestTimedOutRequestsKeepTheConnection(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	identity := newIdentity(t, authority, authority.Issue("a"))
+	registry := echoRegistry()
+	slow := &Message[EmptyBody, EmptyBody]{Request: "test.slow", Response: "test.slow.answer", Timeout: time.Second}
+	slow.Handle(registry, func(ctx context.Context, _ EmptyBody) (EmptyBody, error) { <-ctx.Done(); return EmptyBody{}, ctx.Err() })
+	server := listen(t, anyPort, identity, registry)
+	client := listen(t, anyPort, identity, NewRegistry())
+	connection := func() *quic.Conn {
+		ref, err := client.pool.acquire(t.Context(), server.Address())
+		assert.NilError(t, err)
+		defer ref.release()
+		return ref.conn
+	}
+	before := connection()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err := slow.Call(ctx, client, server.Address(), EmptyBody{})
+		cancel()
+		assert.Equal(t, KindOf(err), KindTimeout)
+		ctx, cancel = context.WithCancel(t.Context())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		_, err = slow.Call(ctx, client, server.Address(), EmptyBody{})
+		assert.Assert(t, err != nil)
+	}
+	assert.Assert(t, connection() == before, "the connection to a slow peer was replaced")
+}
+
+// A connection whose peer has vanished must be replaced, or requests time out until the
+// idle timeout of the connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	identity := newIdentity(t, authority, authority.Issue("a"))
+	udp, err := net.ListenPacket("udp", anyPort)
+	assert.NilError(t, err)
+	socket := &silentPackets{PacketConn: udp}
+	server, err := New(socket, identity, echoRegistry(), hclog.NewNullLogger())
+	assert.NilError(t, err)
+	go server.Serve()
+	t.Cleanup(func() { _ = server.Close() })
+	client := listen(t, anyPort, identity, NewRegistry())
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err := echo.Call(ctx, client, server.Address(), []byte("x"))
+		return err
+	}
+	assert.NilError(t, call())
+	before, err := client.pool.acquire(t.Context(), server.Address())
+	assert.NilError(t, err)
+	before.release()
+	socket.silent.Store(true)
+	for range 2 { // packets that were on their way may arrive during the first call
+		assert.Equal(t, KindOf(call()), KindTimeout)
+	}
+	time.Sleep(maxSilence)
+	assert.Assert(t, call() != nil)
+	client.pool.mu.Lock()
+	element := client.pool.byAddr[server.Address()]
+	client.pool.mu.Unlock()
+	assert.Assert(t, element == nil || element.Value.(*pooledConn) != before.pooledConn, "a connection without packets for %v is still used", maxSilence)
+}
--- a/pkg/share/borrower.go
+++ b/pkg/share/borrower.go
@@ -20,20 +20,31 @@
 	// maxBrokers is the number of brokers tried for a request. A second one is
 	// needed because a broker that is gone is known as such only after seconds.
 	maxBrokers = 2
-	// depositInterval is the time between deposits. It is below 0.3 s, the
-	// refill that a local bucket holds if the burst equals the refill of a
-	// second.
-	depositInterval = 240 * time.Millisecond
+	// minAssignInterval is the shortest time between assignments, and
+	// assignIntervalPerBroker is multiplied by the number of brokers to get it, so
+	// that the messages of an instance do not grow with the fleet.
+	minAssignInterval       = 400 * time.Millisecond
+	assignIntervalPerBroker = 125 * time.Millisecond
+	maxAssignInterval       = 2 * time.Second
+	// assignmentFactor is the length of an assignment in intervals. The next one
+	// replaces it; if that is late or lost, the refill goes on meanwhile.
+	assignmentFactor = 1.4
+	// maxAssignment is the longest time for which refill is assigned.
+	maxAssignment = time.Duration(assignmentFactor * float64(maxAssignInterval))
 )
 
+// MaxAssignment is the longest time for which an instance assigns its refill to a
+// broker. A process that replaces another one may have to wait for as long.
+const MaxAssignment = maxAssignment
+
 // Transferer exchanges tokens with other instances.
 type Transferer interface {
 	// Request borrows tokens of an organisation. The grant has all of them or
 	// none.
 	Request(ctx context.Context, address string, request quota.Request) (quota.Grant, error)
-	// Deposit sends tokens, by organisation, to a broker. The caller has given
-	// them up even if an error is returned.
-	Deposit(ctx context.Context, address string, tokens map[string]float64) error
+	// Assign sends assignments, by organisation, to a broker. received is false if
+	// the broker certainly did not accept them.
+	Assign(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) (received bool, err error)
 }
 
 // Borrower spends tokens from the local buckets and borrows from the
@@ -123,50 +134,74 @@
 	}
 }
 
-// Run deposits surplus tokens with the brokers at each interval until ctx ends.
+// Run assigns the refill that this instance does not need to the brokers, at
+// intervals, until ctx ends.
 func (b *Borrower) Run(ctx context.Context) {
-	for clock.Sleep(ctx, depositInterval) {
+	interval := minAssignInterval
+	for clock.Sleep(ctx, clock.Jitter(interval)) {
 		if b.Buckets.lendingEnabled() {
-			b.depositSurplus(ctx)
+			brokers := b.assign(ctx, interval)
+			interval = assignInterval(brokers)
 		}
 	}
 }
 
-// depositSurplus moves the surplus of the local buckets to the brokers. Tokens
-// whose deposit fails are lost.
-func (b *Borrower) depositSurplus(ctx context.Context) {
-	deposits := make(map[string]map[string]float64)
-	for organisation, tokens := range b.Buckets.TakeSurplus() {
+// assignInterval returns the time between two assignments to each of a number of
+// brokers.
+func assignInterval(brokers int) time.Duration {
+	return min(max(minAssignInterval, time.Duration(brokers)*assignIntervalPerBroker), maxAssignInterval)
+}
+
+// assign passes refill and surplus tokens to the brokers for the time until the
+// next assignment and a little longer. It returns the number of brokers.
+func (b *Borrower) assign(ctx context.Context, interval time.Duration) int {
+	duration := time.Duration(assignmentFactor * float64(interval))
+	byBroker := make(map[string]map[string]Assignment)
+	for organisation, a := range b.Buckets.TakeAssignments(duration) {
 		brokers := b.availableBrokers(organisation)
 		switch {
 		case len(brokers) == 0:
-			b.Buckets.Return(organisation, int64(tokens))
+			b.Buckets.Revoke(organisation, a)
 		case brokers[0] == "":
-			b.Buckets.Deposit(organisation, tokens)
+			b.Buckets.AcceptAssignment("", organisation, a, duration)
+			b.Buckets.Confirm(organisation)
 		default:
-			if deposits[brokers[0]] == nil {
-				deposits[brokers[0]] = make(map[string]float64)
+			if byBroker[brokers[0]] == nil {
+				byBroker[brokers[0]] = make(map[string]Assignment)
 			}
-			deposits[brokers[0]][organisation] = tokens
+			byBroker[brokers[0]][organisation] = a
 		}
 	}
 	var group sync.WaitGroup
-	defer group.Wait()
-	for address, tokens := range deposits {
-		group.Go(func() {
-			call, cancel := context.WithTimeout(ctx, brokerTimeout)
-			defer cancel()
-			if err := b.Transfer.Deposit(call, address, tokens); err != nil && ctx.Err() == nil {
-				b.recordFailure(address, err)
-			}
-		})
+	for address, assignments := range byBroker {
+		group.Go(func() { b.send(ctx, address, assignments, duration) })
+	}
+	group.Wait()
+	return len(byBroker)
+}
+
+// send passes assignments to one broker.
+func (b *Borrower) send(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) {
+	call, cancel := context.WithTimeout(ctx, brokerTimeout)
+	defer cancel()
+	received, err := b.Transfer.Assign(call, address, assignments, duration)
+	for organisation, a := range assignments {
+		switch {
+		case err == nil:
+			b.Buckets.Confirm(organisation)
+		case !received:
+			b.Buckets.Revoke(organisation, a)
+		}
+	}
+	if err != nil && ctx.Err() == nil {
+		b.recordFailure(address, err)
 	}
 }
 
-// HandleDeposit adds tokens from another instance, by organisation, to the
+// HandleAssignments adds what another instance gave up, by organisation, to the
 // pools.
-func (b *Borrower) HandleDeposit(tokens map[string]float64) {
-	for organisation, amount := range tokens {
-		b.Buckets.Deposit(organisation, amount)
+func (b *Borrower) HandleAssignments(instance string, assignments map[string]Assignment, duration time.Duration) {
+	for organisation, a := range assignments {
+		b.Buckets.AcceptAssignment(instance, organisation, a, duration)
 	}
 }
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -1,14 +1,15 @@
 // Package share enforces the rate and burst of organisations over all
 // instances. Each instance has a token bucket with an equal part of every
-// limit. It deposits tokens that it does not need with the organisation's
-// broker, one of the instances, which lends them to instances that run short.
-// Tokens are removed at the sender before they are added at the receiver. So
-// lost messages, or instances that disagree on the broker, cannot cause more
-// tokens to be spent than issued.
+// limit. It assigns the refill that it does not need, for a short time, to the
+// organisation's broker, one of the instances, which lends tokens to instances
+// that run short. Tokens and refill are given up at the sender before they are
+// added at the receiver. So lost messages, or instances that disagree on the
+// broker, cannot cause more tokens to be spent than issued.
 package share
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,20 +29,27 @@
 	usedOverage = 0.7
 	usedSlack   = 0.75
 	// localFraction and poolFraction are the fractions of the capacity in all
-	// local buckets together and in the pool of a broker. A local bucket must
-	// hold the refill between two deposits. For some seconds after an instance
+	// local buckets together and in the pool of a broker. For some seconds after an instance
 	// came or went, two instances may act as broker and hold a fifth more than
 	// the capacity; the unused part of the tolerance covers this.
 	localFraction = 0.3
 	poolFraction  = 0.45
-	// minDepositFraction is the fraction of the local bucket above which
-	// surplus is deposited, to avoid messages about a few tokens.
-	minDepositFraction = 0.2
+	// minDepositFraction is the fraction of the local bucket above which surplus
+	// tokens are given to the broker, and minAssignedFraction that of the refill
+	// above which it is assigned, to avoid messages about a few tokens.
+	minDepositFraction  = 0.2
+	minAssignedFraction = 0.1
 	// maxKeptFraction is the largest fraction of the local bucket that is kept
-	// when surplus is deposited, so that the refill of the next interval fits.
+	// when surplus is given up.
 	maxKeptFraction = 0.5
 )
 
+// Assignment is what an instance gives up for an organisation's broker.
+type Assignment struct {
+	Tokens float64 // that it holds
+	Rate   float64 // of its refill from now on, in tokens per second
+}
+
 // Buckets holds the local token bucket of each organisation, and the pool of
 // those whose broker is this instance. It is safe for concurrent use. The
 // functions in its fields may be called with its lock held.
@@ -55,20 +63,64 @@
 	// whole part of the capacity.
 	CanLend func() bool
 	Now     func() time.Duration // monotonic
+	// RefillFrom is when the buckets of a new process get their first tokens,
+	// unless an assignment replaces those of a previous process before.
+	RefillFrom time.Duration
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu         sync.Mutex
+	buckets    map[string]*bucket
+	assignedAt time.Duration // of the last TakeAssignments
 }
 
 // bucket is the state of one organisation.
 type bucket struct {
 	rate, burst float64 // over all instances, in tokens per second and tokens
 	tokens      float64 // local
-	pool        float64 // deposited, for lending
 	refilledAt  time.Duration
-	// spent and spentBefore are the tokens spent locally in the current deposit
-	// interval and in the previous one.
-	spent, spentBefore float64
+	// commitments are the assignments of this instance's refill. All but the last
+	// are earlier ones that the broker may still count.
+	commitments []commitment
+	// spentRate is the rate of local spending before the last assignment, in tokens
+	// per second, and spent the tokens spent locally since then.
+	spent, spentRate float64
+
+	pool    float64               // for lending
+	refills map[string]peerRefill // that instances assigned to this one, by instance
+}
+
+// commitment is refill that this instance has given up.
+type commitment struct {
+	rate  float64 // tokens per second
+	until time.Duration
+}
+
+// peerRefill is refill that another instance, or this one, has given up for the
+// pool.
+type peerRefill struct {
+	rate        float64 // tokens per second
+	from, until time.Duration
+}
+
+// givenRate returns the refill that is given up at a time: the largest of the
+// commitments, because the broker counts one of them.
+func (k *bucket) givenRate(at time.Duration) float64 {
+	rate := 0.0
+	for _, c := range k.commitments {
+		if c.until > at {
+			rate = max(rate, c.rate)
+		}
+	}
+	return rate
+}
+
+// nextEnd returns when the first commitment after a time ends, at most limit.
+func (k *bucket) nextEnd(after, limit time.Duration) time.Duration {
+	for _, c := range k.commitments {
+		if c.until > after {
+			limit = min(limit, c.until)
+		}
+	}
+	return limit
 }
 
 // Configure applies the limits of a configuration. A lower limit takes effect
@@ -88,10 +140,16 @@
 		if k == nil {
 			// Start empty: a previous process of this instance may just have
 			// spent a full bucket.
-			b.buckets[o.Name] = &bucket{rate: o.Rate, burst: o.Burst, refilledAt: now}
+			b.buckets[o.Name] = &bucket{rate: o.Rate, burst: o.Burst, refilledAt: max(now, b.RefillFrom), refills: make(map[string]peerRefill)}
 			continue
 		}
 		b.refill(k, now)
+		if o.Rate < k.rate {
+			for instance, r := range k.refills {
+				r.rate *= o.Rate / k.rate
+				k.refills[instance] = r
+			}
+		}
 		k.rate, k.burst = o.Rate, o.Burst
 		k.tokens = min(k.tokens, b.localCapacity(k))
 		k.pool = min(k.pool, poolFraction*b.capacity(k))
@@ -137,10 +195,30 @@
 	return k.rate * (1 + usedOverage*b.Tolerance().Overage)
 }
 
-// refill adds the tokens gained since the last refill to the local bucket.
+// refill adds the tokens gained since the last refill to the local bucket and to
+// the pool.
 func (b *Buckets) refill(k *bucket, now time.Duration) {
-	k.tokens = min(b.localCapacity(k), k.tokens+b.perInstance(b.refillRate(k))*(now-k.refilledAt).Seconds())
-	k.refilledAt = now
+	rate, capacity := b.perInstance(b.refillRate(k)), b.localCapacity(k)
+	for k.refilledAt < now {
+		until := k.nextEnd(k.refilledAt, now)
+		gained := max(0, rate-k.givenRate(k.refilledAt)) * (until - k.refilledAt).Seconds()
+		k.tokens = min(capacity, k.tokens+gained)
+		k.refilledAt = until
+	}
+	k.commitments = slices.DeleteFunc(k.commitments, func(c commitment) bool { return c.until <= now })
+	if len(k.refills) == 0 {
+		return
+	}
+	for instance, r := range k.refills {
+		until := min(now, r.until)
+		k.pool += r.rate * max(0, until-r.from).Seconds()
+		if r.from = until; now >= r.until {
+			delete(k.refills, instance)
+		} else {
+			k.refills[instance] = r
+		}
+	}
+	k.pool = min(poolFraction*b.capacity(k), k.pool)
 }
 
 // Spend takes tokens from the local bucket, all or none, and reports whether it
@@ -199,35 +277,98 @@
 	return ok, k.pool + k.tokens, b.refillRate(k)
 }
 
-// Deposit adds surplus tokens to the pool and drops those that exceed its
-// capacity.
-func (b *Buckets) Deposit(organisation string, tokens float64) {
+// AcceptAssignment adds tokens to the pool of an organisation and, for a duration,
+// the refill that an instance gave up. It replaces the refill that the instance
+// assigned before. What exceeds the pool's capacity is dropped.
+func (b *Buckets) AcceptAssignment(instance, organisation string, a Assignment, duration time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if k := b.buckets[organisation]; k != nil && tokens > 0 && !math.IsInf(tokens, 1) {
-		k.pool = min(poolFraction*b.capacity(k), k.pool+tokens)
+	k := b.buckets[organisation]
+	if k == nil || !isAmount(a.Tokens) || !isAmount(a.Rate) {
+		return
+	}
+	now := b.Now()
+	b.refill(k, now)
+	k.pool = min(poolFraction*b.capacity(k), k.pool+a.Tokens)
+	delete(k.refills, instance)
+	if a.Rate > 0 {
+		k.refills[instance] = peerRefill{rate: min(a.Rate, b.refillRate(k)), from: now, until: now + min(duration, maxAssignment)}
 	}
 }
 
-// TakeSurplus removes the tokens that the local buckets hold beyond the larger
-// spending of the last two deposit intervals, and returns them by organisation
-// for deposit with the brokers. It must be called once in each interval.
-func (b *Buckets) TakeSurplus() map[string]float64 {
+// isAmount reports whether a number from another instance is a valid amount.
+func isAmount(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+
+// TakeAssignments gives up, for a duration, the refill beyond the rate of local
+// spending, and the tokens that the local buckets hold beyond that spending. It
+// returns both by organisation. Each must be passed on and then settled with
+// Confirm, or with Revoke if it certainly was not accepted.
+func (b *Buckets) TakeAssignments(duration time.Duration) map[string]Assignment {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Now()
-	surplus := make(map[string]float64)
+	interval := (now - b.assignedAt).Seconds()
+	b.assignedAt = now
+	assignments := make(map[string]Assignment)
 	for name, k := range b.buckets {
 		b.refill(k, now)
-		capacity := b.localCapacity(k)
-		need := min(max(k.spent, k.spentBefore), maxKeptFraction*capacity)
-		k.spent, k.spentBefore = 0, k.spent
-		if over := k.tokens - need; over > minDepositFraction*capacity {
+		spentRate := 0.0
+		if interval > 0 {
+			spentRate = k.spent / interval
+		}
+		neededRate := max(spentRate, k.spentRate)
+		k.spent, k.spentRate = 0, spentRate
+		a := Assignment{}
+		capacity, refill := b.localCapacity(k), b.perInstance(b.refillRate(k))
+		kept := min(neededRate*interval, maxKeptFraction*capacity)
+		if over := k.tokens - kept; over > minDepositFraction*capacity {
 			k.tokens -= over
-			surplus[name] = over
+			a.Tokens = over
+		}
+		if rate := refill - neededRate; rate > minAssignedFraction*refill {
+			a.Rate = rate
 		}
+		if a.Rate > 0 || len(k.commitments) > 0 {
+			k.commitments = append(k.commitments, commitment{a.Rate, now + duration})
+		} else if a.Tokens == 0 {
+			continue
+		}
+		assignments[name] = a
+	}
+	return assignments
+}
+
+// Confirm ends the commitments of an organisation that the newest one replaced at
+// the broker.
+func (b *Buckets) Confirm(organisation string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[organisation]
+	if k == nil {
+		return
+	}
+	now := b.Now()
+	b.refill(k, now)
+	k.refilledAt = now // also if the refill was due to start later
+	if n := len(k.commitments); n > 1 {
+		k.commitments = append(k.commitments[:0], k.commitments[n-1])
+	}
+}
+
+// Revoke takes the newest assignment of an organisation back. The broker must not
+// have accepted it.
+func (b *Buckets) Revoke(organisation string, a Assignment) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[organisation]
+	if k == nil {
+		return
+	}
+	b.refill(k, b.Now())
+	if n := len(k.commitments); n > 0 {
+		k.commitments = k.commitments[:n-1]
 	}
-	return surplus
+	k.tokens = min(b.localCapacity(k), k.tokens+a.Tokens)
 }
 
 // Return puts unused tokens back into the local bucket and drops those that
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -30,12 +30,13 @@
 	clock       *clock.Fake
 	instances   []*Borrower
 	partitioned map[int]bool // instances without a connection to any other
+	lostAnswers map[int]bool // instances whose assignments are accepted, but appear to fail
 	// brokers returns the indexes of the brokers in the view of an instance.
 	brokers func(instance int) []int
 }
 
 func newFleet(instances int, limit []tables.Organisation) *fleet {
-	f := &fleet{clock: clock.NewFake(time.Unix(0, 0)), partitioned: make(map[int]bool), brokers: func(int) []int { return []int{0, 1} }}
+	f := &fleet{clock: clock.NewFake(time.Unix(0, 0)), partitioned: make(map[int]bool), lostAnswers: make(map[int]bool), brokers: func(int) []int { return []int{0, 1} }}
 	f.instances = make([]*Borrower, instances)
 	for i := range f.instances {
 		f.start(i, limit)
@@ -49,6 +50,9 @@
 		Tolerance: func() Tolerance { return testTolerance }, Instances: func() int { return len(f.instances) },
 		CanLend: func() bool { return true }, Now: f.clock.Elapsed,
 	}
+	if f.instances[i] != nil {
+		b.RefillFrom = f.clock.Elapsed() + MaxAssignment
+	}
 	b.Configure(limit)
 	f.instances[i] = &Borrower{
 		Buckets: b, Clock: f.clock, Log: hclog.NewNullLogger(), Transfer: &fakeTransferer{f, i},
@@ -66,12 +70,17 @@
 	}
 }
 
-// idle advances the clock without spending; instances deposit at each interval.
+// idle advances the clock without spending; instances assign at each interval.
 func (f *fleet) idle(d time.Duration) {
-	for end := f.clock.Elapsed() + d; f.clock.Elapsed() < end; f.clock.Advance(depositInterval) {
-		for _, b := range f.instances {
-			b.depositSurplus(context.Background())
-		}
+	for end := f.clock.Elapsed() + d; f.clock.Elapsed() < end; f.clock.Advance(minAssignInterval) {
+		f.assign()
+	}
+}
+
+// assign makes all instances assign their refill once.
+func (f *fleet) assign() {
+	for _, b := range f.instances {
+		b.assign(context.Background(), minAssignInterval)
 	}
 }
 
@@ -102,13 +111,16 @@
 	return to.HandleRequest(request), nil
 }
 
-func (c *fakeTransferer) Deposit(_ context.Context, address string, tokens map[string]float64) error {
+func (c *fakeTransferer) Assign(_ context.Context, address string, assignments map[string]Assignment, duration time.Duration) (bool, error) {
 	to, err := c.receiver(address)
 	if err != nil {
-		return err
+		return true, err
 	}
-	to.HandleDeposit(tokens)
-	return nil
+	to.HandleAssignments(fmt.Sprint(c.from), assignments, duration)
+	if c.fleet.lostAnswers[c.from] {
+		return true, errPartitioned
+	}
+	return true, nil
 }
 
 // limit returns the limit of one organisation named "one".
@@ -150,6 +162,8 @@
 				f.start(i, limit(rate, rate))
 			case 1:
 				f.partitioned[i] = !f.partitioned[i]
+			case 3:
+				f.lostAnswers[i] = !f.lostAnswers[i]
 			case 2:
 				// The broker changes. Half of the instances learn of it after
 				// five seconds.
@@ -161,9 +175,7 @@
 				second = first
 			}
 			if rapid.IntRange(0, 3).Draw(t, "deposits") == 0 {
-				for _, b := range f.instances {
-					b.depositSurplus(context.Background())
-				}
+				f.assign()
 			}
 			tokens := rapid.Int64Range(1, largest).Draw(t, "tokens")
 			if ok, _ := f.instances[i].Take(context.Background(), "one", tokens); ok {
@@ -197,10 +209,8 @@
 				sum += tokens
 			}
 		}
-		for _, b := range f.instances {
-			b.depositSurplus(context.Background())
-		}
-		f.clock.Advance(depositInterval)
+		f.assign()
+		f.clock.Advance(minAssignInterval)
 	}
 	assert.Assert(t, sum <= within, "%.0f tokens were admitted, the limit is %.0f", sum, within)
 	assert.Assert(t, sum >= 8*29_000, "only %.0f of %d tokens within the rate were admitted", sum, 8*29_000)
@@ -221,9 +231,7 @@
 			f.partitioned[0] = true
 		}
 		if step%5 == 0 {
-			for _, b := range f.instances {
-				b.depositSurplus(context.Background())
-			}
+			f.assign()
 		}
 		at = (at + 1) % 5
 		if ok, _ := f.instances[10+at].Take(context.Background(), "one", tokens); !ok && (step < 200 || step > 240) {
@@ -293,3 +301,44 @@
 	assert.Assert(t, b.Spend("one", 10_000))
 	assert.Assert(t, !b.Spend("one", 10_000))
 }
+
+// With a message to each broker every 240 ms, idle instances of a fleet of 295 spent
+// most of their processor time on assignments.
+func TestAssignmentsOfAnInstanceDoNotGrowWithTheFleet(t *testing.T) {
+	for _, brokers := range []int{1, 4, 7, 15, 20} {
+		perSecond := float64(brokers) / assignInterval(brokers).Seconds()
+		assert.Assert(t, perSecond <= 10, "%d brokers get %.1f assignments a second from each instance", brokers, perSecond)
+	}
+}
+
+// The broker counts the refill of an instance whose process was replaced. If the new
+// process counts it too, each restart gives the organisation tokens beyond its limit.
+func TestRestartDoesNotCountRefillTwice(t *testing.T) {
+	const instances, rate = 10, 1_000_000.0
+	f := newFleet(instances, limit(rate, rate))
+	f.idle(10 * time.Second)
+	for i := 1; i < instances; i++ {
+		f.start(i, limit(rate, rate))
+	}
+	f.clock.Advance(minAssignInterval)
+	for i := 1; i < instances; i++ {
+		assert.Assert(t, !f.instances[i].Buckets.Spend("one", 1), "a new process spends refill that the broker has")
+	}
+	f.assign()
+	f.clock.Advance(minAssignInterval)
+	f.assign()
+	ok, _ := f.instances[3].Take(context.Background(), "one", 100_000)
+	assert.Assert(t, ok, "the refill of replaced processes is not lent")
+}
+
+// An assignment whose answer is lost may be counted by the broker. The instance must
+// not spend the same refill.
+func TestRefillOfAnUnansweredAssignmentIsNotSpent(t *testing.T) {
+	f := newFleet(2, limit(100_000, 100_000))
+	f.lostAnswers[1] = true
+	f.assign()
+	f.clock.Advance(minAssignInterval)
+	assert.Assert(t, !f.instances[1].Buckets.Spend("one", 5_000), "refill that was assigned is spent")
+	f.clock.Advance(MaxAssignment)
+	assert.Assert(t, f.instances[1].Buckets.Spend("one", 5_000), "refill is lost after the end of an assignment")
+}
