pkg/target, pkg/relay, pkg/state: targets that say they leave, or ask for a pause

Targets may say in any response that they leave (drain_ms then holds whatever their entry says) and may ask in a 503 for a pause. The router read neither: every refusal was answered with a backoff of 250 ms, and a leaving target got requests until its entry changed. Change: target.Intake is the one decision on new work, for placement, the check before a request is sent on its connection, retries, resumes and orders. Leaving holds for the incarnation, also if its entry says ready, goes away or returns, and is passed on to other instances, which only avoid the target: datagrams are not authenticated. A pause is not shared: it is between this instance and the target. If all targets pause, callers are refused at once with the end of the first pause, spread by up to a quarter.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -224,7 +224,7 @@
 	}
 	d.poisonDetector.OnChange = d.quarantineKeeper.recordChange
 	d.gossip = &gossip.Gossip{
-		ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport,
+		ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, OnLeaving: d.targets.RecordLeavingHint,
 		Supersessions: d.targets.Supersessions, AsksSupersessions: d.targets.HasSuperseded, OnSupersession: d.targets.RecordSupersession, Clock: d.clock,
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -86,6 +86,9 @@
 	// OnReport is called for each report from another instance that is newer
 	// than the known one of its target.
 	OnReport func(targetHash uint64, load target.Load, at time.Time, down bool)
+	// OnLeaving is called for each target of which another instance says that it
+	// leaves. Nil means no call.
+	OnLeaving func(targetHash uint64)
 	// Supersessions returns the superseded weights up to an age. AsksSupersessions
 	// reports whether to ask other instances for theirs, and OnSupersession is called
 	// for each one. Nil means none.
@@ -103,6 +106,7 @@
 
 	mu      sync.Mutex
 	reports map[uint64]timedReport
+	leaving map[uint64]time.Time // since when targets are known to leave
 }
 
 // HashTarget returns the identifier of a target in reports. key is the key of
@@ -192,6 +196,9 @@
 	if reports := g.freshReports(now); len(reports) > 0 {
 		add(datagram{Version: version, Reports: reports})
 	}
+	if records := g.leavingRecords(now); len(records) > 0 {
+		add(leavingDatagram{Version: leavingVersion, Targets: records})
+	}
 	if g.AsksSupersessions != nil && g.AsksSupersessions() {
 		add(supersessionQuery{Version: supersessionQueryVersion, StampUS: g.Clock.Elapsed().Microseconds()})
 	}
@@ -238,25 +245,46 @@
 		answer := func(reply []byte) {
 			_, _ = conn.WriteTo(reply, from) // a failed send has the same effect as a lost datagram
 		}
-		if !g.handleSupersessions(buffer[:n], answer) {
-			g.handleDatagram(buffer[:n], time.Now())
-		}
+		g.handleDatagram(buffer[:n], answer, time.Now())
 	}
 }
 
-// handleDatagram records the reports of a datagram and passes the newer ones to
-// OnReport, or passes a notice to OnNotice. A datagram that cannot be decoded or
-// has another version is dropped.
-func (g *Gossip) handleDatagram(payload []byte, now time.Time) {
-	var n noticeDatagram
-	if g.OnNotice != nil && cbor.Unmarshal(payload, &n) == nil && n.Version == noticeVersion {
-		g.OnNotice(n.Notice)
-		return
+// datagramVersion returns the version of an encoded datagram, which is an array that
+// begins with it, or zero.
+func datagramVersion(payload []byte) int {
+	const arrayHead, maxSmall = 0x80, 23 // CBOR: major type 4, and integers in one byte
+	if len(payload) < 2 || payload[0] < arrayHead || payload[0] > arrayHead+maxSmall || payload[1] > maxSmall {
+		return 0
 	}
-	var d datagram
-	if cbor.Unmarshal(payload, &d) != nil || d.Version != version {
-		return
+	return int(payload[1])
+}
+
+// handleDatagram handles a datagram by its version. answer sends a datagram to the
+// sender. A datagram that cannot be decoded or has another version is dropped.
+func (g *Gossip) handleDatagram(payload []byte, answer func([]byte), now time.Time) {
+	switch datagramVersion(payload) {
+	case version:
+		var d datagram
+		if cbor.Unmarshal(payload, &d) == nil {
+			g.handleReports(d, now)
+		}
+	case noticeVersion:
+		var n noticeDatagram
+		if g.OnNotice != nil && cbor.Unmarshal(payload, &n) == nil {
+			g.OnNotice(n.Notice)
+		}
+	case supersessionQueryVersion, supersessionReplyVersion:
+		g.handleSupersessions(payload, answer)
+	case leavingVersion:
+		var d leavingDatagram
+		if cbor.Unmarshal(payload, &d) == nil {
+			g.handleLeaving(d, now)
+		}
 	}
+}
+
+// handleReports records load reports and passes the newer ones to OnReport.
+func (g *Gossip) handleReports(d datagram, now time.Time) {
 	for _, r := range d.Reports {
 		age := time.Duration(r.AgeMS) * time.Millisecond
 		if age > maxAge {
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -81,7 +81,7 @@
 	g.ReportLoad("t/1", target.Load{Running: 1})
 	now := time.Now()
 	for _, text := range [][]byte{nil, {0xff}, []byte("text"), {0x82, 0x02, 0x80}, {0x82, 0x01, 0x81, 0x85, 0x01, 0x02, 0x03, 0x19, 0xff, 0xff, 0xf4}} {
-		g.handleDatagram(text, now)
+		g.handleDatagram(text, nil, now)
 	}
 	assert.Equal(t, count, 0)
 	assert.Assert(t, !g.recordIfNewer(HashTarget("t/1"), timedReport{observedAt: now.Add(-time.Minute)}))
@@ -110,8 +110,8 @@
 	newer := &Gossip{OnReport: countReport, OnNotice: func(n []byte) { got = append(got, string(n)) }, Log: hclog.NewNullLogger()}
 	older := &Gossip{OnReport: countReport, Log: hclog.NewNullLogger()}
 	for _, payload := range sender.datagrams(time.Now()) {
-		newer.handleDatagram(payload, time.Now())
-		older.handleDatagram(payload, time.Now())
+		newer.handleDatagram(payload, nil, time.Now())
+		older.handleDatagram(payload, nil, time.Now())
 	}
 	assert.DeepEqual(t, got, []string{"one", "two"})
 	assert.Equal(t, reports, 2)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -209,14 +209,15 @@
 	p.hashParts(r)
 	homes := p.findHomes(candidates, affinity, r.NewestVersion, now)
 	best := Choice{Cost: math.MaxInt64}
-	// The second pass admits targets with an open circuit or a recent refusal.
+	// The second pass admits targets with an open circuit or a recent refusal, and
+	// those that another instance says are leaving.
 	for pass := 0; pass < 2 && best.Target == nil; pass++ {
 		for _, t := range candidates {
 			if t.Leaving || excluded != nil && excluded(t) {
 				continue
 			}
 			s := p.stateOf(t)
-			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil)) {
+			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil) || t.Live.HasLeavingHint()) {
 				continue
 			}
 			choice := p.evaluate(t, s, homes, r, now)
@@ -254,7 +255,7 @@
 		if t.WeightVersion == newest {
 			ready++
 		}
-		if now.Before(s.openUntil) {
+		if now.Before(s.openUntil) || t.Live.HasLeavingHint() {
 			continue
 		}
 		h := mix(affinity, s.idHash)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -202,7 +202,7 @@
 	var failed *targetconn.Error
 	if errors.As(err, &failed) && failed.Stage == targetconn.StageConnect {
 		wait := time.Duration(0)
-		if errors.Is(err, errTargetLeft) || errors.Is(err, errWeightsExpired) {
+		if errors.Is(err, errTargetLeft) || errors.Is(err, errTargetPaused) || errors.Is(err, errWeightsExpired) {
 			return &failure{canTryOther: true, reason: "the target may not be used any more", cause: err}
 		}
 		if !errors.Is(err, targetconn.ErrTooManyConnections) && !errors.Is(err, context.Canceled) {
@@ -246,9 +246,16 @@
 	return failed
 }
 
-// recordResponse records the load and the weight version that a response
-// states.
+// recordResponse records the load, the weight version and the notice about new work
+// that a response states.
 func (f *ForwardFilter) recordResponse(t *target.Target, metadata ResponseMetadata) {
+	if metadata.InstanceID != "" && metadata.InstanceID != t.ID {
+		return // another target at the address
+	}
+	f.Targets.RecordNotice(t, metadata.Notice)
+	if metadata.Notice.Leaving {
+		f.LoadReporter.ReportLeaving(t.Key())
+	}
 	if metadata.Load != nil {
 		t.Live.RecordLoad(*metadata.Load, time.Now())
 		f.LoadReporter.ReportLoad(t.Key(), *metadata.Load)
--- a/pkg/relay/dialect.go
+++ b/pkg/relay/dialect.go
@@ -48,6 +48,7 @@
 	Load          *target.Load
 	Slots         int    // requests that the target can run concurrently; zero if the header does not state it
 	WeightVersion string // empty if the header does not state it
+	Notice        target.Notice
 }
 
 // Dialect reads and writes the headers of requests and responses. Its methods
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -28,6 +28,8 @@
 	// RecordReportedVersion records the weight version that a target stated in a
 	// response.
 	RecordReportedVersion(t *target.Target, version string)
+	// RecordNotice records what a target said about new work in a response.
+	RecordNotice(t *target.Target, n target.Notice)
 }
 
 // LoadReporter distributes what this instance learns about the load of targets.
@@ -35,6 +37,7 @@
 type LoadReporter interface {
 	ReportLoad(targetKey string, load target.Load)
 	ReportDown(targetKey string)
+	ReportLeaving(targetKey string)
 }
 
 // ForwardFilter sends the request to a target and the response to the caller. A
@@ -194,7 +197,7 @@
 	}
 	if last == nil {
 		return errNotRun(ex, apierr.CodeNoTarget, http.StatusServiceUnavailable,
-			"no target of the pool can take the request", remedyRetry, refusalBackoff)
+			"no target of the pool can take the request", remedyRetry, max(f.timeUntilIntake(ex), refusalBackoff))
 	}
 	if last.response != nil && !ex.HeaderSent {
 		last.response.write(ex)
@@ -202,7 +205,7 @@
 	}
 	if !ex.MayHaveRun {
 		return errNotRun(ex, apierr.CodeNoTarget, http.StatusServiceUnavailable,
-			"the targets that were tried refused the request or could not be reached", remedyRetry, max(last.retryAfter, refusalBackoff))
+			"the targets that were tried refused the request or could not be reached", remedyRetry, max(last.retryAfter, f.timeUntilIntake(ex), refusalBackoff))
 	}
 	return &apierr.Error{
 		Code: apierr.CodeTargetFailed, Status: http.StatusBadGateway, Outcome: apierr.OutcomeUnknown,
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -136,8 +136,24 @@
 	return f.targets
 }
 
-func (f *fixture) ReportLoad(string, target.Load)               {}
-func (f *fixture) ReportDown(string)                            {}
+func (f *fixture) ReportLoad(string, target.Load) {}
+func (f *fixture) ReportDown(string)              {}
+func (f *fixture) ReportLeaving(string)           {}
+func (f *fixture) RecordNotice(t *target.Target, n target.Notice) {
+	f.update(func() {
+		if n.Pause > 0 {
+			t.Live.RecordPause(clock.System{}.Elapsed(), n.Pause)
+		}
+		for i, known := range f.targets {
+			if n.Leaving && known.Live == t.Live {
+				leaving := *known
+				leaving.Leaving = true
+				f.targets = append([]*target.Target{}, f.targets...)
+				f.targets[i] = &leaving
+			}
+		}
+	})
+}
 func (f *fixture) NewestVersion(string) string                  { return f.newestVersion }
 func (f *fixture) MarkReplaced(*target.Target)                  {}
 func (f *fixture) RecordReportedVersion(*target.Target, string) {}
--- /dev/null
+++ b/pkg/relay/intake_test.go
@@ -0,0 +1,126 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
+)
+
+// A target that said in a response that it leaves got further requests, because its
+// entry in the list still said that it was ready.
+func TestTargetThatSaysItLeavesGetsNoFurtherRequest(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		fault      platformtest.Fault
+	}{
+		{"response", "/once/", platformtest.Fault{}},
+		{"stream", "/stream/once/", platformtest.Fault{}},
+		{"error", "/once/", platformtest.Fault{Status: http.StatusInternalServerError}},
+		{"refusal", "/once/", platformtest.Fault{Refuse: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			leaving, other := startTarget(t, "i-1"), startTarget(t, "i-2")
+			f := newFixture(t, leaving, other)
+			f.targets[1].Zone = "zone-b" // costs more, so the first is chosen
+			leaving.SetLeaving(true)
+			leaving.SetFaults(func(int, string) platformtest.Fault { return c.fault })
+			for range 5 {
+				assert.NilError(t, f.send(callerRequest{path: c.path}).err)
+			}
+			assert.Equal(t, len(leaving.Requests()), 1, "requests at the target that leaves")
+		})
+	}
+}
+
+// Nobody may use what a response to another request says about new work.
+func TestLeavingInAnotherResponseIsNoEvidence(t *testing.T) {
+	testTarget := startTarget(t, "i-1")
+	f := newFixture(t, testTarget)
+	testTarget.SetFaults(func(int, string) platformtest.Fault {
+		return platformtest.Fault{BytesBefore: "HTTP/1.1 503 Service Unavailable\r\nLacewingwheel-Request-Id: another\r\nLacewingwheel-Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"}
+	})
+	for range 2 {
+		got := f.send(callerRequest{path: "/once/"})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+}
+
+// A target that asked for a pause was sent requests again after the fixed backoff of
+// 250 ms.
+func TestPauseOfATargetIsObeyed(t *testing.T) {
+	const pause = 700 * time.Millisecond
+	busy, other := startTarget(t, "i-1"), startTarget(t, "i-2")
+	f := newFixture(t, busy, other)
+	f.targets[1].Zone = "zone-b"
+	busy.SetFaults(func(int, string) platformtest.Fault {
+		return platformtest.Fault{Refuse: true, RetryAfter: "0.7"}
+	})
+	start := time.Now()
+	for time.Since(start) < pause-50*time.Millisecond {
+		got := f.send(callerRequest{path: "/idempotent/"})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK, "the other target was not used")
+	}
+	assert.Equal(t, len(busy.Requests()), 1, "requests at the target until the end of the pause")
+	time.Sleep(pause)
+	f.send(callerRequest{path: "/idempotent/"})
+	assert.Equal(t, len(busy.Requests()), 2, "the target is not tried after the pause")
+}
+
+// A pause that is asked for while other requests wait for their connections must hold
+// for these too.
+func TestPauseHoldsForRequestsThatWereChosenBefore(t *testing.T) {
+	busy, other := startTarget(t, "i-1"), startTarget(t, "i-2")
+	f := newFixture(t, busy, other)
+	f.targets[1].Zone = "zone-b"
+	lists := 0
+	f.onList = func() {
+		if lists++; lists == 2 { // after the choice
+			f.targets[0].Live.RecordPause(clock.System{}.Elapsed(), time.Second)
+		}
+	}
+	got := f.send(callerRequest{path: "/once/"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, len(busy.Requests()), 0)
+}
+
+// Where all targets ask for a pause, callers were held or told to return after the fixed
+// backoff, and came back together.
+func TestCallersAreToldTheEndOfThePause(t *testing.T) {
+	targets := []*platformtest.Target{startTarget(t, "i-1"), startTarget(t, "i-2")}
+	f := newFixture(t, targets...)
+	f.tokens = 1000
+	for n, after := range []string{"0.6", "5"} {
+		targets[n].SetFaults(func(int, string) platformtest.Fault {
+			return platformtest.Fault{Refuse: true, RetryAfter: after}
+		})
+	}
+	f.send(callerRequest{path: "/once/"})
+	waits := make(map[string]bool)
+	start := time.Now()
+	for range 8 {
+		sent := time.Now()
+		got := f.send(callerRequest{path: "/once/", timeout: 10 * time.Second})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(sent) < 300*time.Millisecond, "the caller was held")
+		text := got.header.Get("Retry-After")
+		wait, err := strconv.ParseFloat(text, 64)
+		assert.NilError(t, err)
+		left := 600*time.Millisecond - time.Since(start)
+		assert.Assert(t, wait >= left.Seconds()-0.05 && wait <= 1.25, "Retry-After %s with %v left of the first pause", text, left)
+		waits[text] = true
+	}
+	assert.Assert(t, len(waits) > 4, "callers return together: %v", waits)
+	for _, x := range targets {
+		assert.Equal(t, len(x.Requests()), 1)
+	}
+}
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -62,7 +62,7 @@
 	candidates, now, untilDeadline := f.Targets.InPool(ex.Pool.Name), f.Clock.Elapsed(), time.Until(ex.Deadline)
 	pick := func(needed time.Duration) placement.Choice {
 		return f.Placer.Pick(candidates, r, func(t *target.Target) bool {
-			return tried[t.Key()] || timeOnWeights(t, now) < min(needed, untilDeadline)
+			return tried[t.Key()] || !t.IntakeForChoice(now).Allowed || timeOnWeights(t, now) < min(needed, untilDeadline)
 		}, time.Now())
 	}
 	choice := pick(minTimeOnWeights)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -50,6 +50,7 @@
 	Busy           bool              // an order is in progress
 	AcceptedOrders int64             // number of orders accepted since its start
 	Versions       map[string]string // loaded weight version by model
+	Notice         target.Notice
 }
 
 // Result is the outcome of an order.
@@ -76,8 +77,9 @@
 // Client reads the status of targets and sends them orders. The context bounds
 // each call.
 type Client interface {
+	// The status has the notice of the response also if there is an error.
 	Status(ctx context.Context, t *target.Target) (Status, error)
-	SendOrder(ctx context.Context, t *target.Target, o Order) (Result, error)
+	SendOrder(ctx context.Context, t *target.Target, o Order) (Result, target.Notice, error)
 }
 
 // TargetSource provides the targets and the newest weights.
@@ -88,6 +90,8 @@
 	NewestVersion(model string) string
 	// RecordReportedVersion records the weight version that a target has loaded.
 	RecordReportedVersion(t *target.Target, version string)
+	// RecordNotice records what a target said about new work in a response.
+	RecordNotice(t *target.Target, n target.Notice)
 }
 
 // Controller orders outdated engines to load the newest weights while its
@@ -266,7 +270,7 @@
 			delete(r.openOrders, t.Key())
 			continue
 		}
-		if t.Leaving {
+		if !t.Intake(now).Allowed {
 			continue
 		}
 		if o := r.openOrders[t.Key()]; o != nil {
@@ -309,6 +313,7 @@
 	call, cancel := context.WithTimeout(ctx, min(orderTimeout, r.Lease.Remaining()))
 	defer cancel()
 	status, err := r.Client.Status(call, t)
+	r.Source.RecordNotice(t, status.Notice)
 	if err != nil {
 		r.Log.Info("status of target not read; its order is delayed", "target", t.ID, "cause", err)
 		return r.waitAfterFailure(pollInterval, 0)
@@ -323,11 +328,12 @@
 	if last := r.openOrders[t.Key()]; last != nil && last.isUnanswered && last.acceptedBefore == status.AcceptedOrders {
 		return r.waitAfterFailure(0, 0) // ordered again when it is its turn
 	}
-	if !r.Lease.Held() {
+	if !r.Lease.Held() || status.Notice.Leaving {
 		return openOrder{}
 	}
 	order := Order{Model: t.Model, Version: newest, Holder: r.Holder, Fence: r.Lease.Fence(), ExpectedOrders: status.AcceptedOrders}
-	result, err := r.Client.SendOrder(call, t, order)
+	result, notice, err := r.Client.SendOrder(call, t, order)
+	r.Source.RecordNotice(t, notice)
 	r.Log.Info("target ordered to load weights", "target", t.ID, "model", t.Model, "weights", newest, "before", t.WeightVersion,
 		"fence", order.Fence, "after", order.ExpectedOrders, "result", int(result), "cause", err)
 	switch result {
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -95,6 +95,11 @@
 	do("pool", snapshot)
 }
 func (f *fleet) NewestVersion(string) string { return f.newest }
+func (f *fleet) RecordNotice(t *target.Target, n target.Notice) {
+	if n.Pause > 0 {
+		t.Live.RecordPause(f.clock.Elapsed(), n.Pause)
+	}
+}
 func (f *fleet) RecordReportedVersion(t *target.Target, v string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,7 +118,7 @@
 	return Status{Busy: e.loading != "", AcceptedOrders: e.accepted, Versions: map[string]string{"m": e.version}}, nil
 }
 
-func (f *fleet) SendOrder(_ context.Context, t *target.Target, o Order) (Result, error) {
+func (f *fleet) SendOrder(_ context.Context, t *target.Target, o Order) (Result, target.Notice, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.finishLoads()
@@ -122,20 +127,20 @@
 			f.clock.Advance(f.answerDelay)
 			f.delayedTo = f.clock.Elapsed() + time.Millisecond
 		}
-		return OrderUnanswered, context.DeadlineExceeded
+		return OrderUnanswered, target.Notice{}, context.DeadlineExceeded
 	}
 	f.orders = append(f.orders, receivedOrder{f.clock.Elapsed(), t.ID, o})
 	e := f.engines[t.ID]
 	if e.loading != "" || e.accepted != o.ExpectedOrders {
-		return OrderRefused, errors.New("status 409")
+		return OrderRefused, target.Notice{}, errors.New("status 409")
 	}
 	e.loading, e.doneAt = o.Version, f.clock.Elapsed()+simulatedLoadTime
 	e.accepted++
 	if f.loseAnswers > 0 {
 		f.loseAnswers--
-		return OrderUnanswered, errors.New("no answer")
+		return OrderUnanswered, target.Notice{}, errors.New("no answer")
 	}
-	return OrderAccepted, nil
+	return OrderAccepted, target.Notice{}, nil
 }
 
 // leaseStore is an object store with a single object, the lease.
@@ -368,3 +373,18 @@
 	}
 	assert.Equal(t, len(f.orders), 2)
 }
+
+// A target that asked for a pause got orders and reads of its status meanwhile.
+func TestTargetGetsNoOrderDuringItsPause(t *testing.T) {
+	f := newFleet(6)
+	r := f.newController(&leaseStore{}, "one")
+	f.simulate(t, 2*time.Second, r)
+	start := f.clock.Elapsed()
+	f.list[2].Live.RecordPause(start, 4*time.Second)
+	f.newest = "2"
+	f.simulate(t, 12*time.Second, r)
+	assert.Equal(t, f.outdatedCount(), 0)
+	for _, o := range f.orders {
+		assert.Assert(t, o.target != f.list[2].ID || o.at >= start+4*time.Second, "ordered %v after the start of a pause of 4s", o.at-start)
+	}
+}
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -171,6 +171,22 @@
 	assert.Equal(t, len(targetsByID(x)), 0)
 }
 
+// A target that said that it leaves got requests again when its entry still said
+// "ready", or went away and came back. Only another incarnation may get requests.
+func TestTargetThatSaidItLeavesStaysSo(t *testing.T) {
+	x := newTargets(clock.NewFake(time.Now()))
+	x.replace([]objectstore.Object{object("a", 5, "1 1 0")})
+	x.RecordNotice(targetsByID(x)["a"], target.Notice{Leaving: true})
+	assert.Assert(t, targetsByID(x)["a"].Leaving)
+	x.apply([]objectstore.Event{{Object: object("a", 6, "1 2 0")}})
+	assert.Assert(t, targetsByID(x)["a"].Leaving, "the list still says ready")
+	x.apply([]objectstore.Event{{Object: object("a", 7, "1 2 0"), Deleted: true}})
+	x.apply([]objectstore.Event{{Object: object("a", 8, "1 2 0")}})
+	assert.Assert(t, targetsByID(x)["a"].Leaving, "the entry went away and came back")
+	x.apply([]objectstore.Event{{Object: object("a", 9, "2 2 0")}})
+	assert.Assert(t, !targetsByID(x)["a"].Leaving, "another incarnation")
+}
+
 // During an outage of the store entries lapse, although their targets still run.
 // The targets must stay in use until the entries had time to return, and must be
 // removed if they do not.
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -51,6 +51,10 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
+	// left has the keys of targets that said that they leave, and when, so that it
+	// holds also for an entry that returns. Only another incarnation, which has
+	// another key, ends it.
+	left    map[string]time.Duration
 	weights weightsHistory
 	current atomic.Pointer[targetView]
 }
@@ -176,6 +180,13 @@
 		return
 	}
 	parsed, err := t.Parse(o.Name, o.Value)
+	if err == nil {
+		if _, left := t.left[parsed.Key()]; left {
+			parsed.Leaving = true
+		} else if parsed.Leaving {
+			t.rememberLeft(parsed.Key())
+		}
+	}
 	if err != nil {
 		t.Log.Warn("entry of the target list cannot be decoded; its target is not used", "entry", o.Name, "revision", o.Version, "cause", err)
 		t.entries[o.Name] = &entry{revision: o.Version}
@@ -248,6 +259,63 @@
 	}
 }
 
+// maxLeft bounds the targets that are remembered as leaving.
+const maxLeft = 4096
+
+// rememberLeft records that a target leaves. The caller holds mu.
+func (t *Targets) rememberLeft(key string) {
+	if t.left == nil {
+		t.left = make(map[string]time.Duration)
+	}
+	if len(t.left) >= maxLeft {
+		oldest := ""
+		for k, at := range t.left {
+			if oldest == "" || at < t.left[oldest] {
+				oldest = k
+			}
+		}
+		delete(t.left, oldest)
+	}
+	t.left[key] = t.Clock.Elapsed()
+}
+
+// RecordNotice records what a target said about new work in a response to this
+// instance. A target that leaves gets no new work in this incarnation, whatever its
+// entry says.
+func (t *Targets) RecordNotice(known *target.Target, n target.Notice) {
+	if n.Pause > 0 && known.Live.RecordPause(t.Clock.Elapsed(), n.Pause) {
+		t.Log.Info("target asks for a pause; it gets no requests of this instance until then", "target", known.ID, "pause", n.Pause)
+	}
+	if !n.Leaving {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, done := t.left[known.Key()]; done {
+		return
+	}
+	t.rememberLeft(known.Key())
+	t.Log.Info("target says that it leaves; it gets no new requests", "target", known.ID, "incarnation", known.Incarnation, "said_by", "target")
+	e := t.entries[known.ID]
+	if e == nil || e.target == nil || e.target.Key() != known.Key() || e.target.Leaving {
+		return
+	}
+	leaving := *e.target
+	leaving.Leaving = true
+	e.target = &leaving
+	t.publish()
+}
+
+// RecordLeavingHint records that another instance was told by a target that it leaves.
+func (t *Targets) RecordLeavingHint(hash uint64) {
+	known := t.ByHash(hash)
+	if known == nil || known.Leaving || known.Live.HasLeavingHint() {
+		return
+	}
+	known.Live.RecordLeavingHint()
+	t.Log.Info("another instance says that a target leaves; it is avoided", "target", known.ID, "incarnation", known.Incarnation, "said_by", "instance")
+}
+
 // MarkReplaced records that another target answers at the address of this one. This
 // one is then not used until its entry changes the address or the incarnation.
 func (t *Targets) MarkReplaced(known *target.Target) {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -67,6 +67,8 @@
 	AwaitingFirstToken atomic.Int64 // requests sent that have no first token yet
 	reported           atomic.Pointer[reportedLoad]
 	lastSeen           atomic.Int64 // time of the last data from the target, in Unix nanoseconds
+	pausedUntil        atomic.Int64 // boot time in nanoseconds until which the target wants no work; zero: never asked
+	leavingHint        atomic.Bool
 }
 
 // MarkSeen records that data from the target arrived at the given time.
