pkg/feed, pkg/daemon: readers for the whole fleet, relays in the zones

Change: one reader for each 200 instances reads the store; the relays of a zone get changes from it and pass them on. A request of a relay makes its receiver read the store, so that relays never wait for each other. Ages are passed on as before; a relay polls for 200 ms at most.

--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -30,10 +30,13 @@
 	minBrokerGroups   = 4
 	instancesPerGroup = 25
 	// followersPerReader is the number of instances that poll one reader of the
-	// store. Each long poll occupies a slot of the reader while it waits.
+	// store or one relay. Each long poll occupies a slot while it waits.
 	followersPerReader = 30
-	// readerDuty followed by a zone is the duty of the zone's readers. Without a
-	// zone it is the duty of the readers for the whole fleet.
+	// instancesPerFleetReader is the number of instances for which one reader reads
+	// the store in a fleet with relays.
+	instancesPerFleetReader = 200
+	// readerDuty is the duty of the readers for the whole fleet. Followed by a zone it
+	// is the duty of the zone's relays.
 	readerDuty = "reader of "
 )
 
@@ -176,20 +179,28 @@
 	return len(addresses) > 0 && addresses[0] == ""
 }
 
-// readers returns the addresses of the instances that read changes from the store
-// for the others, followed by those that replace failed readers, and the number of
-// readers. In a large fleet each zone has its own readers, so that changes cross
-// into a zone once. While this instance has no exchange address, it returns none.
-func (r *dutyRanking) readers() ([]string, int) {
-	duty := readerDuty
-	if r.members.LiveCount() > followersPerReader {
-		duty += r.members.Self.Zone
+// changeSources returns the instances from which this one gets changes of the store.
+// In a large fleet the relays of each zone get them from a few readers for the whole
+// fleet, and the others from the relays of their zone: the calls to the store do not
+// grow with the zones, and changes cross into a zone once. While this instance has no
+// exchange address, it returns none.
+func (r *dutyRanking) changeSources() feed.Sources {
+	readers := r.rankedAddresses(readerDuty)
+	if !slices.Contains(readers, "") {
+		return feed.Sources{}
 	}
-	addresses := r.rankedAddresses(duty)
-	if !slices.Contains(addresses, "") {
-		return nil, 0
+	if len(readers) <= followersPerReader {
+		return feed.Sources{Addresses: readers, Count: 1}
+	}
+	readerCount := 1 + len(readers)/instancesPerFleetReader
+	relays := r.rankedAddresses(readerDuty + r.members.Self.Zone)
+	relayCount := 1 + len(relays)/followersPerReader
+	isReader := slices.Contains(readers[:readerCount], "")
+	isRelay := !isReader && slices.Contains(relays[:min(relayCount, len(relays))], "")
+	if isReader || isRelay {
+		return feed.Sources{Addresses: readers, Count: readerCount, IsRelay: isRelay}
 	}
-	return addresses, 1 + len(addresses)/followersPerReader
+	return feed.Sources{Addresses: relays, Count: relayCount}
 }
 
 // rankedAddresses returns the exchange addresses of the instances that are eligible
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -1,7 +1,8 @@
-// Package feed reduces the load on the object store: in each availability zone
-// a few instances (the readers) read changes from the store and pass them on to
-// the others by long polling. An instance that gets no answer from a reader
-// reads the store itself, so correctness never depends on another instance.
+// Package feed reduces the load on the object store: a few instances (the readers)
+// read changes from the store and pass them on to the others by long polling, in a
+// large fleet through relays, a few in each availability zone. An instance that gets
+// no answer from a reader or relay reads the store itself, so correctness never
+// depends on another instance.
 package feed
 
 import (
@@ -24,6 +25,9 @@
 	// maxPollWait is how long a reader holds a long poll without changes. The
 	// age of a configuration proof grows by up to twice this time.
 	maxPollWait = 400 * time.Millisecond
+	// relayPollWait is how long a relay waits for changes. It is shorter, because the
+	// ages that it passes on grow by it for a whole zone.
+	relayPollWait = 200 * time.Millisecond
 	// responseTimeout bounds a long poll beyond maxPollWait. Instances are
 	// milliseconds apart, but small ones answer late under load.
 	responseTimeout = 250 * time.Millisecond
@@ -61,6 +65,17 @@
 	FetchChanges(ctx context.Context, address string, body peer.StoreChangesBody) (peer.StoreChangesResponse, error)
 }
 
+// Sources are the instances from which an instance gets changes.
+type Sources struct {
+	// Addresses in order of preference: the first Count are used, and the others
+	// replace those that fail. The address of this instance is empty: it reads the
+	// store if it is among the first Count.
+	Addresses []string
+	Count     int
+	// IsRelay is set if this instance passes changes on and the sources are readers.
+	IsRelay bool
+}
+
 // Feed fetches changes from a reader, or serves them to other instances if this
 // instance reads the store. Its methods may be called concurrently.
 type Feed struct {
@@ -70,10 +85,8 @@
 	CacheDirectories CacheDirectories // nil if there are no cache stores
 	Proofs           ConfigurationProofs
 	StoreHealth      *follow.StoreHealth
-	// Readers returns the addresses of the instances of the own zone in order
-	// of preference: the first count are the readers, the others replace
-	// readers that fail. The address of this instance is empty.
-	Readers func() (addresses []string, count int)
+	// Sources returns the instances from which this one gets changes.
+	Sources func() Sources
 	// ReaderOffset selects the reader to try first, so that the instances are
 	// distributed over the readers.
 	ReaderOffset uint64
@@ -83,7 +96,9 @@
 
 	readerKnown   atomic.Bool  // a reader has sent all kinds, or this instance is a reader
 	usesPeer      atomic.Bool  // this instance fetches changes from a reader
+	isRelay       atomic.Bool  // the sources of this instance are readers
 	lastRequestAt atomic.Int64 // time since boot of the last request of another instance; zero: none
+	lastRelayAt   atomic.Int64 // the same for requests of relays, which need a reader
 
 	unresponsive peer.Backoff // readers that failed to answer
 
@@ -92,8 +107,11 @@
 }
 
 // FedByPeer reports whether another instance sends the changes to this one, and
-// no instance requests changes from this one.
-func (f *Feed) FedByPeer() bool { return f.usesPeer.Load() && !f.hasRecentRequest() }
+// no instance requests changes from this one that it must read itself. A relay passes
+// on what it gets, except to other relays: otherwise relays could wait for each other.
+func (f *Feed) FedByPeer() bool {
+	return f.usesPeer.Load() && !f.isRecent(&f.lastRelayAt) && (f.isRelay.Load() || !f.isRecent(&f.lastRequestAt))
+}
 
 // ReaderKnown reports whether it is known who reads the store for this
 // instance: a reader has sent all kinds, or this instance is a reader. Once
@@ -104,10 +122,9 @@
 // for others.
 func (f *Feed) ReadsStore() bool { return !f.FedByPeer() }
 
-// hasRecentRequest reports whether another instance requested changes within
-// readLease.
-func (f *Feed) hasRecentRequest() bool {
-	at := f.lastRequestAt.Load()
+// isRecent reports whether the time of a request is within readLease.
+func (f *Feed) isRecent(request *atomic.Int64) bool {
+	at := request.Load()
 	return at > 0 && f.Clock.Elapsed()-time.Duration(at) < readLease
 }
 
@@ -137,8 +154,9 @@
 // this instance must read the store. A reader that has lost the store tries the
 // next instance in order, which may still reach it.
 func (f *Feed) reader() string {
-	addresses, count := f.Readers()
-	count = min(count, len(addresses))
+	sources := f.Sources()
+	f.isRelay.Store(sources.IsRelay)
+	addresses, count := sources.Addresses, min(sources.Count, len(sources.Addresses))
 	lost := f.StoreHealth.IsLost()
 	if slices.Contains(addresses[:count], "") && !lost {
 		f.readerKnown.Store(true)
@@ -175,6 +193,9 @@
 // never makes data look younger than it is.
 func (f *Feed) fetch(ctx context.Context, reader string) error {
 	body := peer.StoreChangesBody{AfterRevisions: make(map[string]uint64, len(f.Followers)), WaitMillis: maxPollWait.Milliseconds()}
+	if f.isRelay.Load() {
+		body.FromRelay, body.WaitMillis = true, relayPollWait.Milliseconds()
+	}
 	for kind, follower := range f.Followers {
 		if state := follower.SyncState(); state.IsSynced {
 			body.AfterRevisions[kind] = state.Revision
@@ -232,6 +253,9 @@
 // always nil.
 func (f *Feed) ServeChanges(ctx context.Context, body peer.StoreChangesBody) (peer.StoreChangesResponse, error) {
 	f.lastRequestAt.Store(int64(f.Clock.Elapsed()))
+	if body.FromRelay {
+		f.lastRelayAt.Store(int64(f.Clock.Elapsed()))
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(fromMillis(body.WaitMillis), maxPollWait))
 	defer cancel()
 	for {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -177,6 +177,32 @@
 
 // startFleet starts n instances. The first one is the reader.
 func startFleet(t *testing.T, n int) *fleet {
+	return startFleetWithSources(t, n, func(i int) Sources { return Sources{Addresses: addressesSeenBy(i, n), Count: 1} })
+}
+
+// addressesSeenBy returns the addresses of n instances, that of instance i empty.
+func addressesSeenBy(i, n int) []string {
+	var addresses []string
+	for j := range n {
+		addresses = append(addresses, fmt.Sprint(j))
+	}
+	addresses[i] = ""
+	return addresses
+}
+
+// startFleetWithRelays starts n instances. The first one is the reader, the next two
+// are relays, and the others get changes from these.
+func startFleetWithRelays(t *testing.T, n int) *fleet {
+	return startFleetWithSources(t, n, func(i int) Sources {
+		addresses := addressesSeenBy(i, n)
+		if i <= 2 {
+			return Sources{Addresses: addresses, Count: 1, IsRelay: i > 0}
+		}
+		return Sources{Addresses: addresses[1:], Count: 2}
+	})
+}
+
+func startFleetWithSources(t *testing.T, n int, sources func(i int) Sources) *fleet {
 	f := &fleet{t: t, store: &fakeStore{changed: make(chan struct{})}}
 	system := clock.System{}
 	for i := range n {
@@ -184,14 +210,7 @@
 		link := &follow.StoreHealth{Clock: system, Log: discardLog}
 		x.feed = &Feed{
 			Proofs: x.proofs, StoreHealth: link, PeerClient: x, Clock: system, Log: discardLog, ReaderOffset: uint64(i),
-			Readers: func() ([]string, int) {
-				var addresses []string
-				for j := range n {
-					addresses = append(addresses, fmt.Sprint(j))
-				}
-				addresses[i] = ""
-				return addresses, 1
-			},
+			Sources: func() Sources { return sources(i) },
 		}
 		x.feed.Followers = map[string]*follow.Follower{kind: {
 			Store: f.store, Kind: kind, Replace: x.replace, Apply: x.apply, FedByPeer: x.feed.FedByPeer, MaxViewAge: maxAge,
@@ -232,6 +251,42 @@
 	assert.Assert(t, calls <= 30, "%d calls for 10 pairs of changes and 6 instances", calls)
 }
 
+// Relays must not call the store, or the number of calls grows with the zones. Their
+// followers must still see every change.
+func TestRelaysDoNotReadTheStore(t *testing.T) {
+	f := startFleetWithRelays(t, 8)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.waitForValue("a", "1", testTimeout)
+	}
+	time.Sleep(readLease / 2) // relays have been asked for changes
+	before := f.store.calls.Load()
+	for i := range 10 {
+		f.store.put("a", fmt.Sprint(i), false)
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, x := range f.instances {
+		x.waitForValue("a", "9", testTimeout)
+	}
+	calls := f.store.calls.Load() - before
+	assert.Assert(t, calls <= 20, "%d calls for 10 changes and one reader", calls)
+}
+
+// If the reader stops answering its relays, one of them must read the store: relays
+// must not wait for each other while the views of whole zones become old.
+func TestRelaysReplaceTheReader(t *testing.T) {
+	f := startFleetWithRelays(t, 8)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.waitForValue("a", "1", testTimeout)
+	}
+	f.down.Store("0", true)
+	f.store.put("a", "2", false)
+	for _, x := range f.instances[1:] {
+		x.waitForValue("a", "2", maxAge+2*(maxPollWait+responseTimeout))
+	}
+}
+
 // If the reader stops answering, the other instances must switch to another
 // source of changes before their views become too old.
 func TestUnresponsiveReaderIsReplaced(t *testing.T) {
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -16,6 +16,9 @@
 	// CachePositions has the position that the sender has reached in each store of
 	// cached parts, by address.
 	CachePositions map[string]CachePosition `cbor:"caches,omitempty"`
+	// FromRelay is set if the sender passes the changes on to others. The peer must
+	// then read the store itself.
+	FromRelay bool `cbor:"relay,omitempty"`
 }
 
 // CachePosition is a position in the event stream of a store of cached parts.
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -131,6 +131,12 @@
 	return nil, 0
 }
 
+// SetList replaces the list of live instances.
+func (m *Members) SetList(members []Member) {
+	_, generation := m.ListWithGeneration()
+	m.list.Store(&memberList{members: members, generation: generation + 1})
+}
+
 // SetExchangeAddress sets the address at which this instance serves requests of
 // others, and makes Run write it to the store. An empty address means none.
 func (m *Members) SetExchangeAddress(address string) {
@@ -263,8 +269,7 @@
 			delete(m.lastChanges, name)
 		}
 	}
-	_, generation := m.ListWithGeneration()
-	m.list.Store(&memberList{members: members, generation: generation + 1})
+	m.SetList(members)
 	live := int64(len(members))
 	if before := m.liveCount.Swap(live); before != live {
 		m.Log.Info("instances that share limits", "instances", live, "before", before)
