pkg/rollout, pkg/state: hold the lease for orders only while there is something to order

Each first start read its own entry before it created it, and each restarted instance read all of the store. Change: an instance acquires the lease when engines are outdated, the first of a ranking at once, the others 400 ms later each. A holder none of whose orders can still have an effect releases it as settled; the next one then needs no pause. If a holder died, one of the first three notices within 15 s. A restarted instance waits up to 700 ms for a reader of the store.

--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -20,6 +20,9 @@
 	Instance string `json:"instance"`
 	Fence    uint64 `json:"fence"` // fencing token; rises with each new holder
 	Nonce    string `json:"nonce"` // identifies the writer's own write when its response was lost
+	// Settled is set after a release if no action of the last holder can still have an
+	// effect.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Lease is a lock in the object store that at most one instance holds at a
@@ -42,6 +45,7 @@
 	seenAt       time.Duration // when that version was first seen
 	tookOver     bool          // the previous holder did not release the lease
 	takeoverWait time.Duration // see TakeoverWait
+	afterSettled bool          // see AfterSettled
 	// mustReadFresh is set after a failed write, which may have named an old
 	// version: a stale read could return that version again.
 	mustReadFresh bool
@@ -67,9 +71,19 @@
 // release it, in which case orders of that holder may still be in transit.
 func (l *Lease) TookOver() bool { return l.tookOver }
 
+// AfterSettled reports whether the lease was acquired when no action of an earlier
+// holder could still have an effect: it was never held, or released as settled.
+func (l *Lease) AfterSettled() bool { return l.afterSettled }
+
 // Reconcile renews the lease, or acquires it if it is free or expired. A nil
 // error does not mean that the lease is held; check Held.
-func (l *Lease) Reconcile(ctx context.Context) error {
+func (l *Lease) Reconcile(ctx context.Context) error { return l.reconcile(ctx, true) }
+
+// ReconcileUnsettled is Reconcile, but leaves the lease alone if nobody holds it and it
+// is settled.
+func (l *Lease) ReconcileUnsettled(ctx context.Context) error { return l.reconcile(ctx, false) }
+
+func (l *Lease) reconcile(ctx context.Context, acquireSettled bool) error {
 	if l.Held() && l.version > 0 {
 		err := l.write(ctx, leaseRecord{Fence: l.fence}, l.version, l.tookOver)
 		if !objectstore.IsKind(err, objectstore.KindConflict) {
@@ -85,6 +99,10 @@
 	l.mustReadFresh = false
 	object, err := l.Store.Get(read, kindLease, l.Name)
 	if objectstore.IsKind(err, objectstore.KindNotFound) {
+		if !acquireSettled {
+			return nil
+		}
+		l.afterSettled = true
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
 	}
 	if err != nil {
@@ -103,6 +121,12 @@
 	switch {
 	case record.Holder == l.Incarnation:
 		return l.write(ctx, leaseRecord{Fence: record.Fence}, object.Version, l.tookOver)
+	case record.Holder == "" && record.Settled && !acquireSettled:
+		l.expires = 0
+		return nil
+	}
+	l.afterSettled = record.Holder == "" && record.Settled
+	switch {
 	case record.Holder == "":
 		return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, false)
 	case l.Clock.Elapsed()-l.seenAt > l.Duration+l.Guard:
@@ -162,12 +186,19 @@
 
 // Release gives up the lease, so that the next holder need not wait for its
 // expiry. It does nothing if the lease is not held.
-func (l *Lease) Release(ctx context.Context) error {
+func (l *Lease) Release(ctx context.Context) error { return l.release(ctx, false) }
+
+// ReleaseSettled is Release by a holder none of whose actions, nor those of earlier
+// holders, can still have an effect.
+func (l *Lease) ReleaseSettled(ctx context.Context) error { return l.release(ctx, true) }
+
+func (l *Lease) release(ctx context.Context, settled bool) error {
 	if !l.Held() {
 		return nil
 	}
 	l.expires = 0
-	value, err := json.Marshal(leaseRecord{Fence: l.fence})
+	l.mustReadFresh = true
+	value, err := json.Marshal(leaseRecord{Fence: l.fence, Settled: settled})
 	if err != nil {
 		return err
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -51,13 +51,13 @@
 	// the whole system until the readers of the store are known, and
 	// readerKnownCheckInterval is the time between checks. The entries of the
 	// instances are in the store after two seconds, and requests arrive after ten.
-	readerKnownTimeout       = 3500 * time.Millisecond
-	readerKnownCheckInterval = 50 * time.Millisecond
-	// ordersDuty is the duty of the instance that should acquire the orders lease
-	// at the first start. orderLeaseDelay is how long the others wait before they
-	// try to acquire it.
-	ordersDuty      = "orders"
-	orderLeaseDelay = 2 * time.Second
+	// restartReaderKnownTimeout replaces it for a single instance that starts again,
+	// which callers wait for.
+	readerKnownTimeout        = 3500 * time.Millisecond
+	restartReaderKnownTimeout = 700 * time.Millisecond
+	readerKnownCheckInterval  = 50 * time.Millisecond
+	// ordersDuty is the duty of the instance that should acquire the orders lease.
+	ordersDuty = "orders"
 	// membersTimeout is how long an instance stays not ready at most because it
 	// has no list of the instances that share the limits with it.
 	membersTimeout = 3 * time.Second
@@ -211,7 +211,7 @@
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
 			Duration: rollout.LeaseDuration, Guard: leaseGuard,
 		},
-		Clock: d.clock, Source: d.targets, Client: p.OrderClient, Holder: s.Instance, HandoverPause: s.OrderHandoverPause, InstanceCount: d.members.LiveCount, Log: log,
+		Clock: d.clock, Source: d.targets, Client: p.OrderClient, Holder: s.Instance, HandoverPause: s.OrderHandoverPause, InstanceCount: d.members.LiveCount, Rank: func() int { return d.ranking.rank(ordersDuty) }, Log: log,
 	}
 	d.cacheDirectories = &cachedir.Set{Client: p.CacheEventClient, Addresses: d.cacheStoreAddresses, InstanceCount: d.members.LiveCount, FedByPeer: d.feed.FedByPeer, Clock: d.clock, Log: log}
 	d.feed.CacheDirectories = d.cacheDirectories
@@ -309,29 +309,25 @@
 	}
 }
 
-// whenReaderKnown delays a controller at the first start of the whole system
-// until it is known whether another instance reads the store for this one, or
-// until readerKnownTimeout. Otherwise all instances would read the store at once.
+// whenReaderKnown delays a controller until it is known whether another instance reads
+// the store for this one, or until a timeout. Otherwise each instance that starts would
+// read all of the store itself.
 func (d *Daemon) whenReaderKnown(run func(context.Context)) func(context.Context) {
-	if s := d.settings(); !s.FirstStart || s.ExchangeListen == "" {
+	s := d.settings()
+	if s.ExchangeListen == "" {
 		return run
 	}
+	timeout := readerKnownTimeout
+	if !s.FirstStart {
+		timeout = restartReaderKnownTimeout
+	}
 	return func(ctx context.Context) {
-		for !d.feed.ReaderKnown() && d.clock.Elapsed()-d.startedAt < readerKnownTimeout && clock.Sleep(ctx, readerKnownCheckInterval) {
+		for !d.feed.ReaderKnown() && d.clock.Elapsed()-d.startedAt < timeout && clock.Sleep(ctx, readerKnownCheckInterval) {
 		}
 		run(ctx)
 	}
 }
 
-// runRollout runs the rollout controller. When all instances start together, only
-// the first for ordersDuty tries to acquire the lease at once.
-func (d *Daemon) runRollout(ctx context.Context) {
-	if d.settings().FirstStart && !d.ranking.isFirst(ordersDuty) {
-		clock.Sleep(ctx, orderLeaseDelay)
-	}
-	d.rollout.Run(ctx)
-}
-
 // targetWatchPause returns the pause between watches of targets in the store.
 func (d *Daemon) targetWatchPause() time.Duration {
 	s := d.settings()
@@ -399,7 +395,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.runRollout), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -179,6 +179,12 @@
 	return len(addresses) > 0 && addresses[0] == ""
 }
 
+// rank returns the place of this instance in the order for a duty, from zero. It is zero
+// if the order is not known.
+func (r *dutyRanking) rank(duty string) int {
+	return max(0, slices.Index(r.rankedAddresses(duty), ""))
+}
+
 // changeSources returns the instances from which this one gets changes of the store.
 // In a large fleet the relays of each zone get them from a few readers for the whole
 // fleet, and the others from the relays of their zone: the calls to the store do not
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -25,9 +25,16 @@
 	renewInterval = 500 * time.Millisecond
 	// standbyInterval is the time between attempts of another instance to acquire
 	// the lease, with fewer than 2*standbyInstances instances. With more, it grows
-	// with their number.
+	// with their number, but not for the first firstRanks.
 	standbyInterval  = 500 * time.Millisecond
 	standbyInstances = 8
+	firstRanks       = 3
+	// rankDelay is multiplied by the rank of an instance to get the time after the
+	// first target was outdated in which it leaves the lease to those before it.
+	rankDelay = 400 * time.Millisecond
+	// lingerTime is how long after the last outdated target, or its start, one of the
+	// firstRanks checks that no holder has died without a release.
+	lingerTime = 15 * time.Second
 	// pollInterval is the time between checks of the targets while some are
 	// outdated.
 	pollInterval = 150 * time.Millisecond
@@ -95,7 +102,9 @@
 }
 
 // Controller orders outdated engines to load the newest weights while its
-// instance holds the lease. Fields must be set before Run.
+// instance holds the lease. It acquires the lease when there are outdated engines, and
+// releases it once none of its orders can still have an effect. Fields must be set
+// before Run.
 type Controller struct {
 	Lease         *control.Lease
 	Clock         clock.Clock
@@ -106,12 +115,18 @@
 	// InstanceCount returns the number of instances that compete for the lease;
 	// nil means one.
 	InstanceCount func() int
-	Log           hclog.Logger
+	// Rank returns the place of this instance in the order in which instances acquire
+	// the lease; nil means the first.
+	Rank func() int
+	Log  hclog.Logger
 
 	holdsLease    bool
 	noOrdersUntil time.Duration
 	renewedAt     time.Duration
 	openOrders    map[string]*openOrder
+	outdatedSince time.Duration // zero while no engine is outdated
+	lastOutdated  time.Duration // when one was last, or the start
+	settledFrom   time.Duration // from when no order can still have an effect, while none is sent
 }
 
 // openOrder is the last order to a target, or an attempt at one. Nothing is sent
@@ -134,19 +149,29 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, r.reconcile(ctx))
 	}
-	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
-	defer cancel()
-	if err := r.Lease.Release(release); err != nil {
-		r.Log.Warn("lease for orders not released; it ends by itself", "after", LeaseDuration, "cause", err)
-	}
+	r.release(context.WithoutCancel(ctx))
 }
 
-// reconcile renews the lease if it is due, sends orders, and returns the time
-// until the next call.
+// reconcile acquires or renews the lease if it is needed, sends orders, and returns the
+// time until the next call.
 func (r *Controller) reconcile(ctx context.Context) time.Duration {
 	now := r.Clock.Elapsed()
+	r.observeOutdated(now)
+	if !r.holdsLease {
+		if wait := r.timeUntilStandby(now); wait > 0 {
+			return wait
+		}
+	}
+	if r.holdsLease && r.outdatedSince == 0 && now >= max(r.settledFrom, r.noOrdersUntil) && r.Lease.Held() {
+		r.release(ctx)
+		return pollInterval
+	}
 	if !r.holdsLease || now-r.renewedAt >= renewInterval || !r.Lease.Held() {
-		if err := r.Lease.Reconcile(ctx); err != nil && ctx.Err() == nil {
+		reconcile := r.Lease.Reconcile
+		if r.outdatedSince == 0 && !r.holdsLease {
+			reconcile = r.Lease.ReconcileUnsettled
+		}
+		if err := reconcile(ctx); err != nil && ctx.Err() == nil {
 			r.Log.Debug("lease for orders not acquired or renewed; the next round tries again", "cause", err)
 		}
 		r.renewedAt = r.Clock.Elapsed()
@@ -156,17 +181,21 @@
 			r.Log.Warn("lease for orders lost", "fence", r.Lease.Fence())
 		}
 		r.holdsLease = false
+		if r.rank() < firstRanks {
+			return clock.Jitter(standbyInterval)
+		}
 		return clock.Jitter(standbyInterval * time.Duration(max(1, r.instanceCount()/standbyInstances)))
 	}
 	if !r.holdsLease {
 		r.holdsLease = true
 		clear(r.openOrders)
 		r.noOrdersUntil = 0
-		if r.Lease.Fence() > 1 {
+		if !r.Lease.AfterSettled() {
 			// The previous holder may have sent orders until its lease expired.
-			r.noOrdersUntil = r.Clock.Elapsed() + LeaseDuration + r.HandoverPause + handoverMargin - r.Lease.TakeoverWait()
+			r.noOrdersUntil = r.Clock.Elapsed() + r.effectTime() - r.Lease.TakeoverWait()
 		}
-		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "first_order_in", r.noOrdersUntil-r.Clock.Elapsed())
+		r.settledFrom = r.Clock.Elapsed()
+		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "first_order_in", r.noOrdersUntil-r.Clock.Elapsed())
 	}
 	if r.Clock.Elapsed() < r.noOrdersUntil {
 		return pollInterval
@@ -177,6 +206,66 @@
 	return pollInterval
 }
 
+// effectTime returns the time after which another holder may send orders.
+func (r *Controller) effectTime() time.Duration {
+	return LeaseDuration + r.HandoverPause + handoverMargin
+}
+
+// observeOutdated records since when engines are outdated.
+func (r *Controller) observeOutdated(now time.Duration) {
+	outdated := false
+	r.Source.ForEachPool(func(_ string, targets []*target.Target) {
+		outdated = outdated || slices.ContainsFunc(targets, func(t *target.Target) bool {
+			return t.IsEngine && !t.Leaving && target.IsNewerVersion(r.Source.NewestVersion(t.Model), t.WeightVersion)
+		})
+	})
+	switch {
+	case !outdated:
+		r.outdatedSince = 0
+	case r.outdatedSince == 0:
+		r.outdatedSince = now
+	}
+	if outdated || r.lastOutdated == 0 {
+		r.lastOutdated = now
+	}
+}
+
+// timeUntilStandby returns the time until this instance should try to acquire the
+// lease, or to take it over from a holder that has died; zero or less if it should now.
+func (r *Controller) timeUntilStandby(now time.Duration) time.Duration {
+	switch {
+	case r.outdatedSince > 0:
+		return min(pollInterval, r.outdatedSince+time.Duration(r.rank())*rankDelay-now)
+	case r.rank() < firstRanks && now-r.lastOutdated < lingerTime:
+		return 0
+	}
+	return pollInterval
+}
+
+func (r *Controller) rank() int {
+	if r.Rank == nil {
+		return 0
+	}
+	return r.Rank()
+}
+
+// release gives the lease up. It is settled if no order can still have an effect.
+func (r *Controller) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	release, now := r.Lease.Release, r.Clock.Elapsed()
+	settled := now >= max(r.settledFrom, r.noOrdersUntil)
+	if settled {
+		release = r.Lease.ReleaseSettled
+	}
+	if err := release(ctx); err != nil {
+		r.Log.Warn("lease for orders not released; it ends by itself", "after", LeaseDuration, "cause", err)
+	} else if r.holdsLease {
+		r.Log.Info("lease for orders released", "fence", r.Lease.Fence(), "settled", settled)
+	}
+	r.holdsLease = false
+}
+
 func (r *Controller) instanceCount() int {
 	if r.InstanceCount == nil {
 		return 1
@@ -235,6 +324,7 @@
 	}
 	group.Wait()
 	loading, now := 0, r.Clock.Elapsed()
+	r.settledFrom = now + r.effectTime()
 	for n, o := range outcomes {
 		if o.nextCheckAt == 0 {
 			delete(r.openOrders, batch[n].Key())
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -388,3 +388,84 @@
 		assert.Assert(t, o.target != f.list[2].ID || o.at >= start+4*time.Second, "ordered %v after the start of a pause of 4s", o.at-start)
 	}
 }
+
+// countingStore counts the calls to the store of the lease.
+type countingStore struct {
+	*leaseStore
+	calls int
+}
+
+func (s *countingStore) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
+	s.calls++
+	return s.leaseStore.Get(ctx, kind, name)
+}
+
+func (s *countingStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
+	s.calls++
+	return s.leaseStore.Create(ctx, kind, name, value)
+}
+
+func (s *countingStore) Update(ctx context.Context, kind, name string, value []byte, version uint64) (objectstore.Object, error) {
+	s.calls++
+	return s.leaseStore.Update(ctx, kind, name, value, version)
+}
+
+// All instances polled or renewed the lease all the time, although there was nothing to
+// order: 940 of 1,590 calls to the store on a quiet day with 18 instances.
+func TestLeaseCostsNoCallsWithoutOutdatedTargets(t *testing.T) {
+	f := newFleet(6)
+	store := &countingStore{leaseStore: &leaseStore{}}
+	instances := make([]*Controller, 8)
+	for n := range instances {
+		instances[n] = f.newController(store, fmt.Sprint("instance-", n))
+		instances[n].Rank = func() int { return n }
+	}
+	f.simulate(t, lingerTime+time.Second, instances...)
+	for _, version := range []string{"2", "3"} {
+		f.newest = version
+		f.simulate(t, 12*time.Second, instances...)
+		assert.Equal(t, f.outdatedCount(), 0)
+		f.simulate(t, lingerTime+handover, instances...)
+		before := store.calls
+		f.simulate(t, time.Minute, instances...)
+		assert.Equal(t, store.calls, before, "calls without outdated targets")
+	}
+}
+
+// After a holder has released the lease as settled, another one must not wait for orders
+// that cannot have an effect any more; after one that died, it must. Otherwise rollouts
+// are late, or orders of two holders meet.
+func TestOrdersOfTwoHoldersAreApart(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		firstRuns time.Duration // after the first weights are announced
+		latest    time.Duration // of the first order of the second holder, after the second weights
+	}{
+		{"released", 20 * time.Second, time.Second},
+		{"died during the rollout", 2 * time.Second, LeaseDuration + handover + 2*time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(6)
+			store := &leaseStore{}
+			first, second := f.newController(store, "one"), f.newController(store, "two")
+			second.Rank = func() int { return 1 }
+			f.newest = "2"
+			f.simulate(t, c.firstRuns, first, second)
+			f.newest = "3"
+			announced := f.clock.Elapsed()
+			f.simulate(t, 20*time.Second, second)
+			assert.Equal(t, f.outdatedCount(), 0)
+			last, next := time.Duration(0), time.Duration(0)
+			for _, o := range f.orders {
+				switch {
+				case o.order.Holder == "one":
+					last = o.at
+				case next == 0:
+					next = o.at
+				}
+			}
+			assert.Assert(t, next-last >= handover, "orders of two holders are %v apart", next-last)
+			assert.Assert(t, next-announced <= c.latest, "the first order came %v after the announcement", next-announced)
+		})
+	}
+}
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -215,6 +215,14 @@
 	if err != nil {
 		return err
 	}
+	if m.FirstStart && m.heartbeat == 1 {
+		object, err := m.Store.Create(ctx, kindMembers, m.Self.Name, value)
+		m.version = object.Version
+		if !objectstore.IsKind(err, objectstore.KindExists) {
+			return err
+		}
+		m.version = 0
+	}
 	if m.version == 0 {
 		object, err := m.Store.Get(ctx, kindMembers, m.Self.Name)
 		if objectstore.IsKind(err, objectstore.KindNotFound) {
