pkg/rollout: instances after the first three leave the lease alone while a rollout makes progress

Change: the fourth and later ones count from the last engine that loaded, and a first start has no check for dead holders.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -211,7 +211,7 @@
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
 			Duration: rollout.LeaseDuration, Guard: leaseGuard,
 		},
-		Clock: d.clock, Source: d.targets, Client: p.OrderClient, Holder: s.Instance, HandoverPause: s.OrderHandoverPause, InstanceCount: d.members.LiveCount, Rank: func() int { return d.ranking.rank(ordersDuty) }, Log: log,
+		Clock: d.clock, Source: d.targets, Client: p.OrderClient, Holder: s.Instance, HandoverPause: s.OrderHandoverPause, InstanceCount: d.members.LiveCount, FirstStart: s.FirstStart, Rank: func() int { return d.ranking.rank(ordersDuty) }, Log: log,
 	}
 	d.cacheDirectories = &cachedir.Set{Client: p.CacheEventClient, Addresses: d.cacheStoreAddresses, InstanceCount: d.members.LiveCount, FedByPeer: d.feed.FedByPeer, Clock: d.clock, Log: log}
 	d.feed.CacheDirectories = d.cacheDirectories
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -30,8 +30,11 @@
 	standbyInstances = 8
 	firstRanks       = 3
 	// rankDelay is multiplied by the rank of an instance to get the time after the
-	// first target was outdated in which it leaves the lease to those before it.
+	// start of a rollout, or without progress of it for all but the firstRanks, in which
+	// it leaves the lease to those before it.
 	rankDelay = 400 * time.Millisecond
+	// lingerInterval is the time between these checks while no engine is outdated.
+	lingerInterval = 1500 * time.Millisecond
 	// lingerTime is how long after the last outdated target, or its start, one of the
 	// firstRanks checks that no holder has died without a release.
 	lingerTime = 15 * time.Second
@@ -115,6 +118,9 @@
 	// InstanceCount returns the number of instances that compete for the lease;
 	// nil means one.
 	InstanceCount func() int
+	// FirstStart is set if the whole system starts for the first time, so that no
+	// earlier holder exists.
+	FirstStart bool
 	// Rank returns the place of this instance in the order in which instances acquire
 	// the lease; nil means the first.
 	Rank func() int
@@ -124,8 +130,10 @@
 	noOrdersUntil time.Duration
 	renewedAt     time.Duration
 	openOrders    map[string]*openOrder
+	outdatedCount int
 	outdatedSince time.Duration // zero while no engine is outdated
-	lastOutdated  time.Duration // when one was last, or the start
+	progressAt    time.Duration // when one engine less was outdated, or outdatedSince
+	lastOutdated  time.Duration // when an engine last was outdated, or the start
 	settledFrom   time.Duration // from when no order can still have an effect, while none is sent
 }
 
@@ -162,13 +170,13 @@
 			return wait
 		}
 	}
-	if r.holdsLease && r.outdatedSince == 0 && now >= max(r.settledFrom, r.noOrdersUntil) && r.Lease.Held() {
+	if r.holdsLease && r.outdatedCount == 0 && now >= max(r.settledFrom, r.noOrdersUntil) && r.Lease.Held() {
 		r.release(ctx)
 		return pollInterval
 	}
 	if !r.holdsLease || now-r.renewedAt >= renewInterval || !r.Lease.Held() {
 		reconcile := r.Lease.Reconcile
-		if r.outdatedSince == 0 && !r.holdsLease {
+		if r.outdatedCount == 0 && !r.holdsLease {
 			reconcile = r.Lease.ReconcileUnsettled
 		}
 		if err := reconcile(ctx); err != nil && ctx.Err() == nil {
@@ -181,6 +189,9 @@
 			r.Log.Warn("lease for orders lost", "fence", r.Lease.Fence())
 		}
 		r.holdsLease = false
+		if r.outdatedCount == 0 {
+			return clock.Jitter(lingerInterval)
+		}
 		if r.rank() < firstRanks {
 			return clock.Jitter(standbyInterval)
 		}
@@ -211,31 +222,44 @@
 	return LeaseDuration + r.HandoverPause + handoverMargin
 }
 
-// observeOutdated records since when engines are outdated.
+// observeOutdated counts the outdated engines and records when the rollout made
+// progress.
 func (r *Controller) observeOutdated(now time.Duration) {
-	outdated := false
+	outdated := 0
 	r.Source.ForEachPool(func(_ string, targets []*target.Target) {
-		outdated = outdated || slices.ContainsFunc(targets, func(t *target.Target) bool {
-			return t.IsEngine && !t.Leaving && target.IsNewerVersion(r.Source.NewestVersion(t.Model), t.WeightVersion)
-		})
+		for _, t := range targets {
+			if t.IsEngine && !t.Leaving && target.IsNewerVersion(r.Source.NewestVersion(t.Model), t.WeightVersion) {
+				outdated++
+			}
+		}
 	})
 	switch {
-	case !outdated:
+	case outdated == 0:
 		r.outdatedSince = 0
 	case r.outdatedSince == 0:
-		r.outdatedSince = now
+		r.outdatedSince, r.progressAt = now, now
+	case outdated < r.outdatedCount:
+		r.progressAt = now
 	}
-	if outdated || r.lastOutdated == 0 {
+	if outdated > 0 || r.lastOutdated == 0 {
 		r.lastOutdated = now
+		if outdated == 0 && r.FirstStart {
+			r.lastOutdated = now - lingerTime
+		}
 	}
+	r.outdatedCount = outdated
 }
 
 // timeUntilStandby returns the time until this instance should try to acquire the
 // lease, or to take it over from a holder that has died; zero or less if it should now.
 func (r *Controller) timeUntilStandby(now time.Duration) time.Duration {
 	switch {
-	case r.outdatedSince > 0:
-		return min(pollInterval, r.outdatedSince+time.Duration(r.rank())*rankDelay-now)
+	case r.outdatedCount > 0:
+		from := r.progressAt
+		if r.rank() < firstRanks {
+			from = r.outdatedSince
+		}
+		return min(pollInterval, from+time.Duration(r.rank())*rankDelay-now)
 	case r.rank() < firstRanks && now-r.lastOutdated < lingerTime:
 		return 0
 	}
