--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -244,6 +245,19 @@
 	return err
 }
 
+// dropInvalidAddresses removes addresses to which nothing can be sent.
+func (m *Members) dropInvalidAddresses(member *Member) {
+	for _, address := range []*string{&member.DatagramAddress, &member.ExchangeAddress} {
+		if *address == "" {
+			continue
+		}
+		if parsed, err := netip.ParseAddrPort(*address); err != nil || parsed.Port() == 0 {
+			m.Log.Warn("address in an instance entry is not IP:PORT; it is not used", "instance", member.Name, "address", *address)
+			*address = ""
+		}
+	}
+}
+
 // updateList replaces the list with the entries that have not expired. An entry
 // expires when its version has not changed for memberExpiry on the own clock, so
 // clock skew between instances has no effect.
@@ -270,6 +284,7 @@
 			m.Log.Warn("instance entry cannot be decoded; the instance is counted without its addresses", "instance", o.Name, "revision", o.Version, "cause", err)
 		}
 		member.Name = o.Name
+		m.dropInvalidAddresses(&member)
 		members = append(members, member)
 	}
 	for name := range m.lastChanges {
