--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -17,16 +17,19 @@
 const (
 	// kindMembers is the kind of the objects that instances register with.
 	kindMembers = "lacewingwheel-instances"
-	// heartbeatInterval is the base time between heartbeats, which are writes of
-	// the own entry, and heartbeatPerInstance is added for each instance. The
-	// writes of all instances together grow slowly, to about 13 a second.
-	heartbeatInterval    = 4 * time.Second
-	heartbeatPerInstance = 65 * time.Millisecond
+	// listInterval is the base time between reads of the entries, and
+	// listPerInstance is added for each instance, so that the calls of all instances
+	// together grow slowly, to about 15 reads a second.
+	listInterval    = 4 * time.Second
+	listPerInstance = 65 * time.Millisecond
+	// readsPerHeartbeat is the number of reads for each heartbeat, which is a write of
+	// the own entry. Stale reads cost a tenth of a write.
+	readsPerHeartbeat = 2
 	// maxMissedHeartbeats is the number of heartbeats after which the entry of an
 	// instance expires, and expiryMargin the longest time that a write takes. An
 	// instance that cannot reach the store refuses requests earlier, because it
 	// cannot confirm its configuration either.
-	maxMissedHeartbeats = 3
+	maxMissedHeartbeats = 2
 	expiryMargin        = 4 * time.Second
 	// exchangeAddressWait is how long the first write of the own entry waits for
 	// the exchange address, so that one write suffices. firstStartAddressWait
@@ -39,11 +42,14 @@
 	firstStartRegistrationTime = 2200 * time.Millisecond
 )
 
-// heartbeatEvery returns the time between the heartbeats of one instance.
-func heartbeatEvery(instances int) time.Duration {
-	return heartbeatInterval + heartbeatPerInstance*time.Duration(instances)
+// listEvery returns the time between the reads of the entries by one instance.
+func listEvery(instances int) time.Duration {
+	return listInterval + listPerInstance*time.Duration(instances)
 }
 
+// heartbeatEvery returns the time between the heartbeats of one instance.
+func heartbeatEvery(instances int) time.Duration { return readsPerHeartbeat * listEvery(instances) }
+
 // memberExpiry returns the time without a heartbeat after which an entry expires.
 func memberExpiry(instances int) time.Duration {
 	return maxMissedHeartbeats*heartbeatEvery(instances) + expiryMargin
@@ -75,6 +81,7 @@
 	lastChanges     map[string]lastChange
 	version         uint64 // of the own entry; 0 if it has to be read first
 	heartbeat       uint64
+	lastWriteFailed bool // then the next read is followed by a heartbeat
 	exchangeAddress atomic.Pointer[string]
 	addressChanged  chan struct{}
 	liveCount       atomic.Int64
@@ -156,16 +163,19 @@
 		return
 	case <-registered:
 	}
-	for ctx.Err() == nil {
+	for reads := 1; ctx.Err() == nil; reads++ {
 		m.readEntries(ctx)
-		wait := heartbeatEvery(m.LiveCount())
+		wait := listEvery(m.LiveCount())
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.addressChanged:
+			reads = 0
 		case <-time.After(wait*3/4 + clock.Jitter(wait)/4):
 		}
-		m.writeAndLog(ctx)
+		if reads%readsPerHeartbeat == 0 || m.lastWriteFailed {
+			m.writeAndLog(ctx)
+		}
 	}
 }
 
@@ -191,7 +201,9 @@
 }
 
 func (m *Members) writeAndLog(ctx context.Context) {
-	if err := m.writeOwnEntry(ctx); err != nil && ctx.Err() == nil {
+	err := m.writeOwnEntry(ctx)
+	m.lastWriteFailed = err != nil
+	if err != nil && ctx.Err() == nil {
 		m.Log.Debug("own instance entry not written; the next heartbeat tries again", "cause", err)
 	}
 }
