--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -53,7 +53,7 @@
 	// instances are in the store after two seconds, and requests arrive after ten.
 	// restartReaderKnownTimeout replaces it for a single instance that starts again,
 	// which callers wait for.
-	readerKnownTimeout        = 3500 * time.Millisecond
+	readerKnownTimeout        = 6 * time.Second
 	restartReaderKnownTimeout = 700 * time.Millisecond
 	readerKnownCheckInterval  = 50 * time.Millisecond
 	// ordersDuty is the duty of the instance that should acquire the orders lease.
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -31,6 +31,10 @@
 	// responseTimeout bounds a long poll beyond maxPollWait. Instances are
 	// milliseconds apart, but small ones answer late under load.
 	responseTimeout = 250 * time.Millisecond
+	// firstResponseTimeout replaces responseTimeout until the first answer. When all
+	// instances start, they open their connections at the same time; replacing a reader
+	// that is only busy would make its substitute read the store as well.
+	firstResponseTimeout = 2500 * time.Millisecond
 	// readLease is how long an instance goes on reading the store after the
 	// last request of another instance for changes.
 	readLease = 3 * time.Second
@@ -205,7 +209,11 @@
 	}
 	body.CachePositions = f.cachePositions()
 	requestedAt := f.Clock.Elapsed()
-	pollCtx, cancel := context.WithTimeout(ctx, maxPollWait+responseTimeout)
+	timeout := maxPollWait + responseTimeout
+	if !f.ReaderKnown() {
+		timeout = firstResponseTimeout
+	}
+	pollCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := f.PeerClient.FetchChanges(pollCtx, reader, body)
 	if err != nil {
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -3,8 +3,9 @@
 import "time"
 
 // storeChangesTimeout bounds an exchange of StoreChanges. It includes the time for
-// which the peer holds the response to wait for a change.
-const storeChangesTimeout = 2 * time.Second
+// which the peer holds the response to wait for a change, and the handshakes of all
+// instances that start at the same time.
+const storeChangesTimeout = 3 * time.Second
 
 // StoreChangesBody requests the changes of the store since a position.
 type StoreChangesBody struct {
--- a/pkg/share/borrower.go
+++ b/pkg/share/borrower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	minAssignInterval       = 400 * time.Millisecond
 	assignIntervalPerBroker = 125 * time.Millisecond
 	maxAssignInterval       = 2 * time.Second
+	// firstAssignSpread is multiplied by the number of instances to get the time over
+	// which the first assignments are spread: all instances may start together, and a
+	// broker accepts a connection from each.
+	firstAssignSpread = 8 * time.Millisecond
 	// assignmentFactor is the length of an assignment in intervals. The next one
 	// replaces it; if that is late or lost, the refill goes on meanwhile.
 	assignmentFactor = 1.4
@@ -137,6 +142,9 @@
 // Run assigns the refill that this instance does not need to the brokers, at
 // intervals, until ctx ends.
 func (b *Borrower) Run(ctx context.Context) {
+	for !b.Buckets.lendingEnabled() && clock.Sleep(ctx, clock.Jitter(minAssignInterval)) {
+	}
+	clock.Sleep(ctx, rand.N(firstAssignSpread*time.Duration(max(1, b.Buckets.Instances()))))
 	interval := minAssignInterval
 	for clock.Sleep(ctx, clock.Jitter(interval)) {
 		if b.Buckets.lendingEnabled() {
