pkg/relay: comments do not keep a stalled stream

Change: only blocks with a field count as events, for the timer, the first event, the count of events and the gaps. Comments are passed on. Measured: TestCommentsDoNotKeepAStalledStream failed before (connection reset at the deadline) and passes.

--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -28,13 +28,15 @@
 	for {
 		events, err := buffer.readEvents(response.Body)
 		if len(events) > 0 {
-			markStarted()
-			idle.reset()
-			now := time.Now()
-			if ex.EventCount > 0 {
-				ex.LongestEventGap = max(ex.LongestEventGap, now.Sub(last))
+			if carriesEvent(events) {
+				markStarted()
+				idle.reset()
+				now := time.Now()
+				if ex.EventCount > 0 {
+					ex.LongestEventGap = max(ex.LongestEventGap, now.Sub(last))
+				}
+				last = now
 			}
-			last = now
 			if writeErr := f.sendEvents(ex, response, events); writeErr != nil {
 				return &failure{requestSent: true, mayHaveRun: true, reason: "the caller does not read", cause: writeErr}
 			}
@@ -74,12 +76,16 @@
 func (f *ForwardFilter) sendEvents(ex *Exchange, response *targetconn.Response, events []byte) error {
 	if !ex.HeaderSent {
 		f.sendStreamHeader(ex, response)
+	}
+	if ex.FirstEventAt.IsZero() && carriesEvent(events) {
 		ex.FirstEventAt = time.Now()
 	}
 	if _, err := ex.Writer.Write(events); err != nil {
 		return err
 	}
-	ex.EventCount += bytes.Count(events, eventEnd)
+	if carriesEvent(events) {
+		ex.EventCount += bytes.Count(events, eventEnd)
+	}
 	if id := lastEventID(events); id != "" {
 		ex.Metadata.LastEventID = id
 	}
@@ -91,6 +97,17 @@
 	ex.sendHeader(response.StatusCode)
 }
 
+// carriesEvent reports whether complete blocks of a stream have a field. Blocks of
+// comments only keep a connection open: a stalled target may send them for ever.
+func carriesEvent(blocks []byte) bool {
+	for line := range bytes.Lines(blocks) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -419,3 +421,26 @@
 		})
 	}
 }
+
+// A stalled target that sent comments now and then kept its stream until the deadline,
+// although another target could go on with it.
+func TestCommentsDoNotKeepAStalledStream(t *testing.T) {
+	stalled, other := startTarget(t, "i-1"), startTarget(t, "i-2")
+	f := newFixture(t, stalled, other)
+	f.targets[1].Zone = "zone-b" // costs more, so the first is chosen
+	stalled.SetFaults(func(int, string) platformtest.Fault {
+		return platformtest.Fault{Respond: func(conn *net.TCPConn, head string) {
+			_, err := fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\n\r\nid: 1\ndata: first\n\n", head)
+			for err == nil {
+				time.Sleep(20 * time.Millisecond)
+				_, err = io.WriteString(conn, ": still here\n\n")
+			}
+		}}
+	})
+	start := time.Now()
+	got := f.send(callerRequest{path: "/stream/resumable/"})
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, len(other.Requests()), 1, "the stream did not go on at the other target")
+	assert.Assert(t, time.Since(start) < time.Second, "the stalled stream was kept for %v", time.Since(start))
+}
