--- a/pkg/relay/failures.go
+++ b/pkg/relay/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,13 +37,18 @@
 const minRetryAfter = 20 * time.Millisecond
 
 // retryAfter returns the Retry-After for a wait, bounded by minRetryAfter and
-// the deadline of the request. It is zero after the deadline.
+// the deadline of the request. It is zero after the deadline. Where the deadline bounds
+// it, it is shortened at random by up to a quarter, so that callers that were refused
+// together do not return together.
 func retryAfter(ex *Exchange, wait time.Duration) time.Duration {
 	left := time.Until(ex.Deadline)
 	if left <= 0 {
 		return 0
 	}
-	return max(minRetryAfter, min(wait, left/retryAfterDivisor))
+	if longest := left / retryAfterDivisor; wait > longest {
+		wait = longest - rand.N(longest/4+1)
+	}
+	return max(minRetryAfter, wait)
 }
 
 // errNotRun returns an error which promises the caller that the request has not
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -115,6 +115,9 @@
 	return f
 }
 
+// avoid makes a target cost more than the others, so that requests go to these first.
+func (f *fixture) avoid(n int) { f.targets[n].Live.InFlight.Add(100) }
+
 func (f *fixture) Snapshot() *tables.Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
