pkg/feed, pkg/share: polls and assignments do not grow with the fleet

Change: the pause between two polls grows by 0.7 ms for each instance (266 ms at 295), not for relays; the interval of assignments by 12 ms, so that a broker gets about 80 a second at any size, and an instance sends 10 at most (the bound of the test before, now for both sides).

--- a/pkg/cachedir/cachedir.go
+++ b/pkg/cachedir/cachedir.go
@@ -40,7 +40,7 @@
 	maxRelayedAge = 1500 * time.Millisecond
 	// fedByPeerCheckInterval is the time between checks whether another instance
 	// still relays the changes.
-	fedByPeerCheckInterval = 400 * time.Millisecond
+	fedByPeerCheckInterval = 700 * time.Millisecond
 )
 
 // Key identifies a part. Parts with different salts must not be shared between
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -170,7 +170,7 @@
 	d.peerEndpoint = &peerEndpoint{members: d.members, registry: peer.NewRegistry(), log: log, listenPacket: net.ListenPacket}
 	d.ranking = &dutyRanking{members: d.members}
 	d.feed = &feed.Feed{
-		Sources: d.ranking.changeSources, ReaderOffset: xxhash.Sum64String(s.Instance), PeerClient: d.peerEndpoint, StoreHealth: storeHealth, Clock: d.clock, Log: log,
+		Sources: d.ranking.changeSources, InstanceCount: d.members.LiveCount, ReaderOffset: xxhash.Sum64String(s.Instance), PeerClient: d.peerEndpoint, StoreHealth: storeHealth, Clock: d.clock, Log: log,
 	}
 	d.targets = &state.Targets{
 		Store: p.Store, Kind: p.TargetKind, WatchWait: p.WatchWait(p.TargetKind), Parse: p.ParseTarget, Clock: d.clock, StoreHealth: storeHealth, Log: log, RolloutDeadline: s.MaxRolloutDelay,
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -41,9 +41,11 @@
 	// readerCheckInterval is the time between checks of an instance that reads
 	// the store itself whether it should use a reader.
 	readerCheckInterval = 100 * time.Millisecond
-	// batchInterval is the time between two polls, in which changes accumulate,
-	// so that many small changes need one request.
-	batchInterval = 60 * time.Millisecond
+	// batchInterval is the base time between two polls, in which changes accumulate,
+	// so that many small changes need one request. batchPerInstance is added for each
+	// instance: a rollout in a large fleet changes entries all the time.
+	batchInterval    = 60 * time.Millisecond
+	batchPerInstance = 700 * time.Microsecond
 )
 
 // ConfigurationProofs gives access to the proof of how current the
@@ -94,9 +96,11 @@
 	// ReaderOffset selects the reader to try first, so that the instances are
 	// distributed over the readers.
 	ReaderOffset uint64
-	PeerClient   PeerClient
-	Clock        clock.Clock
-	Log          hclog.Logger
+	// InstanceCount returns the number of instances; nil means one.
+	InstanceCount func() int
+	PeerClient    PeerClient
+	Clock         clock.Clock
+	Log           hclog.Logger
 
 	readerKnown   atomic.Bool  // a reader has sent all kinds, or this instance is a reader
 	usesPeer      atomic.Bool  // this instance fetches changes from a reader
@@ -150,10 +154,19 @@
 			f.markUnresponsive(reader, err)
 			continue
 		}
-		clock.Sleep(ctx, batchInterval)
+		clock.Sleep(ctx, f.pollPause())
 	}
 }
 
+// pollPause returns the time between two polls. Relays poll as in a small fleet, because
+// all of their zone waits for them.
+func (f *Feed) pollPause() time.Duration {
+	if f.InstanceCount == nil || f.isRelay.Load() {
+		return batchInterval
+	}
+	return batchInterval + batchPerInstance*time.Duration(f.InstanceCount())
+}
+
 // reader returns the address of the instance to fetch changes from, or "" if
 // this instance must read the store. A reader that has lost the store tries the
 // next instance in order, which may still reach it.
--- a/pkg/share/borrower.go
+++ b/pkg/share/borrower.go
@@ -22,11 +22,11 @@
 	// needed because a broker that is gone is known as such only after seconds.
 	maxBrokers = 2
 	// minAssignInterval is the shortest time between assignments, and
-	// assignIntervalPerBroker is multiplied by the number of brokers to get it, so
-	// that the messages of an instance do not grow with the fleet.
-	minAssignInterval       = 400 * time.Millisecond
-	assignIntervalPerBroker = 125 * time.Millisecond
-	maxAssignInterval       = 2 * time.Second
+	// assignIntervalPerInstance is multiplied by the number of instances to get it, so
+	// that a broker receives about 80 assignments a second in a fleet of any size.
+	minAssignInterval         = 500 * time.Millisecond
+	assignIntervalPerInstance = 12 * time.Millisecond
+	maxAssignInterval         = 5 * time.Second
 	// firstAssignSpread is multiplied by the number of instances to get the time over
 	// which the first assignments are spread: all instances may start together, and a
 	// broker accepts a connection from each.
@@ -148,21 +148,21 @@
 	interval := minAssignInterval
 	for clock.Sleep(ctx, clock.Jitter(interval)) {
 		if b.Buckets.lendingEnabled() {
-			brokers := b.assign(ctx, interval)
-			interval = assignInterval(brokers)
+			b.assign(ctx, interval)
+			interval = assignInterval(b.Buckets.Instances())
 		}
 	}
 }
 
-// assignInterval returns the time between two assignments to each of a number of
-// brokers.
-func assignInterval(brokers int) time.Duration {
-	return min(max(minAssignInterval, time.Duration(brokers)*assignIntervalPerBroker), maxAssignInterval)
+// assignInterval returns the time between two assignments of each instance to each
+// broker.
+func assignInterval(instances int) time.Duration {
+	return min(max(minAssignInterval, time.Duration(instances)*assignIntervalPerInstance), maxAssignInterval)
 }
 
 // assign passes refill and surplus tokens to the brokers for the time until the
-// next assignment and a little longer. It returns the number of brokers.
-func (b *Borrower) assign(ctx context.Context, interval time.Duration) int {
+// next assignment and a little longer.
+func (b *Borrower) assign(ctx context.Context, interval time.Duration) {
 	duration := time.Duration(assignmentFactor * float64(interval))
 	byBroker := make(map[string]map[string]Assignment)
 	for organisation, a := range b.Buckets.TakeAssignments(duration) {
@@ -185,7 +185,6 @@
 		group.Go(func() { b.send(ctx, address, assignments, duration) })
 	}
 	group.Wait()
-	return len(byBroker)
 }
 
 // send passes assignments to one broker.
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -304,10 +304,11 @@
 
 // With a message to each broker every 240 ms, idle instances of a fleet of 295 spent
 // most of their processor time on assignments.
-func TestAssignmentsOfAnInstanceDoNotGrowWithTheFleet(t *testing.T) {
-	for _, brokers := range []int{1, 4, 7, 15, 20} {
-		perSecond := float64(brokers) / assignInterval(brokers).Seconds()
-		assert.Assert(t, perSecond <= 10, "%d brokers get %.1f assignments a second from each instance", brokers, perSecond)
+func TestAssignmentsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, fleet := range []struct{ instances, brokers int }{{2, 4}, {7, 4}, {30, 5}, {79, 7}, {295, 15}, {410, 20}} {
+		interval := assignInterval(fleet.instances).Seconds()
+		assert.Assert(t, float64(fleet.brokers)/interval <= 10, "an instance of %d sends %.1f assignments a second", fleet.instances, float64(fleet.brokers)/interval)
+		assert.Assert(t, float64(fleet.instances)/interval <= 85, "a broker of %d instances gets %.1f assignments a second", fleet.instances, float64(fleet.instances)/interval)
 	}
 }
 
