test/soak: targets that say they leave, and targets that ask for a pause

Both are played with restarts, freezes, cuts and the store away. A target that says that it leaves must get no more requests than each router process had under way.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,7 +59,9 @@
 	store   *platformtest.Store
 	routers []*router
 	targets []*proxiedTarget
-	logDir  string
+	// routerStarts counts the router processes.
+	routerStarts atomic.Int64
+	logDir       string
 
 	mu          sync.Mutex
 	lastVersion int                  // of configurations and weights
@@ -74,6 +77,8 @@
 
 	mu           sync.Mutex
 	leavingSince time.Time // zero until it announces that it is leaving
+	// saysLeavingSince is when it began to say so in its responses; zero if it does not.
+	saysLeavingSince time.Time
 }
 
 // heartbeatInterval is the time between two writes of a target's entry in the
@@ -193,6 +198,7 @@
 
 // startRouter starts the process of a router and does not wait until it is ready.
 func (f *fleet) startRouter(x *router) {
+	f.routerStarts.Add(1)
 	log, err := os.OpenFile(x.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(f.t, err)
 	cmd := exec.Command(f.binary, "edge", "--node-file", x.settingsFile)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -270,6 +270,21 @@
 			f.announceLeaving(f.targets[1+r.IntN(len(f.targets)-1)])
 			return func() {}
 		}},
+		{name: "target says that it leaves", planned: true, begin: func(r *rand.Rand) func() {
+			e := f.targets[1+r.IntN(len(f.targets)-1)]
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if e.saysLeavingSince.IsZero() {
+				e.saysLeavingSince = time.Now()
+				e.SetLeaving(true)
+			}
+			return func() {}
+		}},
+		{name: "target asks for a pause", planned: true, begin: func(r *rand.Rand) func() {
+			e, pause := f.targets[r.IntN(len(f.targets))], []string{"0.3", "1", "soon", "-1"}[r.IntN(4)]
+			e.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{Refuse: true, RetryAfter: pause} })
+			return func() { e.SetFaults(nil) }
+		}},
 		{name: "settings reloaded", planned: true, begin: func(r *rand.Rand) func() {
 			anyRouter(r).signal(syscall.SIGHUP)
 			return func() {}
@@ -374,8 +389,9 @@
 	var limitedRuns []time.Time // first run of each request of the rate-limited organisation
 	for _, e := range c.fleet.targets {
 		e.mu.Lock()
-		leavingSince := e.leavingSince
+		leavingSince, saysLeavingSince := e.leavingSince, e.saysLeavingSince
 		e.mu.Unlock()
+		c.checkLeavingInResponses(e, saysLeavingSince)
 		for _, received := range e.Requests() {
 			if received.Header.Get("Authorization") != "" {
 				c.t.Errorf("request %s: target %s received the API key of the caller", received.ID, e.ID)
@@ -425,6 +441,23 @@
 	c.checkRateLimit(limitedRuns)
 }
 
+// checkLeavingInResponses checks that each router process sent a target that says that
+// it leaves no more requests than it had under way when it got the first response.
+func (c *checker) checkLeavingInResponses(e *proxiedTarget, since time.Time) {
+	if since.IsZero() {
+		return
+	}
+	late := 0
+	for _, received := range e.Requests() {
+		if received.ReceivedAt.After(since) {
+			late++
+		}
+	}
+	if most := int(c.fleet.routerStarts.Load()) * *callerCount; late > most {
+		c.t.Errorf("target %s received %d requests after it said that it leaves, at most %d were under way", e.ID, late, most)
+	}
+}
+
 // checkRateLimit checks that the requests of the rate-limited organisation stayed
 // within rate and burst in every window, over all routers.
 func (c *checker) checkRateLimit(runs []time.Time) {
