pkg/state: the first weights that are named supersede earlier ones at a known time

What was seen: after a handover the holder ordered engines past the use of their weights two at a time, as if they still served, and those whose order was lost last. Cause: the time of the first announcement that an instance learns of was kept as assumed also if the store was proven to have named none before, and engines whose end of use is assumed count as serving. Change: that time is known unless the first list had the announcement already. Log lines: a target that is busy with an order, once; no negative time to the first order. The test fails before.

--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -148,6 +148,7 @@
 	// the number of orders that the target had accepted before.
 	isUnanswered   bool
 	acceptedBefore int64
+	isBusy         bool // the target was carrying out an order at the last check
 }
 
 // Run competes for the lease and sends orders while it holds the lease, until ctx
@@ -206,7 +207,7 @@
 			r.noOrdersUntil = r.Clock.Elapsed() + r.effectTime() - r.Lease.TakeoverWait()
 		}
 		r.settledFrom = r.Clock.Elapsed()
-		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "first_order_in", r.noOrdersUntil-r.Clock.Elapsed())
+		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "first_order_in", max(0, r.noOrdersUntil-r.Clock.Elapsed()))
 	}
 	if r.Clock.Elapsed() < r.noOrdersUntil {
 		return pollInterval
@@ -436,10 +437,16 @@
 		r.Source.RecordReportedVersion(t, loaded)
 		return openOrder{}
 	}
+	last := r.openOrders[t.Key()]
 	if status.Busy {
-		return r.waitFor(pollInterval, pollInterval)
+		if last == nil || !last.isBusy {
+			r.Log.Info("target is busy with an order; its next one waits", "target", t.ID, "weights", status.Versions[t.Model], "accepted", status.AcceptedOrders)
+		}
+		o := r.waitFor(pollInterval, pollInterval)
+		o.isBusy = true
+		return o
 	}
-	if last := r.openOrders[t.Key()]; last != nil && last.isUnanswered && last.acceptedBefore == status.AcceptedOrders {
+	if last != nil && last.isUnanswered && last.acceptedBefore == status.AcceptedOrders {
 		return r.waitAfterFailure(0, 0) // ordered again when it is its turn
 	}
 	if !r.Lease.Held() || status.Notice.Leaving {
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -171,6 +171,22 @@
 	assert.Equal(t, len(targetsByID(x)), 0)
 }
 
+// The first weights that the store names supersede those before at a known time. Taken
+// for assumed, engines past the use of their weights still counted as serving, waited for
+// a place in the rollout, and were not loaded in time (weights-holder-killed-again).
+func TestFirstNamedWeightsEndTheUseOfEarlierOnesAtAKnownTime(t *testing.T) {
+	c := clock.NewFake(time.Now())
+	c.Advance(time.Hour)
+	for _, isAssumed := range []bool{false, true} {
+		x := newTargets(c)
+		x.replace([]objectstore.Object{object("a", 5, "1 1 0")})
+		x.RecordNewestVersion("m", "2", c.Elapsed(), isAssumed)
+		a := targetsByID(x)["a"]
+		assert.Equal(t, a.WeightsUsableUntil, c.Elapsed()+x.RolloutDeadline)
+		assert.Equal(t, a.WeightsUseIsAssumed, isAssumed)
+	}
+}
+
 // A target that said that it leaves got requests again when its entry still said
 // "ready", or went away and came back. Only another incarnation may get requests.
 func TestTargetThatSaidItLeavesStaysSo(t *testing.T) {
--- a/pkg/state/weightshistory.go
+++ b/pkg/state/weightshistory.go
@@ -22,9 +22,11 @@
 	newest string
 	// superseded has the earlier versions that were the newest.
 	superseded map[string]supersession
-	// assumed is used for versions without an entry, which were superseded before
-	// this process knew the model.
-	assumed time.Duration
+	// earlier is used for versions without an entry: those before the first one that
+	// this process learned of. It is known, not assumed, if the store had named none
+	// until then.
+	earlier      time.Duration
+	earlierKnown bool
 }
 
 // supersession tells that a version was superseded after a boot time.
@@ -49,7 +51,7 @@
 		if h.models == nil {
 			h.models = make(map[string]*modelHistory)
 		}
-		h.models[model] = &modelHistory{newest: version, superseded: make(map[string]supersession), assumed: before}
+		h.models[model] = &modelHistory{newest: version, superseded: make(map[string]supersession), earlier: before, earlierKnown: !isAssumed}
 		return true
 	}
 	if !target.IsNewerVersion(version, m.newest) {
@@ -74,7 +76,7 @@
 	if found && after <= known.after {
 		return 0, false
 	}
-	before = m.assumed
+	before = m.earlier
 	if found {
 		before = known.logged
 	}
@@ -104,7 +106,7 @@
 	if s, ok := m.superseded[version]; ok {
 		return s.after, false, true
 	}
-	return m.assumed, true, true
+	return m.earlier, !m.earlierKnown, true
 }
 
 // RecordNewestVersion records the newest version of a model's weights that the
