pkg/daemon, pkg/share: a restart of all serves at once again

Change: only a first start waits for readers and spreads assignments; a restarted instance waits for the length of an assignment in a fleet of its size (0.7 s at 7 instances), or until it has assigned its refill itself, at once.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -51,11 +51,8 @@
 	// the whole system until the readers of the store are known, and
 	// readerKnownCheckInterval is the time between checks. The entries of the
 	// instances are in the store after two seconds, and requests arrive after ten.
-	// restartReaderKnownTimeout replaces it for a single instance that starts again,
-	// which callers wait for.
-	readerKnownTimeout        = 6 * time.Second
-	restartReaderKnownTimeout = 700 * time.Millisecond
-	readerKnownCheckInterval  = 50 * time.Millisecond
+	readerKnownTimeout       = 6 * time.Second
+	readerKnownCheckInterval = 50 * time.Millisecond
 	// ordersDuty is the duty of the instance that should acquire the orders lease.
 	ordersDuty = "orders"
 	// membersTimeout is how long an instance stays not ready at most because it
@@ -191,9 +188,9 @@
 		Instances: d.members.KnownCount, CanLend: d.peerEndpoint.canExchange, Now: d.clock.Elapsed,
 	}
 	if !s.FirstStart {
-		d.buckets.RefillFrom = d.startedAt + share.MaxAssignment
+		d.buckets.RestartedAt = d.startedAt
 	}
-	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: d.ranking.brokers, Transfer: d.peerEndpoint, Clock: d.clock, Log: log}
+	d.borrower = &share.Borrower{Buckets: d.buckets, Brokers: d.ranking.brokers, Transfer: d.peerEndpoint, FirstStart: s.FirstStart, Clock: d.clock, Log: log}
 	d.peerEndpoint.handleQuota(d.borrower)
 	d.idleTimeout = newIdleTimeout()
 	d.configuration = &state.Configuration{
@@ -309,20 +306,16 @@
 	}
 }
 
-// whenReaderKnown delays a controller until it is known whether another instance reads
-// the store for this one, or until a timeout. Otherwise each instance that starts would
-// read all of the store itself.
+// whenReaderKnown delays a controller at the first start of the whole system
+// until it is known whether another instance reads the store for this one, or
+// until readerKnownTimeout. Otherwise all instances would read the store at once. An
+// instance that starts again does not wait, because callers wait for it.
 func (d *Daemon) whenReaderKnown(run func(context.Context)) func(context.Context) {
-	s := d.settings()
-	if s.ExchangeListen == "" {
+	if s := d.settings(); !s.FirstStart || s.ExchangeListen == "" {
 		return run
 	}
-	timeout := readerKnownTimeout
-	if !s.FirstStart {
-		timeout = restartReaderKnownTimeout
-	}
 	return func(ctx context.Context) {
-		for !d.feed.ReaderKnown() && d.clock.Elapsed()-d.startedAt < timeout && clock.Sleep(ctx, readerKnownCheckInterval) {
+		for !d.feed.ReaderKnown() && d.clock.Elapsed()-d.startedAt < readerKnownTimeout && clock.Sleep(ctx, readerKnownCheckInterval) {
 		}
 		run(ctx)
 	}
--- a/pkg/share/borrower.go
+++ b/pkg/share/borrower.go
@@ -28,19 +28,23 @@
 	assignIntervalPerInstance = 12 * time.Millisecond
 	maxAssignInterval         = 5 * time.Second
 	// firstAssignSpread is multiplied by the number of instances to get the time over
-	// which the first assignments are spread: all instances may start together, and a
-	// broker accepts a connection from each.
+	// which the first assignments are spread at a first start, when no request is
+	// expected yet: a broker accepts a connection from each instance.
 	firstAssignSpread = 8 * time.Millisecond
 	// assignmentFactor is the length of an assignment in intervals. The next one
 	// replaces it; if that is late or lost, the refill goes on meanwhile.
 	assignmentFactor = 1.4
 	// maxAssignment is the longest time for which refill is assigned.
 	maxAssignment = time.Duration(assignmentFactor * float64(maxAssignInterval))
+	// lendingCheckInterval is the time between checks at the start whether tokens can be
+	// exchanged.
+	lendingCheckInterval = 50 * time.Millisecond
 )
 
-// MaxAssignment is the longest time for which an instance assigns its refill to a
-// broker. A process that replaces another one may have to wait for as long.
-const MaxAssignment = maxAssignment
+// assignmentLength returns for how long refill is assigned.
+func assignmentLength(interval time.Duration) time.Duration {
+	return time.Duration(assignmentFactor * float64(interval))
+}
 
 // Transferer exchanges tokens with other instances.
 type Transferer interface {
@@ -61,8 +65,10 @@
 	// substitutes, in order of failover. The address of this instance is empty.
 	Brokers  func(organisation string) []string
 	Transfer Transferer
-	Clock    clock.Clock
-	Log      hclog.Logger
+	// FirstStart is set if all instances start together for the first time.
+	FirstStart bool
+	Clock      clock.Clock
+	Log        hclog.Logger
 
 	unresponsive peer.Backoff // brokers in backoff after a failed call
 }
@@ -142,15 +148,17 @@
 // Run assigns the refill that this instance does not need to the brokers, at
 // intervals, until ctx ends.
 func (b *Borrower) Run(ctx context.Context) {
-	for !b.Buckets.lendingEnabled() && clock.Sleep(ctx, clock.Jitter(minAssignInterval)) {
+	for !b.Buckets.lendingEnabled() && clock.Sleep(ctx, lendingCheckInterval) {
+	}
+	if b.FirstStart {
+		clock.Sleep(ctx, rand.N(firstAssignSpread*time.Duration(max(1, b.Buckets.Instances()))))
 	}
-	clock.Sleep(ctx, rand.N(firstAssignSpread*time.Duration(max(1, b.Buckets.Instances()))))
-	interval := minAssignInterval
-	for clock.Sleep(ctx, clock.Jitter(interval)) {
+	for ctx.Err() == nil {
+		interval := assignInterval(b.Buckets.Instances())
 		if b.Buckets.lendingEnabled() {
 			b.assign(ctx, interval)
-			interval = assignInterval(b.Buckets.Instances())
 		}
+		clock.Sleep(ctx, interval*3/4+clock.Jitter(interval)/4)
 	}
 }
 
@@ -163,7 +171,7 @@
 // assign passes refill and surplus tokens to the brokers for the time until the
 // next assignment and a little longer.
 func (b *Borrower) assign(ctx context.Context, interval time.Duration) {
-	duration := time.Duration(assignmentFactor * float64(interval))
+	duration := assignmentLength(interval)
 	byBroker := make(map[string]map[string]Assignment)
 	for organisation, a := range b.Buckets.TakeAssignments(duration) {
 		brokers := b.availableBrokers(organisation)
--- a/pkg/share/share.go
+++ b/pkg/share/share.go
@@ -63,9 +63,11 @@
 	// whole part of the capacity.
 	CanLend func() bool
 	Now     func() time.Duration // monotonic
-	// RefillFrom is when the buckets of a new process get their first tokens,
-	// unless an assignment replaces those of a previous process before.
-	RefillFrom time.Duration
+	// RestartedAt is when this process replaced another one of its instance; zero if it
+	// replaced none. Refill that the other one may have assigned is not counted again:
+	// the buckets get their first tokens after the length of an assignment, or once an
+	// assignment of this process has replaced it.
+	RestartedAt time.Duration
 
 	mu         sync.Mutex
 	buckets    map[string]*bucket
@@ -77,6 +79,8 @@
 	rate, burst float64 // over all instances, in tokens per second and tokens
 	tokens      float64 // local
 	refilledAt  time.Duration
+	// awaitsRefill is set until refill that a previous process assigned has ended.
+	awaitsRefill bool
 	// commitments are the assignments of this instance's refill. All but the last
 	// are earlier ones that the broker may still count.
 	commitments []commitment
@@ -140,7 +144,7 @@
 		if k == nil {
 			// Start empty: a previous process of this instance may just have
 			// spent a full bucket.
-			b.buckets[o.Name] = &bucket{rate: o.Rate, burst: o.Burst, refilledAt: max(now, b.RefillFrom), refills: make(map[string]peerRefill)}
+			b.buckets[o.Name] = &bucket{rate: o.Rate, burst: o.Burst, refilledAt: now, awaitsRefill: b.RestartedAt > 0, refills: make(map[string]peerRefill)}
 			continue
 		}
 		b.refill(k, now)
@@ -199,6 +203,10 @@
 // the pool.
 func (b *Buckets) refill(k *bucket, now time.Duration) {
 	rate, capacity := b.perInstance(b.refillRate(k)), b.localCapacity(k)
+	if k.awaitsRefill {
+		k.awaitsRefill = now < b.RestartedAt+assignmentLength(assignInterval(b.Instances()))
+		k.refilledAt = now
+	}
 	for k.refilledAt < now {
 		until := k.nextEnd(k.refilledAt, now)
 		gained := max(0, rate-k.givenRate(k.refilledAt)) * (until - k.refilledAt).Seconds()
@@ -349,7 +357,7 @@
 	}
 	now := b.Now()
 	b.refill(k, now)
-	k.refilledAt = now // also if the refill was due to start later
+	k.awaitsRefill = false
 	if n := len(k.commitments); n > 1 {
 		k.commitments = append(k.commitments[:0], k.commitments[n-1])
 	}
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -51,7 +51,7 @@
 		CanLend: func() bool { return true }, Now: f.clock.Elapsed,
 	}
 	if f.instances[i] != nil {
-		b.RefillFrom = f.clock.Elapsed() + MaxAssignment
+		b.RestartedAt = f.clock.Elapsed()
 	}
 	b.Configure(limit)
 	f.instances[i] = &Borrower{
@@ -321,7 +321,7 @@
 	for i := 1; i < instances; i++ {
 		f.start(i, limit(rate, rate))
 	}
-	f.clock.Advance(minAssignInterval)
+	f.clock.Advance(minAssignInterval) // shorter than the assignments of the old processes
 	for i := 1; i < instances; i++ {
 		assert.Assert(t, !f.instances[i].Buckets.Spend("one", 1), "a new process spends refill that the broker has")
 	}
@@ -340,6 +340,6 @@
 	f.assign()
 	f.clock.Advance(minAssignInterval)
 	assert.Assert(t, !f.instances[1].Buckets.Spend("one", 5_000), "refill that was assigned is spent")
-	f.clock.Advance(MaxAssignment)
+	f.clock.Advance(maxAssignment)
 	assert.Assert(t, f.instances[1].Buckets.Spend("one", 5_000), "refill is lost after the end of an assignment")
 }
