pkg/share, pkg/peer: assignments that were not sent are taken back and sent again soon

Cause: after a restart of all, connections to brokers take longer to open than the 120 ms of an assignment. Change: an error says whether any byte was sent. What was not sent is taken back and sent again after 250 ms, to the same broker.

--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -110,10 +110,10 @@
 }
 
 // Assign implements share.Transferer.
-func (x *peerEndpoint) Assign(ctx context.Context, address string, assignments map[string]share.Assignment, duration time.Duration) (received bool, err error) {
+func (x *peerEndpoint) Assign(ctx context.Context, address string, assignments map[string]share.Assignment, duration time.Duration) error {
 	transport := x.transport.Load()
 	if transport == nil {
-		return false, errNoAuthority
+		return fmt.Errorf("%w: %w", share.ErrNotSent, errNoAuthority)
 	}
 	body := peer.QuotaAssignBody{
 		Instance: x.members.Self.Name, Tokens: make(map[string]float64), Rates: make(map[string]float64), DurationMillis: duration.Milliseconds(),
@@ -121,8 +121,16 @@
 	for organisation, a := range assignments {
 		body.Tokens[organisation], body.Rates[organisation] = a.Tokens, a.Rate
 	}
-	_, err = peer.QuotaAssign.Call(ctx, transport, address, body)
-	return err == nil || peer.MayHaveRun(err), err
+	_, err := peer.QuotaAssign.Call(ctx, transport, address, body)
+	switch {
+	case err == nil:
+		return nil
+	case peer.NotSent(err):
+		return fmt.Errorf("%w: %w", share.ErrNotSent, err)
+	case !peer.MayHaveRun(err):
+		return fmt.Errorf("%w: %w", share.ErrNotAccepted, err)
+	}
+	return err
 }
 
 // handleQuota registers the handlers for requests that borrow or assign tokens.
--- a/pkg/peer/errors.go
+++ b/pkg/peer/errors.go
@@ -29,6 +29,7 @@
 	Address string
 	Message string
 	Cause   error
+	NotSent bool // no byte of the request left this process
 }
 
 // Error implements error.
@@ -59,6 +60,9 @@
 
 // MayHaveRun reports whether the peer may have run a request that failed with err.
 func MayHaveRun(err error) bool {
+	if NotSent(err) {
+		return false
+	}
 	switch KindOf(err) {
 	case KindLocal, KindUnknownType, KindUnsupportedVersion, KindBusy:
 		return false
@@ -66,6 +70,13 @@
 	return true
 }
 
+// NotSent reports whether a request failed before any of it was sent, for example while
+// the connection was being opened.
+func NotSent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.NotSent
+}
+
 // typeError is the type of error responses.
 const typeError MessageType = "error"
 
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -174,7 +174,9 @@
 func (t *Transport) exchange(ctx context.Context, address string, request []byte) (envelope, error) {
 	ref, err := t.pool.acquire(ctx, address)
 	if err != nil {
-		return envelope{}, classifyError(address, err)
+		failed := classifyError(address, err)
+		failed.NotSent = true
+		return envelope{}, failed
 	}
 	defer ref.release()
 	startedAt, received := time.Now(), ref.packetsReceived()
@@ -231,7 +233,7 @@
 }
 
 // classifyError returns err as an *Error with its kind and the address.
-func classifyError(address string, err error) error {
+func classifyError(address string, err error) *Error {
 	var known *Error
 	if errors.As(err, &known) {
 		known.Address = address
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -297,3 +297,19 @@
 	client.pool.mu.Unlock()
 	assert.Assert(t, element == nil || element.Value.(*pooledConn) != before.pooledConn, "a connection without packets for %v is still used", maxSilence)
 }
+
+// A request that failed while its connection was being opened counted as one that the peer
+// may have run, so that refill which was never assigned was given up.
+func TestRequestWithoutConnectionIsNotSent(t *testing.T) {
+	authority := certstest.NewAuthority(t)
+	identity := newIdentity(t, authority, authority.Issue("a"))
+	silent, err := net.ListenPacket("udp", anyPort) // never answers a handshake
+	assert.NilError(t, err)
+	defer silent.Close()
+	client := listen(t, anyPort, identity, NewRegistry())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = echo.Call(ctx, client, silent.LocalAddr().String(), []byte("x"))
+	assert.Equal(t, KindOf(err), KindTimeout)
+	assert.Assert(t, NotSent(err) && !MayHaveRun(err))
+}
--- a/pkg/share/borrower.go
+++ b/pkg/share/borrower.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +38,9 @@
 	assignmentFactor = 1.4
 	// maxAssignment is the longest time for which refill is assigned.
 	maxAssignment = time.Duration(assignmentFactor * float64(maxAssignInterval))
+	// connectRetryInterval replaces the interval while connections to brokers are being
+	// opened, which takes a while when many instances start.
+	connectRetryInterval = 250 * time.Millisecond
 	// lendingCheckInterval is the time between checks at the start whether tokens can be
 	// exchanged.
 	lendingCheckInterval = 50 * time.Millisecond
@@ -51,11 +56,19 @@
 	// Request borrows tokens of an organisation. The grant has all of them or
 	// none.
 	Request(ctx context.Context, address string, request quota.Request) (quota.Grant, error)
-	// Assign sends assignments, by organisation, to a broker. received is false if
-	// the broker certainly did not accept them.
-	Assign(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) (received bool, err error)
+	// Assign sends assignments, by organisation, to a broker. The error wraps
+	// ErrNotSent or ErrNotAccepted if the broker certainly did not accept them.
+	Assign(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) error
 }
 
+// Errors of Transferer.Assign.
+var (
+	// ErrNotSent means that the connection to the broker is not open yet; try again.
+	ErrNotSent = errors.New("assignment not sent")
+	// ErrNotAccepted means that the broker refused the assignment; use another one.
+	ErrNotAccepted = errors.New("assignment not accepted")
+)
+
 // Borrower spends tokens from the local buckets and borrows from the
 // organisation's broker when they do not suffice. It implements relay.Quota and
 // is safe for concurrent use.
@@ -155,8 +168,8 @@
 	}
 	for ctx.Err() == nil {
 		interval := assignInterval(b.Buckets.Instances())
-		if b.Buckets.lendingEnabled() {
-			b.assign(ctx, interval)
+		if b.Buckets.lendingEnabled() && !b.assign(ctx, interval) {
+			interval = connectRetryInterval
 		}
 		clock.Sleep(ctx, interval*3/4+clock.Jitter(interval)/4)
 	}
@@ -169,8 +182,9 @@
 }
 
 // assign passes refill and surplus tokens to the brokers for the time until the
-// next assignment and a little longer.
-func (b *Borrower) assign(ctx context.Context, interval time.Duration) {
+// next assignment and a little longer. It returns false if connections to some of them
+// are not open yet.
+func (b *Borrower) assign(ctx context.Context, interval time.Duration) bool {
 	duration := assignmentLength(interval)
 	byBroker := make(map[string]map[string]Assignment)
 	for organisation, a := range b.Buckets.TakeAssignments(duration) {
@@ -189,28 +203,37 @@
 		}
 	}
 	var group sync.WaitGroup
+	var unsent atomic.Bool
 	for address, assignments := range byBroker {
-		group.Go(func() { b.send(ctx, address, assignments, duration) })
+		group.Go(func() {
+			if errors.Is(b.send(ctx, address, assignments, duration), ErrNotSent) {
+				unsent.Store(true)
+			}
+		})
 	}
 	group.Wait()
+	return !unsent.Load()
 }
 
 // send passes assignments to one broker.
-func (b *Borrower) send(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) {
+func (b *Borrower) send(ctx context.Context, address string, assignments map[string]Assignment, duration time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, brokerTimeout)
 	defer cancel()
-	received, err := b.Transfer.Assign(call, address, assignments, duration)
+	err := b.Transfer.Assign(call, address, assignments, duration)
 	for organisation, a := range assignments {
 		switch {
 		case err == nil:
 			b.Buckets.Confirm(organisation)
-		case !received:
+		case errors.Is(err, ErrNotSent) || errors.Is(err, ErrNotAccepted):
 			b.Buckets.Revoke(organisation, a)
 		}
 	}
-	if err != nil && ctx.Err() == nil {
+	// While a connection is being opened its broker is not avoided: all instances
+	// should use the same one. The pool of connections gives a dead one up.
+	if err != nil && ctx.Err() == nil && !(errors.Is(err, ErrNotSent) && call.Err() != nil) {
 		b.recordFailure(address, err)
 	}
+	return err
 }
 
 // HandleAssignments adds what another instance gave up, by organisation, to the
--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -111,16 +111,16 @@
 	return to.HandleRequest(request), nil
 }
 
-func (c *fakeTransferer) Assign(_ context.Context, address string, assignments map[string]Assignment, duration time.Duration) (bool, error) {
+func (c *fakeTransferer) Assign(_ context.Context, address string, assignments map[string]Assignment, duration time.Duration) error {
 	to, err := c.receiver(address)
 	if err != nil {
-		return true, err
+		return err
 	}
 	to.HandleAssignments(fmt.Sprint(c.from), assignments, duration)
 	if c.fleet.lostAnswers[c.from] {
-		return true, errPartitioned
+		return errPartitioned
 	}
-	return true, nil
+	return nil
 }
 
 // limit returns the limit of one organisation named "one".
