--- a/pkg/relay/intake_test.go
+++ b/pkg/relay/intake_test.go
@@ -45,7 +45,7 @@
 	testTarget := startTarget(t, "i-1")
 	f := newFixture(t, testTarget)
 	testTarget.SetFaults(func(int, string) platformtest.Fault {
-		return platformtest.Fault{BytesBefore: "HTTP/1.1 503 Service Unavailable\r\nLacewingwheel-Request-Id: another\r\nLacewingwheel-Not-Executed: 1\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"}
+		return platformtest.Fault{BytesBefore: "HTTP/1.1 503 Service Unavailable\r\n" + platformtest.HeaderRequestID + ": another\r\n" + platformtest.HeaderNotRun + ": 1\r\nServer-Leaving: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n"}
 	})
 	for range 2 {
 		got := f.send(callerRequest{path: "/once/"})
@@ -132,7 +132,7 @@
 // The caller was told that its request had not run, or it ran at a second target.
 func TestRepeatedRefusalOfAnEarlierRequestIsNoRefusal(t *testing.T) {
 	refusal := func(id string) string {
-		return "HTTP/1.1 503 Service Unavailable\r\nLacewingwheel-Request-Id: " + id + "\r\nLacewingwheel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + platformtest.HeaderRequestID + ": " + id + "\r\n" + platformtest.HeaderNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	for _, c := range []struct {
 		name  string
