pkg/share tests: attempts as often as before, assignments as rare as in a fleet of that size

A last reading found that the tests on limits had lost strictness when assignments replaced deposits: callers of 79 instances tried every 500 ms instead of 240, and assignments came every 250 to 500 ms, where such a fleet has 948 ms between them. Change: 240 ms again, and the interval of the fleet's size.

--- a/pkg/share/share_test.go
+++ b/pkg/share/share_test.go
@@ -72,7 +72,7 @@
 
 // idle advances the clock without spending; instances assign at each interval.
 func (f *fleet) idle(d time.Duration) {
-	for end := f.clock.Elapsed() + d; f.clock.Elapsed() < end; f.clock.Advance(minAssignInterval) {
+	for end := f.clock.Elapsed() + d; f.clock.Elapsed() < end; f.clock.Advance(f.interval()) {
 		f.assign()
 	}
 }
@@ -80,10 +80,13 @@
 // assign makes all instances assign their refill once.
 func (f *fleet) assign() {
 	for _, b := range f.instances {
-		b.assign(context.Background(), minAssignInterval)
+		b.assign(context.Background(), f.interval())
 	}
 }
 
+// interval returns the time between two assignments in a fleet of this size.
+func (f *fleet) interval() time.Duration { return assignInterval(len(f.instances)) }
+
 // fakeTransferer is the Transferer of one instance of a fleet.
 type fakeTransferer struct {
 	fleet *fleet
@@ -202,6 +205,8 @@
 	f := newFleet(instances, limit(29_000, 29_000))
 	f.idle(20 * time.Second)
 	start := f.clock.Elapsed()
+	const step = 240 * time.Millisecond // between the attempts of all callers
+	nextAssignment := start
 	sum, within := 0.0, maxSpend(29_000, 29_000, 8*time.Second)
 	for f.clock.Elapsed()-start < 8*time.Second {
 		for _, b := range f.instances {
@@ -209,8 +214,11 @@
 				sum += tokens
 			}
 		}
-		f.assign()
-		f.clock.Advance(minAssignInterval)
+		if f.clock.Elapsed() >= nextAssignment {
+			f.assign()
+			nextAssignment += f.interval()
+		}
+		f.clock.Advance(step)
 	}
 	assert.Assert(t, sum <= within, "%.0f tokens were admitted, the limit is %.0f", sum, within)
 	assert.Assert(t, sum >= 8*29_000, "only %.0f of %d tokens within the rate were admitted", sum, 8*29_000)
@@ -230,7 +238,7 @@
 		if step == 200 {
 			f.partitioned[0] = true
 		}
-		if step%5 == 0 {
+		if time.Duration(step)*50*time.Millisecond%f.interval().Round(50*time.Millisecond) == 0 {
 			f.assign()
 		}
 		at = (at + 1) % 5
