--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -40,6 +40,11 @@
 
 // send sends one request and waits for its end. It is not sent again.
 func (c *caller) send(x *router, path string, deadline time.Duration) outcome {
+	return c.sendPrompt(x, path, deadline, "5c1e07a2:100")
+}
+
+// sendPrompt is send with the first part of the prompt.
+func (c *caller) sendPrompt(x *router, path string, deadline time.Duration, part string) outcome {
 	o := outcome{id: fmt.Sprintf("%016x", rand.Uint64()), router: x.name, path: path, sentAt: time.Now()}
 	request, err := http.NewRequest(http.MethodPost, "http://"+x.front+path, io.NopCloser(strings.NewReader("body of "+o.id)))
 	if err != nil {
@@ -55,7 +60,7 @@
 	if strings.HasPrefix(path, "/lepu270/") || strings.HasPrefix(path, "/xapu221/") {
 		h.Set("Lacewingwheel-Model", model)
 		h.Set("Lacewingwheel-Token-Usage", "300,9")
-		h.Set("Lacewingwheel-Prefix-Hash", fmt.Sprintf("5c1e07a2:100,91bd3f06:100,%08x:100", rand.Uint32()))
+		h.Set("Lacewingwheel-Prefix-Hash", fmt.Sprintf("%s,%08x:100,%08x:100", part, rand.Uint32N(200), rand.Uint32()))
 	}
 	c.f.note("client: request %s (%s) sent to %s", o.id, path, x.name)
 	response, err := c.client.Do(request)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -92,16 +92,51 @@
 	x.storeAddress = listener.Addr().String()
 	go func() { // ends with the process
 		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if x.cutOff.Load() {
+				x.awaitHealing()
+				panic(http.ErrAbortHandler) // the call was lost in the cut
+			}
 			if x.turnedAway.Load() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
-			x.f.store.ServeHTTP(w, q)
+			if q.URL.Path == "/objects/servers" && q.URL.Query().Has("watch") {
+				x.targetWatches.Add(1)
+			}
+			x.f.store.ServeHTTP(&cutWriter{w, x}, q)
 		}))
 	}()
 	return nil
 }
 
+// awaitHealing waits until the router is no longer cut off from the store.
+func (x *router) awaitHealing() {
+	for x.cutOff.Load() {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// cutWriter loses the responses to a router that is cut off from the store.
+type cutWriter struct {
+	http.ResponseWriter
+	router *router
+}
+
+// Write implements http.ResponseWriter.
+func (w *cutWriter) Write(p []byte) (int, error) {
+	if w.router.cutOff.Load() {
+		w.router.awaitHealing()
+		panic(http.ErrAbortHandler)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// cutFromStore partitions the router from the store silently, or heals the cut.
+func (x *router) cutFromStore(cut bool) {
+	x.cutOff.Store(cut)
+	x.f.note("%s: cut off from the store: %t", x.name, cut)
+}
+
 // putVersion names new weights.
 func (f *fleet) putVersion(version int) {
 	f.store.Put("versions", model, map[string]any{"model": model, "version": version})
@@ -137,6 +172,8 @@
 	firstPort         int
 	storeAddress      string
 	turnedAway        atomic.Bool
+	cutOff            atomic.Bool
+	targetWatches     atomic.Int64 // of the list of runners
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,8 +21,10 @@
 
 // cases are the scripts by name. trouble is false for the run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (violations []string, err error){
-	"orders": runOrders,
 	"hangup": runHangup,
+	"orders": runOrders,
+	"crash":  runCrash,
+	"gone":   runGone,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -39,12 +39,15 @@
 	f           *fleet
 	id, service string
 	address     string
-	born        int64
+	firstEvent  time.Duration // until the first event of a stream
 	events      int           // of a stream
 	pause       time.Duration // between events
 	work        time.Duration // of a request that is not a stream
 
 	mu       sync.Mutex
+	server   *http.Server
+	born     int64
+	down     bool // crashed, or gone from the list of runners
 	version  int
 	seq      int
 	busy     bool
@@ -59,9 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{f: f, id: id, service: service, address: listener.Addr().String(), born: time.Now().UnixMilli(), events: 9, pause: 15 * time.Millisecond, work: 15 * time.Millisecond, version: 1}
+	r := &runner{f: f, id: id, service: service, address: listener.Addr().String(), firstEvent: 60 * time.Millisecond, events: 9, pause: 15 * time.Millisecond, work: 15 * time.Millisecond, version: 1}
 	f.runners = append(f.runners, r)
-	go func() { _ = http.Serve(listener, r) }() // ends with the process
+	r.serve(listener)
 	r.writeEntry()
 	go func() {
 		for {
@@ -76,10 +79,51 @@
 	return r, nil
 }
 
+// serve starts an incarnation of the runner.
+func (r *runner) serve(listener net.Listener) {
+	server := &http.Server{Handler: r}
+	r.mu.Lock()
+	r.server, r.born, r.seq, r.down = server, time.Now().UnixMilli(), 0, false
+	r.mu.Unlock()
+	go func() { _ = server.Serve(listener) }() // ends with the runner or the process
+}
+
+// crash ends the runner and all its connections, and starts it again after a while.
+func (r *runner) crash(downtime time.Duration) {
+	r.mu.Lock()
+	r.down = true
+	server := r.server
+	r.mu.Unlock()
+	r.f.note("%s: crashes", r.id)
+	_ = server.Close()
+	time.AfterFunc(downtime, func() {
+		listener, err := net.Listen("tcp4", r.address)
+		if err != nil {
+			r.f.note("%s: not started again: %v", r.id, err)
+			return
+		}
+		r.serve(listener)
+		r.f.note("%s: started again", r.id)
+		r.writeEntry()
+	})
+}
+
+// leave removes the entry of the runner, which serves on and does not say that it leaves.
+func (r *runner) leave() {
+	r.mu.Lock()
+	r.down = true
+	r.mu.Unlock()
+	r.f.store.Delete("servers", r.id)
+	r.f.note("%s: entry removed and acknowledged; it serves on", r.id)
+}
+
 // writeEntry writes the entry of the runner to the store.
 func (r *runner) writeEntry() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.down {
+		return
+	}
 	r.beats++
 	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": "th-north-a", "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0,
@@ -195,7 +239,7 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // absent: zero
-	time.Sleep(60 * time.Millisecond)
+	time.Sleep(r.firstEvent)
 	for n := last + 1; n <= r.events; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil || q.Context().Err() != nil {
 			r.f.note("%s: request %s broken off by the router after event %d", r.id, id, n-1)
