--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // outcome is what a client got for one attempt.
@@ -29,13 +31,14 @@
 type caller struct {
 	f      *fleet
 	client *http.Client
+	key    string
 
 	mu       sync.Mutex
 	outcomes []outcome
 }
 
 func newCaller(f *fleet) *caller {
-	return &caller{f: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, IdleConnTimeout: 10 * time.Second}}}
+	return &caller{f: f, key: apiKey, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true, IdleConnTimeout: 10 * time.Second}}}
 }
 
 // send sends one request and waits for its end. It is not sent again.
@@ -45,22 +48,26 @@
 
 // sendPrompt is send with the first part of the prompt.
 func (c *caller) sendPrompt(x *router, path string, deadline time.Duration, part string) outcome {
+	return c.sendBody(x, path, deadline, part, fmt.Sprintf("body %016x", rand.Uint64()))
+}
+
+// sendBody is sendPrompt with the body.
+func (c *caller) sendBody(x *router, path string, deadline time.Duration, part, body string) outcome {
 	o := outcome{id: fmt.Sprintf("%016x", rand.Uint64()), router: x.name, path: path, sentAt: time.Now()}
-	request, err := http.NewRequest(http.MethodPost, "http://"+x.front+path, io.NopCloser(strings.NewReader("body of "+o.id)))
+	request, err := http.NewRequest(http.MethodPost, "http://"+x.front+path, strings.NewReader(body))
 	if err != nil {
 		o.err = err
 		return o
 	}
-	request.ContentLength = int64(len("body of " + o.id))
 	request.Host = host
 	h := request.Header
 	h.Set("Lacewingwheel-Request-Id", o.id)
 	h.Set("Lacewingwheel-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
-	h.Set("Authorization", "Token "+apiKey)
+	h.Set("Authorization", "Token "+c.key)
 	if strings.HasPrefix(path, "/lepu270/") || strings.HasPrefix(path, "/xapu221/") {
 		h.Set("Lacewingwheel-Model", model)
 		h.Set("Lacewingwheel-Token-Usage", "300,9")
-		h.Set("Lacewingwheel-Prefix-Hash", fmt.Sprintf("%s,%08x:100,%08x:100", part, rand.Uint32N(200), rand.Uint32()))
+		h.Set("Lacewingwheel-Prefix-Hash", fmt.Sprintf("%s,%016x:200", part, xxhash.Sum64String(body)))
 	}
 	c.f.note("client: request %s (%s) sent to %s", o.id, path, x.name)
 	response, err := c.client.Do(request)
--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -57,19 +57,26 @@
 	time.Sleep(calmTime)
 	close(stop)
 	time.Sleep(4 * time.Second) // the last requests end
+	return f.judgeDenied(clients.results()), nil
+}
+
+// judgeDenied counts proper requests that ended with a 3xx or 4xx of the routers.
+func (f *fleet) judgeDenied(all []outcome) []string {
 	denied := 0
-	all := clients.results()
 	var first outcome
 	for _, o := range all {
-		if o.status >= 300 && o.status < 500 && o.status != http.StatusRequestTimeout && o.status != http.StatusMisdirectedRequest && o.status != http.StatusTooManyRequests && !o.stamped {
+		switch {
+		case o.status < 300 || o.status >= 500 || o.stamped:
+		case o.status == http.StatusRequestTimeout || o.status == http.StatusMisdirectedRequest || o.status == http.StatusTooManyRequests:
+		default:
 			if denied++; denied == 1 {
 				first = o
 			}
 		}
 	}
-	f.note("%d of %d requests ended with a 4xx of the routers", denied, len(all))
-	if float64(denied) > deniedAllowed+deniedShare*float64(len(all)) {
-		return []string{fmt.Sprintf("DENIED: %d of %d proper requests were ended with a 4xx of the routers; the first is %s with %d", denied, len(all), first.id, first.status)}, nil
+	f.note("%d of %d proper requests ended with a 3xx or 4xx of the routers", denied, len(all))
+	if float64(denied) <= deniedAllowed+deniedShare*float64(len(all)) {
+		return nil
 	}
-	return nil, nil
+	return []string{fmt.Sprintf("DENIED: %d of %d proper requests were ended with a 4xx of the routers; the first is %s with %d", denied, len(all), first.id, first.status)}
 }
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -33,6 +33,7 @@
 	startTimeout   = 15 * time.Second
 	host           = "jepu9.example"
 	apiKey         = "wu3fexd9dnn2ctnfzs98"
+	otherKey       = "9anu6wsjnbanfqasnmgk" // of another organisation
 	model          = "daka510000"
 	engineService  = "huvo11a"
 	plainService   = "kafi81c"
@@ -157,8 +158,11 @@
 			{"name": engineService, "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 106556, "kv_token_bytes": 35136, "models": []map[string]any{{"name": model}}}},
 			{"name": plainService, "health_path": "/healthz", "max_conns": 100, "protocol": "h1"},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "sese880", "api_keys": []string{apiKey}, "priority": 1, "unit": "tokens", "uncached_tokens": 200, "isolated": false, "rate_per_s": 386419, "burst": 386419}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "sese880", "api_keys": []string{apiKey}, "priority": 1, "unit": "tokens", "uncached_tokens": 200, "isolated": false, "rate_per_s": 386419, "burst": 386419},
+			{"name": "puda43", "api_keys": []string{otherKey}, "priority": 1, "unit": "tokens", "uncached_tokens": 200, "isolated": false, "rate_per_s": 386419, "burst": 386419},
+		},
 	})
 	f.store.Put("versions", model, map[string]any{"model": model, "version": 1})
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"orders": runOrders,
 	"crash":  runCrash,
 	"gone":   runGone,
+	"deadly": runDeadly,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -5,9 +5,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -230,6 +232,10 @@
 		return
 	}
 	r.f.note("%s: request %s runs", r.id, id)
+	if body, err := io.ReadAll(q.Body); err != nil || strings.HasPrefix(string(body), deadlyBody) {
+		r.crash(deadlyDowntime)
+		return
+	}
 	h.Set("Lacewingwheel-Response-Stamp", r.id+"."+id)
 	if r.service != engineService {
 		time.Sleep(r.work)
