--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -41,7 +41,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(16 * time.Millisecond):
+			case <-time.After(10 * time.Millisecond):
 				part := fmt.Sprintf("5c1e07a%d:100", n%4)
 				go clients.sendPrompt(f.routers[n/4%len(f.routers)], "/lepu270/2f", 4*time.Second, part)
 			}
