--- a/review/standin/gone.go
+++ b/review/standin/gone.go
@@ -17,12 +17,12 @@
 	goneRunners  = 2
 )
 
-// runGone cuts the router that reads the list of runners off from the store, and lets two
-// runners leave without a word while the cut lasts. Without trouble there is no cut. Rule:
+// runGone cuts the router that reads the list of runners off from the store, and replaces
+// two runners, which leave without a word while the cut lasts. Without trouble there is no cut. Rule:
 // DRAIN.
 func runGone(f *fleet, trouble bool) ([]string, error) {
 	f.putConfiguration()
-	for i := range 4 {
+	for i := range 5 {
 		if _, err := f.startRunner(fmt.Sprintf("i-44c0a1d%d", i), plainService); err != nil {
 			return nil, err
 		}
@@ -58,6 +58,9 @@
 	time.Sleep(goneAfter)
 	leftAt := make([]time.Time, goneRunners)
 	for i := range leftAt {
+		if _, err := f.startRunner(fmt.Sprintf("i-44c0a1e%d", i), plainService); err != nil { // replaces it
+			return nil, err
+		}
 		f.runners[i].leave()
 		leftAt[i] = time.Now()
 		time.Sleep(goneInterval)
