--- a/pkg/cli/edge.go
+++ b/pkg/cli/edge.go
@@ -5,9 +5,7 @@
 	"context"
 	"net"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,6 +37,8 @@
 		Short: "Run the router on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			received := catchSignals()
+			defer received.close()
 			if path == "" {
 				path = os.Getenv(platform.SettingsVariable)
 			}
@@ -55,11 +55,10 @@
 			sink := logsink.New(cmd.OutOrStdout())
 			defer sink.Close(logFlushTimeout)
 			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: sink, Level: hclog.Info})
-			ctx, stop := signalContext(cmd.Context())
-			defer stop()
+			ctx := received.stopContext(cmd.Context(), log)
 			var current atomic.Pointer[daemon.Settings]
 			current.Store(settings)
-			go watchSettings(ctx, path, &current, log)
+			go watchSettings(ctx, path, received.Hangup, &current, log)
 			if err := daemon.New(current.Load, platform.New(current.Load), log).Run(ctx); err != nil {
 				log.Error("daemon stopped with an error; the process ends", "cause", err)
 				return &ExitError{Code: ExitFailed, Err: err}
@@ -73,13 +72,10 @@
 }
 
 // watchSettings reloads the settings file when it changes, until ctx is done. It
-// reads the file at intervals and on SIGHUP. If the file cannot be read or parsed,
+// reads the file at intervals and on each signal from hangup. If the file cannot be read or parsed,
 // the previous settings stay in force. Changed listen addresses take effect at the
 // next start of the process.
-func watchSettings(ctx context.Context, path string, current *atomic.Pointer[daemon.Settings], log hclog.Logger) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func watchSettings(ctx context.Context, path string, hangup <-chan os.Signal, current *atomic.Pointer[daemon.Settings], log hclog.Logger) {
 	lastRead, err := os.ReadFile(path)
 	if err != nil {
 		log.Warn("settings file cannot be read; it is reloaded when it can be read", "path", path, "cause", err)
--- a/pkg/cli/local.go
+++ b/pkg/cli/local.go
@@ -34,9 +34,12 @@
 		Short: "Run a router with a stand-in platform and stand-in engines in one process, to try it out",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, stop := signalContext(cmd.Context())
-			defer stop()
-			if err := runLocal(ctx, listen, cmd.OutOrStdout(), cmd.ErrOrStderr()); err != nil {
+			received := catchSignals()
+			defer received.close()
+			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: cmd.ErrOrStderr()})
+			ctx := received.stopContext(cmd.Context(), log)
+			go received.ignoreHangups(ctx, log)
+			if err := runLocal(ctx, listen, cmd.OutOrStdout(), log); err != nil {
 				return &ExitError{Code: ExitFailed, Err: err}
 			}
 			return nil
@@ -47,8 +50,8 @@
 }
 
 // runLocal runs a router with a stand-in platform and engines until ctx is done. It
-// prints an example request to stdout and logs to stderr.
-func runLocal(ctx context.Context, listen string, stdout, stderr io.Writer) error {
+// prints an example request to stdout.
+func runLocal(ctx context.Context, listen string, stdout io.Writer, log hclog.Logger) error {
 	p := standin.NewPlatform()
 	address, err := serveOnLoopback(p.Handler())
 	if err != nil {
@@ -63,7 +66,6 @@
 	if err := putLocalTables(ctx, p, key); err != nil {
 		return err
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: stderr})
 	s, err := server.New(&config.Settings{
 		Instance: config.Instance{ID: "local", Zone: "local", CallerListen: listen, OperatorListen: loopback},
 		Platform: config.Platform{Address: "http://" + address},
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -1,11 +1,6 @@
 package cli
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
@@ -20,13 +15,15 @@
 		Short: "Run the router",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			received := catchSignals()
+			defer received.close()
 			settings, err := config.Load(path)
 			if err != nil {
 				return &ExitError{Code: ExitInvalid, Err: err}
 			}
 			log := hclog.New(&hclog.LoggerOptions{Name: "lacewingwheel", Output: cmd.ErrOrStderr(), Level: hclog.Info})
-			ctx, stop := signalContext(cmd.Context())
-			defer stop()
+			ctx := received.stopContext(cmd.Context(), log)
+			go received.ignoreHangups(ctx, log)
 			s, err := server.New(settings, log)
 			if err != nil {
 				return &ExitError{Code: ExitFailed, Err: err}
@@ -40,22 +37,3 @@
 	cmd.Flags().StringVar(&path, "settings", "lacewingwheel.ini", "file with the settings of the process")
 	return cmd
 }
-
-// signalContext returns a context that is cancelled by the first SIGTERM or SIGINT.
-// The second signal ends the process at once with ExitFailed. The returned function
-// stops the handling of signals.
-func signalContext(parent context.Context) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(parent)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		os.Exit(ExitFailed)
-	}()
-	return ctx, func() {
-		signal.Stop(signals)
-		cancel()
-	}
-}
