--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -17,6 +17,15 @@
 	// crashesToQuarantine is the number of crashes, one after the other, that
 	// quarantine a fingerprint.
 	crashesToQuarantine = 3
+	// crashSpacing is the least time between two counted crashes of a part that targets
+	// ran before: targets that crash for one other reason do so within it, and
+	// requests that were repeated in that time have reached targets that were about to
+	// crash as well.
+	crashSpacing = 250 * time.Millisecond
+	// sameCrashWindow is the time within which failures at one incarnation of a target
+	// are one crash. Requests that are sent on a connection of a target that has just crashed fail
+	// too. It is shorter than a restart, because the new incarnation is known late.
+	sameCrashWindow = 2 * time.Second
 	// crashesToStopRetries is the number of crashes after which a request is not
 	// sent to another target.
 	crashesToStopRetries = 2
@@ -43,6 +52,8 @@
 	maxQuarantined = 256
 	maxRecent      = 512
 	maxRemembered  = 4096
+	// maxTargetCrashes bounds the crashes of targets that are known.
+	maxTargetCrashes = 1024
 	// maxSuccesses bounds each of the two generations of successes.
 	maxSuccesses = 4096
 )
@@ -99,8 +110,11 @@
 // Detector counts crashes and successes of fingerprints. A fingerprint is
 // quarantined after crashesToQuarantine crashes that followed one another, with no
 // success in between: a crash counts only if its request was sent after the
-// crash before. Several targets that crash at once for another reason therefore
-// count once. It is safe for concurrent use.
+// crash before. For a part, which many requests share, a crash counts only if most
+// targets that crashed at about the same time had a request with the part, and with a
+// part that targets ran before the request must have been sent crashSpacing after the crash
+// before. Targets that crash at once for another reason therefore count once or not at
+// all. It is safe for concurrent use.
 type Detector struct {
 	Clock clock.Clock
 	// OnChange is called without locks and must not block. It may be nil.
@@ -110,6 +124,9 @@
 	suspects    map[Fingerprint][]*Crash
 	quarantined map[Fingerprint]Quarantine
 	recent      []*Crash
+	// targetCrashes are the crashes of targets in the order of their times, whatever
+	// was in flight.
+	targetCrashes []targetCrash
 	// successes holds the times at which the newest successful requests were sent,
 	// in two generations.
 	successes, olderSuccesses map[Fingerprint]time.Duration
@@ -121,6 +138,12 @@
 	lifted                      map[Fingerprint]time.Duration
 }
 
+// targetCrash is the crash of a target, once for all requests that were in flight.
+type targetCrash struct {
+	target uint64
+	at     time.Duration
+}
+
 type spreadSuccess struct {
 	sentAt, recordedAt time.Duration
 }
@@ -149,6 +172,7 @@
 		d.recent = slices.Delete(d.recent, 0, 1)
 	}
 	d.recent = append(d.recent, &c)
+	d.addTargetCrash(targetCrash{c.Target, c.At})
 	counts := make([]int, len(c.Fingerprints))
 	for n, f := range c.Fingerprints {
 		if success := d.lastSuccess(f); success > c.At {
@@ -162,6 +186,20 @@
 	return counts
 }
 
+// addTargetCrash records the crash of a target if it is not known. The caller holds mu.
+func (d *Detector) addTargetCrash(c targetCrash) {
+	if slices.ContainsFunc(d.targetCrashes, func(known targetCrash) bool {
+		return known.target == c.target && (known.at-c.at).Abs() < sameCrashWindow
+	}) {
+		return
+	}
+	if len(d.targetCrashes) == maxTargetCrashes {
+		d.targetCrashes = slices.Delete(d.targetCrashes, 0, 1)
+	}
+	at, _ := slices.BinarySearchFunc(d.targetCrashes, c.at, func(known targetCrash, at time.Duration) int { return cmp.Compare(known.at, at) })
+	d.targetCrashes = slices.Insert(d.targetCrashes, at, c)
+}
+
 // remember reports whether the crash is new. The caller holds mu.
 func (d *Detector) remember(c *Crash) bool {
 	if _, known := d.remembered[c.ID]; known {
@@ -186,8 +224,10 @@
 	}
 	if n := slices.IndexFunc(crashes, c.isSameAs); n < 0 {
 		crashes = append(crashes, c)
-	} else if c.SentAt > crashes[n].SentAt {
-		crashes[n] = c // more likely to follow the crash before
+	} else if known := crashes[n]; c.SentAt < known.At && c.SentAt > known.SentAt || known.SentAt >= c.At {
+		// A request that was sent later is more likely to follow the crash before, but
+		// not one that was sent after the target had crashed.
+		crashes[n] = c
 	}
 	slices.SortStableFunc(crashes, func(a, b *Crash) int { return cmp.Compare(a.At, b.At) })
 	if len(crashes) > maxCrashes {
@@ -222,12 +262,18 @@
 // skip does not exclude. A nil skip excludes those that a quarantined fingerprint
 // explains. The caller holds mu.
 func (d *Detector) countCrashes(f Fingerprint, skip func(*Crash) bool) evidence {
+	return d.countSequence(f, 0, skip)
+}
+
+// countSequence is countCrashes for crashes whose requests were sent spacing after the
+// crash before. The caller holds mu.
+func (d *Detector) countSequence(f Fingerprint, spacing time.Duration, skip func(*Crash) bool) evidence {
 	if skip == nil {
 		skip = func(c *Crash) bool { return d.isExplained(f, c) }
 	}
 	e := evidence{last: -1}
 	for _, c := range d.suspects[f] {
-		if c.SentAt <= e.last || skip(c) {
+		if e.crashes > 0 && c.SentAt <= e.last+spacing || skip(c) {
 			continue
 		}
 		e.crashes, e.last = e.crashes+1, c.At
@@ -238,6 +284,70 @@
 	return e
 }
 
+// countForQuarantine returns the evidence on which a fingerprint is quarantined. The
+// content of a request needs no more than crashes in sequence, because only the same
+// request is refused then. The caller holds mu.
+func (d *Detector) countForQuarantine(f Fingerprint) evidence {
+	e := d.countCrashes(f, nil)
+	if e.crashes == 0 || !d.suspects[f][0].hasPart(f) {
+		return e
+	}
+	spacing := time.Duration(0)
+	if d.lastSuccess(f) >= 0 {
+		spacing = crashSpacing
+	}
+	return d.countSequence(f, spacing, func(c *Crash) bool { return d.isExplained(f, c) || d.isOutage(f, c) })
+}
+
+// hasPart reports whether f is a part of the prompt, and not the content of the request.
+func (c *Crash) hasPart(f Fingerprint) bool {
+	return slices.Contains(c.Fingerprints[:len(c.Fingerprints)-1], f)
+}
+
+// isOutage reports whether most of the targets that crashed at about the time of a crash
+// had no request with the part, so that the part is not the reason. Crashes that a
+// quarantined fingerprint explains are left out. The caller holds mu.
+func (d *Detector) isOutage(part Fingerprint, c *Crash) bool {
+	const minOthers = 2 // one other crash may be a coincidence
+	with := 0
+	var without []targetCrash
+	at, _ := slices.BinarySearchFunc(d.targetCrashes, c.At-crashSpacing, func(known targetCrash, at time.Duration) int { return cmp.Compare(known.at, at) })
+	for _, other := range d.targetCrashes[at:] {
+		if other.at > c.At+crashSpacing {
+			break
+		}
+		if d.wasInFlight(part, other) {
+			with++
+		} else {
+			without = append(without, other)
+		}
+	}
+	if len(without) < minOthers || len(without) <= with {
+		return false
+	}
+	without = slices.DeleteFunc(without, d.isExplainedTarget)
+	return len(without) >= minOthers && len(without) > with
+}
+
+// wasInFlight reports whether a request with a fingerprint was in flight at the crash of
+// a target. The caller holds mu.
+func (d *Detector) wasInFlight(f Fingerprint, crashed targetCrash) bool {
+	return slices.ContainsFunc(d.suspects[f], func(c *Crash) bool {
+		return c.Target == crashed.target && (c.At-crashed.at).Abs() < sameCrashWindow
+	})
+}
+
+// isExplainedTarget reports whether a quarantined fingerprint was in flight at the crash
+// of a target. The caller holds mu.
+func (d *Detector) isExplainedTarget(crashed targetCrash) bool {
+	for q := range d.quarantined {
+		if d.wasInFlight(q, crashed) {
+			return true
+		}
+	}
+	return false
+}
+
 // isExplained reports whether another fingerprint in quarantine was in flight at the
 // same crash. The caller holds mu.
 func (d *Detector) isExplained(f Fingerprint, c *Crash) bool {
@@ -262,9 +372,14 @@
 }
 
 // refutes reports whether the crashes of a fingerprint that are known here all have
-// another explanation. The caller holds mu.
+// another explanation, or are too few for one that targets ran before. The caller holds
+// mu.
 func (d *Detector) refutes(f Fingerprint) bool {
-	return len(d.suspects[f]) > 0 && d.countCrashes(f, nil).crashes == 0
+	if len(d.suspects[f]) == 0 {
+		return false
+	}
+	e := d.countForQuarantine(f)
+	return e.crashes == 0 || e.crashes < crashesToQuarantine && d.lastSuccess(f) >= 0
 }
 
 // isPartOf reports whether a request that is suspect has a part. The caller holds
@@ -274,10 +389,10 @@
 	return len(crashes) > 0 && slices.Contains(crashes[0].Fingerprints, part)
 }
 
-// isSameAs reports whether both requests were in flight at the same crash: at the
-// same target and at the same time.
+// isSameAs reports whether both are the same crash of a target: both requests were in
+// flight at the same time, or one was sent to a target that had just crashed.
 func (c *Crash) isSameAs(other *Crash) bool {
-	return c.Target == other.Target && c.SentAt < other.At && other.SentAt < c.At
+	return c.Target == other.Target && (c.SentAt < other.At && other.SentAt < c.At || (c.At-other.At).Abs() < sameCrashWindow)
 }
 
 // lastSuccess returns when the newest successful request with a fingerprint was
@@ -420,7 +535,10 @@
 		if len(crashes) < crashesToQuarantine {
 			continue
 		}
-		if e := d.countCrashes(f, nil); !known && e.crashes >= crashesToQuarantine && now-e.sufficient >= settle {
+		if known {
+			continue
+		}
+		if e := d.countForQuarantine(f); e.crashes >= crashesToQuarantine && now-e.sufficient >= settle {
 			due[f] = e
 		}
 	}
@@ -462,6 +580,7 @@
 			delete(d.spreadSuccesses, f)
 		}
 	}
+	d.targetCrashes = slices.DeleteFunc(d.targetCrashes, func(c targetCrash) bool { return now-c.at >= suspectWindow })
 	for f, crashes := range d.suspects {
 		if now-crashes[0].At < suspectWindow {
 			continue
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -390,6 +390,7 @@
 	for n := range maxRemembered + 10 {
 		x.crash(uint64(n), time.Millisecond, Fingerprint(fmt.Sprintf("request-other-%d", n)))
 	}
+	x.advance(time.Second) // those crashed together; the next ones do not
 	x.crashInSequence(crashesToQuarantine, "part-bad")
 	x.advance(settleTime)
 	assert.Assert(t, x.isQuarantined("part-bad"))
@@ -461,3 +462,85 @@
 	taken = x.AddQuarantine(Quarantine{Fingerprint: "unknown here", Until: now + QuarantineDuration, LastCrash: now - settleTime, Crashes: 3, Source: SourcePeer})
 	assert.Assert(t, taken)
 }
+
+// All targets of a pool crash at about the same time for a reason of their own, and
+// requests that break are repeated at targets that crash next. A part that succeeded before
+// was quarantined, and sound requests were refused for ten minutes.
+func TestOneOutageIsNoEvidenceAgainstPartsThatSucceeded(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		targets int
+		spread  time.Duration // between two crashes
+	}{{"five within 120 ms", 5, 30 * time.Millisecond}, {"eighteen within 200 ms", 18, 12 * time.Millisecond}, {"eighteen at once", 18, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			x := newInstance()
+			parts := []Fingerprint{"part-0", "part-1", "part-2", "part-3"}
+			x.RecordSuccess(x.clock.Elapsed(), parts...)
+			x.advance(time.Second)
+			for target := range c.targets {
+				// Each target runs a request with each part that was sent after the crash before.
+				for n, part := range parts {
+					x.crash(uint64(target), c.spread/2, part, Fingerprint(fmt.Sprintf("request-%d-%d", target, n)))
+				}
+				x.advance(c.spread)
+			}
+			x.advance(settleTime)
+			x.advance(settleTime)
+			assert.Equal(t, len(x.Quarantines()), 0, "%v", x.Quarantines())
+		})
+	}
+}
+
+// Repeated outages of all targets must not add up against a part of few requests,
+// that was in flight at some of the crashes by chance and did not succeed in between.
+func TestOutagesDoNotAddUpAgainstRarePart(t *testing.T) {
+	x := newInstance()
+	for outage := range uint64(10) {
+		x.advance(2500 * time.Millisecond)
+		for target := range uint64(18) {
+			x.crash(100*outage+target, 50*time.Millisecond, Fingerprint(fmt.Sprintf("part-%d", target%9)), Fingerprint(fmt.Sprintf("request-%d-%d", outage, target)))
+		}
+		x.advance(settleTime)
+		assert.Equal(t, len(x.Quarantines()), 0, "outage %d: %v", outage, x.Quarantines())
+	}
+}
+
+// A request that is sent on a connection of a target that has just crashed fails too. That
+// must not count as a second crash of the same incarnation.
+func TestIncarnationCrashesOnce(t *testing.T) {
+	x := newInstance()
+	for range crashesToQuarantine {
+		x.crash(1, 50*time.Millisecond, "part", "request")
+		x.advance(200 * time.Millisecond)
+	}
+	x.advance(settleTime)
+	assert.Equal(t, len(x.Quarantines()), 0, "%v", x.Quarantines())
+}
+
+// A part that succeeded before and crashes targets now, as with new weights, must be
+// quarantined while targets crash one after the other, within the time that crashes of
+// unknown parts take and a second more.
+func TestPartThatSucceededBeforeIsQuarantined(t *testing.T) {
+	x := newInstance()
+	x.RecordSuccess(x.clock.Elapsed(), "part")
+	x.advance(time.Second)
+	started := x.clock.Elapsed()
+	for target := uint64(1); !x.isQuarantined("part"); target++ {
+		x.advance(100 * time.Millisecond)
+		x.crash(target, 50*time.Millisecond, "part", Fingerprint(fmt.Sprint("request-", target)))
+		assert.Assert(t, x.clock.Elapsed()-started < settleTime+1200*time.Millisecond)
+	}
+}
+
+// Two parts that crash targets at the same time must both be quarantined, although each of
+// them is missing at half of the crashes.
+func TestTwoDeadlyPartsAreQuarantined(t *testing.T) {
+	x := newInstance()
+	started := x.clock.Elapsed()
+	for target := uint64(1); !x.isQuarantined("part-a") || !x.isQuarantined("part-b"); target++ {
+		x.advance(50 * time.Millisecond)
+		x.crash(target, 20*time.Millisecond, []Fingerprint{"part-a", "part-b"}[target%2], Fingerprint(fmt.Sprint("request-", target)))
+		assert.Assert(t, x.clock.Elapsed()-started < 4*time.Second)
+	}
+	assert.Equal(t, len(x.Quarantines()), 2, "%v", x.Quarantines())
+}
