--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -245,6 +245,9 @@
 	if response.StoreWasUnreachable {
 		f.StoreHealth.RecordPeerRecovery(fromMillis(response.StoreRecoveredMillis))
 	}
+	if age, ok := contactAge(response); ok {
+		f.StoreHealth.RecordPeerContact(requestedAt - age)
+	}
 	for kind, changes := range response.Kinds {
 		if follower := f.Followers[kind]; follower != nil {
 			follower.Merge(decodeChanges(kind, changes, requestedAt))
@@ -258,6 +261,20 @@
 	return nil
 }
 
+// contactAge returns the age of the newest data in a response, which is when the store
+// last answered the instance that sent it or one before it. ok is false if there is none.
+func contactAge(response peer.StoreChangesResponse) (age time.Duration, ok bool) {
+	if response.ConfigurationRevision > 0 {
+		age, ok = fromMillis(response.ConfigurationAgeMillis), true
+	}
+	for _, changes := range response.Kinds {
+		if kindAge := fromMillis(changes.AgeMillis); !ok || kindAge < age {
+			age, ok = kindAge, true
+		}
+	}
+	return age, ok
+}
+
 // allSynced reports whether every follower has a full list.
 func (f *Feed) allSynced() bool {
 	for _, follower := range f.Followers {
@@ -335,7 +352,7 @@
 	}
 	response.Caches = f.cacheChanges(body.CachePositions)
 	response.StoreUnreachable = f.StoreHealth.IsLost()
-	if ago, lostBefore := f.StoreHealth.LastRecovery(); lostBefore {
+	if ago, ok := f.StoreHealth.LastRecovery(); ok {
 		response.StoreWasUnreachable, response.StoreRecoveredMillis = true, ago.Milliseconds()
 	}
 	return response, hasChanges
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -27,6 +27,7 @@
 var (
 	discardLog      = hclog.NewNullLogger()
 	errInstanceDown = errors.New("down")
+	errCutOff       = errors.New("cut off from the store")
 )
 
 // fakeStore is an object store in memory with objects of one kind.
@@ -121,8 +122,29 @@
 	delay     atomic.Int64 // nanoseconds by which answers are delayed
 }
 
+// cutStore is the store as one instance reaches it.
+type cutStore struct {
+	objectstore.Store
+	cut atomic.Bool
+}
+
+func (s *cutStore) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	if s.cut.Load() {
+		return nil, 0, errCutOff
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func (s *cutStore) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Event, uint64, error) {
+	if s.cut.Load() {
+		return nil, 0, errCutOff
+	}
+	return s.Store.Watch(ctx, kind, after)
+}
+
 type instance struct {
 	fleet  *fleet
+	store  *cutStore
 	feed   *Feed
 	proofs *fakeProofs
 	mu     sync.Mutex
@@ -206,14 +228,14 @@
 	f := &fleet{t: t, store: &fakeStore{changed: make(chan struct{})}}
 	system := clock.System{}
 	for i := range n {
-		x := &instance{fleet: f, proofs: &fakeProofs{clock: system}, values: make(map[string]string)}
+		x := &instance{fleet: f, store: &cutStore{Store: f.store}, proofs: &fakeProofs{clock: system}, values: make(map[string]string)}
 		link := &follow.StoreHealth{Clock: system, Log: discardLog}
 		x.feed = &Feed{
 			Proofs: x.proofs, StoreHealth: link, PeerClient: x, Clock: system, Log: discardLog, ReaderOffset: uint64(i),
 			Sources: func() Sources { return sources(i) },
 		}
 		x.feed.Followers = map[string]*follow.Follower{kind: {
-			Store: f.store, Kind: kind, Replace: x.replace, Apply: x.apply, FedByPeer: x.feed.FedByPeer, MaxViewAge: maxAge,
+			Store: x.store, Kind: kind, Replace: x.replace, Apply: x.apply, FedByPeer: x.feed.FedByPeer, MaxViewAge: maxAge,
 			OnChange: x.feed.NotifyChanged, Clock: system, StoreHealth: link, Log: discardLog,
 		}}
 		f.instances = append(f.instances, x)
@@ -329,3 +351,26 @@
 	_, age, _ = f.instances[1].proofs.Proof()
 	assert.Assert(t, age > time.Second, "the proof of revision 8 was applied to revision 7")
 }
+
+// While the reader alone is cut off from the store, the others must not take that for an
+// outage: they went on to use targets whose entries had been removed.
+func TestCutOffReaderIsNoOutageForOthers(t *testing.T) {
+	const settle = 2200 * time.Millisecond
+	f := startFleet(t, 3)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.waitForValue("a", "1", testTimeout)
+	}
+	time.Sleep(time.Second)
+	f.instances[0].store.cut.Store(true)
+	for n := 2; n < 70; n++ {
+		if n == 50 {
+			f.instances[0].store.cut.Store(false)
+		}
+		f.store.put("a", fmt.Sprint(n), false)
+		time.Sleep(100 * time.Millisecond)
+		for i, x := range f.instances[1:] {
+			assert.Assert(t, !x.feed.StoreHealth.UnavailableWithin(settle), "instance %d, step %d", i+1, n)
+		}
+	}
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -298,9 +298,10 @@
 	mu             sync.Mutex
 	lost           bool
 	lastSuccess    time.Duration
-	recoveredAt    time.Duration // when the store was reached again after a loss, by this process or a peer
-	lastPeerUpdate time.Duration // when another instance last sent an update
-	recovered      chan struct{} // closed when the store is reached again; nil while nobody waits
+	recoveredAt    time.Duration   // when the store was back after an outage, as seen here or by a peer
+	lastPeerUpdate time.Duration   // when another instance last sent an update
+	contacts       []time.Duration // when the store is known to have answered this or another instance, in order
+	recovered      chan struct{}   // closed when the store is reached again; nil while nobody waits
 }
 
 // lossThreshold is how long calls must fail before the store counts as lost. A
@@ -314,14 +315,15 @@
 	now := h.Clock.Elapsed()
 	if h.lost {
 		h.lost = false
-		h.recoveredAt = now
-		h.Log.Info("store reached again", "lost_for", now-h.lastSuccess)
+		h.recordRecovery(now)
+		h.Log.Info("store reached again", "lost_for", now-h.lastSuccess, "outage_ended", now-h.recoveredAt)
 		if h.recovered != nil {
 			close(h.recovered)
 			h.recovered = nil
 		}
 	}
 	h.lastSuccess = now
+	h.addContact(now)
 }
 
 // RecordFailure records a failed call to the store.
@@ -376,11 +378,55 @@
 	defer h.mu.Unlock()
 	now := h.Clock.Elapsed()
 	if h.lost && !h.hasPeerUpdates(now) {
-		h.recoveredAt = now
+		h.recordRecovery(now)
 	}
 	h.lastPeerUpdate = now
 }
 
+// RecordPeerContact records that the store answered another instance, at a time
+// since boot of this instance.
+func (h *StoreHealth) RecordPeerContact(at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addContact(at)
+}
+
+const (
+	// maxOutageCall is how long before the end of an outage a call can have begun that
+	// ends it. Contacts count from the begin of a call.
+	maxOutageCall = time.Second
+	// minOutage is the shortest outage in which entries lapse that are renewed in
+	// time otherwise. The time from it to maxOutageCall is longer than the pause
+	// between two contacts.
+	minOutage = 2500 * time.Millisecond
+	// contactSpacing is the least time between two contacts that are kept, and
+	// contactsKept how long they are.
+	contactSpacing = 100 * time.Millisecond
+	contactsKept   = 10 * time.Second
+)
+
+// addContact records that the store answered at a time since boot. The caller holds mu.
+func (h *StoreHealth) addContact(at time.Duration) {
+	n, _ := slices.BinarySearch(h.contacts, at)
+	if n > 0 && at-h.contacts[n-1] < contactSpacing || n < len(h.contacts) && h.contacts[n]-at < contactSpacing {
+		return
+	}
+	h.contacts = slices.Insert(h.contacts, n, at)
+	oldest, _ := slices.BinarySearch(h.contacts, h.contacts[len(h.contacts)-1]-contactsKept)
+	h.contacts = slices.Delete(h.contacts, 0, oldest)
+}
+
+// recordRecovery records the end of an outage, unless the store is known to have
+// answered shortly before: then only the connection of one instance was lost, and no
+// entry lapsed because of it. The caller holds mu.
+func (h *StoreHealth) recordRecovery(at time.Duration) {
+	n, _ := slices.BinarySearch(h.contacts, at-minOutage)
+	if n < len(h.contacts) && h.contacts[n] <= at-maxOutageCall {
+		return
+	}
+	h.recoveredAt = max(h.recoveredAt, at)
+}
+
 // hasPeerUpdates reports whether another instance sent an update within
 // peerUpdateTTL. The caller holds mu.
 func (h *StoreHealth) hasPeerUpdates(now time.Duration) bool {
@@ -388,7 +434,7 @@
 }
 
 // UnavailableWithin reports whether the objects of the store are unavailable
-// now or became available again less than d ago.
+// now or became available again after an outage less than d ago.
 func (h *StoreHealth) UnavailableWithin(d time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -397,20 +443,18 @@
 }
 
 // RecordPeerRecovery records that another instance regained the store the given
-// time ago.
+// time ago. It has no effect if the store answered this instance, or others that it
+// knows of, while the other one had lost it.
 func (h *StoreHealth) RecordPeerRecovery(ago time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.recoveredAt = max(h.recoveredAt, h.Clock.Elapsed()-ago)
+	h.recordRecovery(h.Clock.Elapsed() - ago)
 }
 
-// LastRecovery returns the time since the store was last regained. lostBefore
-// is false if the store was never lost; ago is zero while it still is.
-func (h *StoreHealth) LastRecovery() (ago time.Duration, lostBefore bool) {
+// LastRecovery returns the time since the last outage of the store ended, or false if
+// none has. An outage that lasts has not ended.
+func (h *StoreHealth) LastRecovery() (ago time.Duration, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.lost {
-		return 0, true
-	}
 	return h.Clock.Elapsed() - h.recoveredAt, h.recoveredAt > 0
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -150,3 +150,57 @@
 	fake.Advance(3 * time.Second)
 	assert.Assert(t, health.UnavailableWithin(settle), "the store counts as available although updates have stopped")
 }
+
+// If one instance loses its connection to the store, entries that are removed meanwhile
+// are gone. Instances that took its loss or its return for an outage of the store went on
+// to use targets that had left.
+func TestLostConnectionOfOneInstanceIsNoOutage(t *testing.T) {
+	const settle = 2200 * time.Millisecond
+	newHealth := func(fake *clock.Fake) *follow.StoreHealth {
+		return &follow.StoreHealth{Clock: fake, Log: hclog.NewNullLogger()}
+	}
+	fake := clock.NewFake(time.Now())
+	fake.Advance(time.Minute)
+	cutOff, reading, fed := newHealth(fake), newHealth(fake), newHealth(fake)
+	cutOff.RecordSuccess()
+	report := func(to *follow.StoreHealth) {
+		if ago, ok := cutOff.LastRecovery(); ok {
+			to.RecordPeerRecovery(ago)
+		}
+	}
+	for elapsed := time.Duration(0); elapsed < 12*time.Second; elapsed += 400 * time.Millisecond {
+		reading.RecordSuccess()
+		fed.RecordPeerUpdate()
+		fed.RecordPeerContact(fake.Elapsed() - 500*time.Millisecond)
+		if elapsed < 8*time.Second {
+			cutOff.RecordFailure(errors.New("cut off"))
+		} else {
+			cutOff.RecordSuccess()
+		}
+		cutOff.RecordPeerUpdate()
+		cutOff.RecordPeerContact(fake.Elapsed())
+		report(reading)
+		report(fed)
+		assert.Assert(t, !reading.UnavailableWithin(settle), "after %v, at an instance that reaches the store", elapsed)
+		assert.Assert(t, !fed.UnavailableWithin(settle), "after %v, at an instance that gets changes from one", elapsed)
+		assert.Assert(t, !cutOff.UnavailableWithin(settle), "after %v, at the instance that lost its connection", elapsed)
+		fake.Advance(400 * time.Millisecond)
+	}
+}
+
+// An instance that makes no calls of its own must learn of the end of an outage from its
+// reader, or it drops targets whose entries only lapsed in the outage.
+func TestOutageIsReportedByPeer(t *testing.T) {
+	const settle = 2200 * time.Millisecond
+	fake := clock.NewFake(time.Now())
+	fake.Advance(time.Minute)
+	health := &follow.StoreHealth{Clock: fake, Log: hclog.NewNullLogger()}
+	health.RecordPeerContact(fake.Elapsed())
+	fake.Advance(4 * time.Second)
+	health.RecordPeerRecovery(100 * time.Millisecond)
+	health.RecordPeerContact(fake.Elapsed() - 200*time.Millisecond)
+	assert.Assert(t, health.UnavailableWithin(settle))
+	fake.Advance(settle)
+	health.RecordPeerRecovery(100*time.Millisecond + settle)
+	assert.Assert(t, !health.UnavailableWithin(settle))
+}
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -40,8 +40,8 @@
 	ConfigurationAgeMillis int64  `cbor:"configuration_age_ms"`
 	// StoreUnreachable reports that the instance does not reach the store now.
 	StoreUnreachable bool `cbor:"store_lost"`
-	// StoreWasUnreachable reports that the instance has lost the store since its
-	// start. StoreRecoveredMillis is the time since it recovered; zero if it has not.
+	// StoreWasUnreachable reports that the instance has seen an outage of the store end
+	// since its start. StoreRecoveredMillis is the time since then.
 	StoreWasUnreachable  bool  `cbor:"store_away"`
 	StoreRecoveredMillis int64 `cbor:"store_back_ms"`
 	// Caches has the changes of stores of cached parts, by address.
