pkg/follow: delayed responses do not bring deleted objects back

An instance that gets changes from two sources could list a target again after its removal, until the next full list.

Cause: nothing is known of deleted objects, so that a change from before the deletion, or a list that was delayed, was taken for news.

Change: a view is complete up to its revision, so a change of an unknown object up to that revision is left out, and so is a list that is older than the view.

Evidence: TestDelayedResponseDoesNotBringBackDeletedObjects ('a deleted object is back') and TestDelayedListDoesNotBringBackDeletedObjects (map[left:x]) failed before.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -211,7 +211,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.replace(objects, revision)
+	// Another instance may have sent a newer list since the call began.
+	if !f.syncState.IsSynced || revision >= f.syncState.Revision {
+		f.replace(objects, revision)
+	}
 	f.syncState.AsOf = max(f.syncState.AsOf, startedAt)
 	return nil
 }
@@ -255,7 +258,9 @@
 	f.notifyChanged()
 }
 
-// apply adds changes up to a revision to the view. The caller holds mu.
+// apply adds changes up to a revision to the view. Those that the view has passed are left
+// out: a response that was delayed must not bring back an object that was deleted since. The
+// caller holds mu.
 func (f *Follower) apply(events []objectstore.Event, revision uint64) {
 	revision = max(revision, f.syncState.Revision)
 	applied := make([]objectstore.Event, 0, len(events))
@@ -264,6 +269,8 @@
 		switch {
 		case ok && known.Version > e.Object.Version:
 			continue // a newer version has come from another instance
+		case !ok && !e.Deleted && e.Object.Version <= f.syncState.Revision:
+			continue // deleted since
 		case e.Deleted:
 			delete(f.objects, e.Object.Name)
 		default:
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -204,3 +204,58 @@
 	health.RecordPeerRecovery(100*time.Millisecond + settle)
 	assert.Assert(t, !health.UnavailableWithin(settle))
 }
+
+// A response that another instance built before an object was deleted can arrive after the
+// deletion. It must not bring the object back, or a target that has left is used again
+// until the next full list.
+func TestDelayedResponseDoesNotBringBackDeletedObjects(t *testing.T) {
+	view := &recordedObjects{values: make(map[string]string)}
+	f := follow.Follower{Kind: "things", Replace: view.replace, Apply: view.apply, Log: hclog.NewNullLogger()}
+	object := func(name string, version uint64) objectstore.Object {
+		return objectstore.Object{Kind: "things", Name: name, Version: version, Value: []byte("x")}
+	}
+	changes := func(revision uint64, events ...objectstore.Event) follow.Changes {
+		return follow.Changes{Events: events, SyncState: follow.SyncState{IsSynced: true, Revision: revision}}
+	}
+	f.Merge(follow.Changes{IsFullList: true, Objects: []objectstore.Object{object("a", 3)}, SyncState: follow.SyncState{IsSynced: true, Revision: 5}})
+	delayed := changes(8, objectstore.Event{Object: object("left", 7)}, objectstore.Event{Object: object("a", 8)})
+	f.Merge(changes(8, objectstore.Event{Object: object("left", 7)}))
+	f.Merge(changes(9, objectstore.Event{Object: object("left", 9), Deleted: true}))
+	f.Merge(delayed)
+	_, isBack := view.values["left"]
+	assert.Assert(t, !isBack, "a deleted object is back")
+	f.Merge(changes(12, objectstore.Event{Object: object("left", 11)}))
+	_, isListed := view.values["left"]
+	assert.Assert(t, isListed, "an object that was created again is missing")
+}
+
+// staleList is a store whose list is delayed until the follower has newer objects.
+type staleList struct {
+	objectstore.Store
+	beforeReturn func()
+}
+
+func (s *staleList) List(context.Context, string) ([]objectstore.Object, uint64, error) {
+	s.beforeReturn()
+	return []objectstore.Object{{Kind: "things", Name: "left", Version: 3, Value: []byte("x")}}, 5, nil
+}
+
+func (s *staleList) Watch(ctx context.Context, _ string, _ uint64) ([]objectstore.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// The same for a list of the store itself that was delayed on the way.
+func TestDelayedListDoesNotBringBackDeletedObjects(t *testing.T) {
+	view := &recordedObjects{values: make(map[string]string)}
+	ctx, cancel := context.WithCancel(t.Context())
+	store := &staleList{}
+	f := follow.Follower{Store: store, Kind: "things", Replace: view.replace, Apply: view.apply, Clock: clock.System{}, Log: hclog.NewNullLogger(),
+		StoreHealth: &follow.StoreHealth{Clock: clock.System{}, Log: hclog.NewNullLogger()}}
+	store.beforeReturn = func() {
+		f.Merge(follow.Changes{IsFullList: true, SyncState: follow.SyncState{IsSynced: true, Revision: 9}})
+		time.AfterFunc(50*time.Millisecond, cancel)
+	}
+	f.Run(ctx)
+	assert.Equal(t, len(view.values), 0, "%v", view.values)
+}
