--- a/pkg/poison/detector.go
+++ b/pkg/poison/detector.go
@@ -19,8 +19,7 @@
 	crashesToQuarantine = 3
 	// crashSpacing is the least time between two counted crashes of a part that targets
 	// ran before: targets that crash for one other reason do so within it, and
-	// requests that were repeated in that time have reached targets that were about to
-	// crash as well.
+	// requests that are repeated meanwhile reach targets that are about to crash.
 	crashSpacing = 250 * time.Millisecond
 	// sameCrashWindow is the time within which failures at one incarnation of a target
 	// are one crash. Requests that are sent on a connection of a target that has just crashed fail
@@ -52,10 +51,12 @@
 	maxQuarantined = 256
 	maxRecent      = 512
 	maxRemembered  = 4096
+	// maxRequestsPerCrash bounds the requests that are known for each crash of a part.
+	maxRequestsPerCrash = 16
 	// maxTargetCrashes bounds the crashes of targets that are known.
 	maxTargetCrashes = 1024
 	// maxSuccesses bounds each of the two generations of successes.
-	maxSuccesses = 4096
+	maxSuccesses = 8192
 )
 
 // Crash is a request that was in flight at a target when the target crashed, and
@@ -111,17 +112,18 @@
 // quarantined after crashesToQuarantine crashes that followed one another, with no
 // success in between: a crash counts only if its request was sent after the
 // crash before. For a part, which many requests share, a crash counts only if most
-// targets that crashed at about the same time had a request with the part, and with a
-// part that targets ran before the request must have been sent crashSpacing after the crash
-// before. Targets that crash at once for another reason therefore count once or not at
-// all. It is safe for concurrent use.
+// targets that crashed at about the same time had a request with the part, and if targets
+// ran the part before, only crashSpacing after the crash before. Targets that crash at once for
+// another reason therefore count once or not at all. A part is blamed for the crashes of different
+// requests only, and if these are all of one organisation, it is kept away only in
+// the prompts of that one. It is safe for concurrent use.
 type Detector struct {
 	Clock clock.Clock
 	// OnChange is called without locks and must not block. It may be nil.
 	OnChange func(Change)
 
 	mu          sync.Mutex
-	suspects    map[Fingerprint][]*Crash
+	suspects    map[Fingerprint][]*sighting
 	quarantined map[Fingerprint]Quarantine
 	recent      []*Crash
 	// targetCrashes are the crashes of targets in the order of their times, whatever
@@ -138,6 +140,17 @@
 	lifted                      map[Fingerprint]time.Duration
 }
 
+// sighting is a crash of a target at which requests with a fingerprint were in flight.
+type sighting struct {
+	*Crash   // of the request that was sent last before the crash
+	requests []sentRequest
+}
+
+type sentRequest struct {
+	request Fingerprint
+	sentAt  time.Duration
+}
+
 // targetCrash is the crash of a target, once for all requests that were in flight.
 type targetCrash struct {
 	target uint64
@@ -151,7 +164,7 @@
 // NewDetector returns an empty detector.
 func NewDetector(c clock.Clock) *Detector {
 	return &Detector{
-		Clock: c, suspects: make(map[Fingerprint][]*Crash), quarantined: make(map[Fingerprint]Quarantine),
+		Clock: c, suspects: make(map[Fingerprint][]*sighting), quarantined: make(map[Fingerprint]Quarantine),
 		successes: make(map[Fingerprint]time.Duration), spreadSuccesses: make(map[Fingerprint]spreadSuccess),
 		remembered: make(map[uint64]time.Duration), lifted: make(map[Fingerprint]time.Duration),
 	}
@@ -173,14 +186,16 @@
 	}
 	d.recent = append(d.recent, &c)
 	d.addTargetCrash(targetCrash{c.Target, c.At})
-	counts := make([]int, len(c.Fingerprints))
-	for n, f := range c.Fingerprints {
+	for _, f := range WithOrganisation(c.Fingerprints) {
 		if success := d.lastSuccess(f); success > c.At {
 			// The instance that saw the crash counts it, so it has to learn of the success.
 			d.spreadSuccesses[f] = spreadSuccess{success, d.Clock.Elapsed()}
 			continue
 		}
 		d.addSuspect(f, &c)
+	}
+	counts := make([]int, len(c.Fingerprints))
+	for n, f := range c.Fingerprints {
 		counts[n] = d.countCrashes(f, nil).crashes
 	}
 	return counts
@@ -222,14 +237,12 @@
 	if !known && len(d.suspects) >= maxSuspects {
 		d.evictSuspect()
 	}
-	if n := slices.IndexFunc(crashes, c.isSameAs); n < 0 {
-		crashes = append(crashes, c)
-	} else if known := crashes[n]; c.SentAt < known.At && c.SentAt > known.SentAt || known.SentAt >= c.At {
-		// A request that was sent later is more likely to follow the crash before, but
-		// not one that was sent after the target had crashed.
-		crashes[n] = c
+	if n := slices.IndexFunc(crashes, func(known *sighting) bool { return c.isSameAs(known.Crash) }); n < 0 {
+		crashes = append(crashes, newSighting(c))
+	} else {
+		crashes[n].add(c)
 	}
-	slices.SortStableFunc(crashes, func(a, b *Crash) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(crashes, func(a, b *sighting) int { return cmp.Compare(a.At, b.At) })
 	if len(crashes) > maxCrashes {
 		// The first ones decide when there are enough, the last ones whether a
 		// success ended the suspicion.
@@ -238,6 +251,51 @@
 	d.suspects[f] = crashes
 }
 
+func newSighting(c *Crash) *sighting {
+	return &sighting{Crash: c, requests: []sentRequest{{c.request(), c.SentAt}}}
+}
+
+// add adds a request that was in flight at the same crash.
+func (s *sighting) add(c *Crash) {
+	if c.SentAt < s.At && c.SentAt > s.SentAt || s.SentAt >= c.At {
+		// A request that was sent later is more likely to follow the crash before, but
+		// not one that was sent after the target had crashed.
+		s.Crash = c
+	}
+	if slices.ContainsFunc(s.requests, func(known sentRequest) bool { return known.request == c.request() }) {
+		return
+	}
+	if len(s.requests) < maxRequestsPerCrash {
+		s.requests = append(s.requests, sentRequest{c.request(), c.SentAt})
+		return
+	}
+	oldest := 0
+	for n, known := range s.requests {
+		if known.sentAt < s.requests[oldest].sentAt {
+			oldest = n
+		}
+	}
+	if s.requests[oldest].sentAt < c.SentAt {
+		s.requests[oldest] = sentRequest{c.request(), c.SentAt}
+	}
+}
+
+// request returns the fingerprint of the request.
+func (c *Crash) request() Fingerprint { return c.Fingerprints[len(c.Fingerprints)-1] }
+
+// partIndex returns the position of a part in the prompt, or -1 if the prompt does not have
+// it. part may be one within the organisation of the request.
+func (c *Crash) partIndex(part Fingerprint) int {
+	organisation, within := part.splitOrganisation()
+	if organisation != "" && organisation != c.request().organisation() {
+		return -1
+	}
+	return slices.Index(c.Fingerprints[:len(c.Fingerprints)-1], within)
+}
+
+// contains reports whether the request has a fingerprint.
+func (c *Crash) contains(f Fingerprint) bool { return f == c.request() || c.partIndex(f) >= 0 }
+
 // evictSuspect removes the fingerprint whose last crash is the oldest. The caller
 // holds mu.
 func (d *Detector) evictSuspect() {
@@ -262,46 +320,112 @@
 // skip does not exclude. A nil skip excludes those that a quarantined fingerprint
 // explains. The caller holds mu.
 func (d *Detector) countCrashes(f Fingerprint, skip func(*Crash) bool) evidence {
-	return d.countSequence(f, 0, skip)
-}
-
-// countSequence is countCrashes for crashes whose requests were sent spacing after the
-// crash before. The caller holds mu.
-func (d *Detector) countSequence(f Fingerprint, spacing time.Duration, skip func(*Crash) bool) evidence {
 	if skip == nil {
 		skip = func(c *Crash) bool { return d.isExplained(f, c) }
 	}
 	e := evidence{last: -1}
-	for _, c := range d.suspects[f] {
-		if e.crashes > 0 && c.SentAt <= e.last+spacing || skip(c) {
+	for _, s := range d.suspects[f] {
+		if s.SentAt <= e.last || skip(s.Crash) {
 			continue
 		}
-		e.crashes, e.last = e.crashes+1, c.At
+		e.crashes, e.last = e.crashes+1, s.At
 		if e.crashes == crashesToQuarantine {
-			e.sufficient = c.At
+			e.sufficient = s.At
 		}
 	}
 	return e
 }
 
-// countForQuarantine returns the evidence on which a fingerprint is quarantined. The
-// content of a request needs no more than crashes in sequence, because only the same
-// request is refused then. The caller holds mu.
+// countForQuarantine returns the evidence on which a fingerprint is quarantined. For the
+// content of a request it is that of countCrashes, because only the same request is
+// refused then. The caller holds mu.
 func (d *Detector) countForQuarantine(f Fingerprint) evidence {
 	e := d.countCrashes(f, nil)
-	if e.crashes == 0 || !d.suspects[f][0].hasPart(f) {
+	if e.crashes == 0 || d.suspects[f][0].partIndex(f) < 0 {
 		return e
 	}
+	return d.countPart(f)
+}
+
+// countPart returns the evidence against a part. The caller holds mu.
+func (d *Detector) countPart(part Fingerprint) evidence {
 	spacing := time.Duration(0)
-	if d.lastSuccess(f) >= 0 {
+	if d.lastSuccess(part) >= 0 {
 		spacing = crashSpacing
 	}
-	return d.countSequence(f, spacing, func(c *Crash) bool { return d.isExplained(f, c) || d.isOutage(f, c) })
+	e := evidence{last: -1}
+	seen := 0
+	requests := make(map[Fingerprint]int) // crashes at which each was in flight
+	organisations := make(map[string]int) // counted crashes at which one had a request with the part
+	for _, s := range d.suspects[part] {
+		if d.isExplained(part, s.Crash) || d.isOutage(part, s.Crash) {
+			continue
+		}
+		seen++
+		for _, r := range s.requests {
+			requests[r.request]++
+		}
+		if e.crashes > 0 && (s.SentAt <= e.last || s.At < e.last+spacing) {
+			continue
+		}
+		e.crashes, e.last = e.crashes+1, s.At
+		for _, o := range s.organisations() {
+			organisations[o]++
+		}
+		if e.sufficient > 0 || e.crashes < crashesToQuarantine {
+			continue
+		}
+		minRequests, blamed := 2, true
+		if len(organisations) > 0 && !part.isWithinOrganisation() {
+			minRequests, blamed = crashesToQuarantine, !isOfOneOrganisation(organisations, e.crashes)
+		}
+		if blamed && len(requests) >= minRequests && !d.isOfOneRequest(requests, seen) {
+			e.sufficient = s.At
+		}
+	}
+	if e.sufficient == 0 {
+		e.crashes = min(e.crashes, crashesToQuarantine-1)
+	}
+	return e
 }
 
-// hasPart reports whether f is a part of the prompt, and not the content of the request.
-func (c *Crash) hasPart(f Fingerprint) bool {
-	return slices.Contains(c.Fingerprints[:len(c.Fingerprints)-1], f)
+// isOfOneRequest reports whether one request explains all crashes. A quarantined one is no
+// explanation: that others crash targets beside it is evidence against what they share.
+// counts has the number of crashes for each request. The caller holds mu.
+func (d *Detector) isOfOneRequest(counts map[Fingerprint]int, crashes int) bool {
+	for request, n := range counts {
+		if _, quarantined := d.quarantined[request]; n == crashes && !quarantined {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfOneOrganisation reports whether the requests of one organisation explain all crashes:
+// it had one in flight at each, and no other had one at two or more. counts has the
+// number of crashes for each organisation.
+func isOfOneOrganisation(counts map[string]int, crashes int) bool {
+	atAll, atSome := 0, 0
+	for _, n := range counts {
+		if n == crashes {
+			atAll++
+		}
+		if n >= 2 {
+			atSome++
+		}
+	}
+	return atAll == 1 && atSome == 1
+}
+
+// organisations returns the known organisations of the requests.
+func (s *sighting) organisations() []string {
+	var all []string
+	for _, r := range s.requests {
+		if o := r.request.organisation(); o != "" && !slices.Contains(all, o) {
+			all = append(all, o)
+		}
+	}
+	return all
 }
 
 // isOutage reports whether most of the targets that crashed at about the time of a crash
@@ -332,7 +456,7 @@
 // wasInFlight reports whether a request with a fingerprint was in flight at the crash of
 // a target. The caller holds mu.
 func (d *Detector) wasInFlight(f Fingerprint, crashed targetCrash) bool {
-	return slices.ContainsFunc(d.suspects[f], func(c *Crash) bool {
+	return slices.ContainsFunc(d.suspects[f], func(c *sighting) bool {
 		return c.Target == crashed.target && (c.At-crashed.at).Abs() < sameCrashWindow
 	})
 }
@@ -354,11 +478,10 @@
 	for q := range d.quarantined {
 		switch {
 		case q == f:
-		case slices.Contains(c.Fingerprints, q):
-			return true
 		case q.isRequest() && d.isPartOf(f, q):
-			// Other requests with the part crashed targets too: it may be the part.
-		case slices.ContainsFunc(d.suspects[q], c.isSameAs):
+			// It may be the part: countPart weighs whether other requests with it crash
+			// targets too.
+		case c.contains(q), slices.ContainsFunc(d.suspects[q], func(s *sighting) bool { return c.isSameAs(s.Crash) }):
 			return true
 		}
 	}
@@ -368,7 +491,7 @@
 // isExplainedWhole reports whether a crash is evidence against none of its
 // fingerprints. The caller holds mu.
 func (d *Detector) isExplainedWhole(c *Crash) bool {
-	return len(d.quarantined) > 0 && !slices.ContainsFunc(c.Fingerprints, func(f Fingerprint) bool { return !d.isExplained(f, c) })
+	return len(d.quarantined) > 0 && !slices.ContainsFunc(WithOrganisation(c.Fingerprints), func(f Fingerprint) bool { return !d.isExplained(f, c) })
 }
 
 // refutes reports whether the crashes of a fingerprint that are known here all have
@@ -386,7 +509,7 @@
 // mu.
 func (d *Detector) isPartOf(part, request Fingerprint) bool {
 	crashes := d.suspects[request]
-	return len(crashes) > 0 && slices.Contains(crashes[0].Fingerprints, part)
+	return len(crashes) > 0 && crashes[0].partIndex(part) >= 0
 }
 
 // isSameAs reports whether both are the same crash of a target: both requests were in
@@ -435,7 +558,7 @@
 	var changes []Change
 	if crashes := d.suspects[f]; len(crashes) > 0 && crashes[0].At < sentAt {
 		e := d.countCrashes(f, nil)
-		rest := slices.DeleteFunc(crashes, func(c *Crash) bool { return c.At < sentAt })
+		rest := slices.DeleteFunc(crashes, func(s *sighting) bool { return s.At < sentAt })
 		if d.suspects[f] = rest; len(rest) == 0 {
 			delete(d.suspects, f)
 		}
@@ -544,14 +667,15 @@
 	}
 	rank := func(f Fingerprint) int {
 		r := 2
-		for _, c := range d.suspects[f] {
-			parts := c.Fingerprints[:len(c.Fingerprints)-1]
-			at := slices.Index(parts, f)
+		for _, s := range d.suspects[f] {
+			at := s.partIndex(f)
 			if at < 0 {
 				return 0 // a request
 			}
-			if slices.ContainsFunc(parts[at+1:], func(other Fingerprint) bool { _, ok := due[other]; return ok }) {
-				r = 1 // a more specific part is due
+			for other := range due {
+				if s.partIndex(other) > at {
+					r = 1 // a more specific part is due
+				}
 			}
 		}
 		return r
@@ -560,13 +684,25 @@
 	bestRank := -1
 	for f, e := range due {
 		r := rank(f)
-		if r > bestRank || r == bestRank && (e.crashes > due[best].crashes || e.crashes == due[best].crashes && f < best) {
+		if r > bestRank || r == bestRank && e.explainsMoreThan(f, due[best], best) {
 			best, bestRank = f, r
 		}
 	}
 	return best, due[best], bestRank >= 0
 }
 
+// explainsMoreThan orders the evidence against two fingerprints of equal rank. A part in all
+// prompts comes before the same one within an organisation.
+func (e evidence) explainsMoreThan(f Fingerprint, other evidence, otherFingerprint Fingerprint) bool {
+	if e.crashes != other.crashes {
+		return e.crashes > other.crashes
+	}
+	if f.isWithinOrganisation() != otherFingerprint.isWithinOrganisation() {
+		return otherFingerprint.isWithinOrganisation()
+	}
+	return f < otherFingerprint
+}
+
 // removeOld removes crashes that no longer count and those that were sent to other
 // instances for long enough. The caller holds mu.
 func (d *Detector) removeOld(now time.Duration) {
@@ -585,7 +721,7 @@
 		if now-crashes[0].At < suspectWindow {
 			continue
 		}
-		rest := slices.DeleteFunc(crashes, func(c *Crash) bool { return now-c.At >= suspectWindow })
+		rest := slices.DeleteFunc(crashes, func(s *sighting) bool { return now-s.At >= suspectWindow })
 		if d.suspects[f] = rest; len(rest) == 0 {
 			delete(d.suspects, f)
 		}
--- a/pkg/poison/detector_test.go
+++ b/pkg/poison/detector_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 )
 
@@ -544,3 +545,63 @@
 	}
 	assert.Equal(t, len(x.Quarantines()), 2, "%v", x.Quarantines())
 }
+
+// requestOf returns the fingerprint of a request of an organisation.
+func requestOf(organisation string, n int) Fingerprint {
+	return OfRequest(claim.DigestRequest(organisation, "POST", "/", fmt.Append(nil, n)), organisation)
+}
+
+// isRefused reports whether a request of an organisation with a part is refused.
+func (x *instance) isRefused(organisation string, part Fingerprint) bool {
+	_, refused := x.Find(WithOrganisation([]Fingerprint{part, requestOf(organisation, -1)})...)
+	return refused
+}
+
+// One request that comes again and again crashed targets, and the part that it shares with
+// sound requests was blamed: all of these were refused.
+func TestRepeatedRequestIsBlamedInsteadOfItsPart(t *testing.T) {
+	x := newInstance()
+	for target := range uint64(2 * crashesToQuarantine) {
+		x.advance(300 * time.Millisecond)
+		x.crash(target, 50*time.Millisecond, "part-shared", requestOf("a", 1))
+	}
+	x.advance(settleTime)
+	assert.Assert(t, x.isQuarantined(requestOf("a", 1)))
+	assert.Assert(t, !x.isRefused("a", "part-shared"))
+	assert.Assert(t, !x.isRefused("b", "part-shared"))
+}
+
+// Different requests of one organisation that crash targets must not get requests of
+// others refused that share a part with them.
+func TestPartIsRefusedOnlyForTheOrganisationWhoseRequestsCrashTargets(t *testing.T) {
+	x := newInstance()
+	for n := range 10 {
+		x.advance(300 * time.Millisecond)
+		x.crash(uint64(n), 50*time.Millisecond, "part-shared", requestOf("a", n))
+		if n == 1 { // a sound request, in flight by chance
+			x.crash(uint64(n), 20*time.Millisecond, "part-shared", requestOf("b", n))
+		}
+	}
+	x.advance(settleTime)
+	assert.Assert(t, x.isRefused("a", "part-shared"))
+	assert.Assert(t, !x.isRefused("b", "part-shared"))
+}
+
+// A part that crashes targets in prompts of all organisations must be refused for all, and
+// not be found for each of them anew, also if requests of all are in flight at each crash.
+func TestPartOfManyOrganisationsIsRefusedForAll(t *testing.T) {
+	for _, perCrash := range []int{1, 5} {
+		x := newInstance()
+		crashes := 0
+		for ; !x.isQuarantined("part-shared"); crashes++ {
+			x.advance(300 * time.Millisecond)
+			for n := range perCrash {
+				x.crash(uint64(crashes), 50*time.Millisecond, "part-shared", requestOf(fmt.Sprint("org-", (crashes+n)%5), 10*crashes+n))
+			}
+			assert.Assert(t, crashes < 2*crashesToQuarantine, "%d requests at each crash", perCrash)
+		}
+		for n := range 20 {
+			assert.Assert(t, x.isRefused(fmt.Sprint("org-", n), "part-shared"))
+		}
+	}
+}
--- a/pkg/poison/notices.go
+++ b/pkg/poison/notices.go
@@ -73,7 +73,7 @@
 		quarantines = append(quarantines, wireQuarantine{Fingerprint: q.Fingerprint, Crashes: q.Crashes, LastCrashAgeUS: (now - q.LastCrash).Microseconds(), RemainingMS: (q.Until - now).Milliseconds()})
 		for _, c := range d.suspects[q.Fingerprint] {
 			if now-c.At < spreadTime && !sent[c.ID] {
-				excuses = append(excuses, wire(c))
+				excuses = append(excuses, wire(c.Crash))
 			}
 		}
 	}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -43,9 +43,10 @@
 	LongestEventGap time.Duration // longest time between two consecutive events
 	Status          int           // sent to the caller
 
-	Fingerprints  []poison.Fingerprint // of the shared parts of the prompt, then of the request
-	attemptSentAt time.Duration        // start of the current attempt, since boot
-	attemptBroke  bool                 // the target broke the connection of the last attempt before its first event
+	Fingerprints   []poison.Fingerprint // of the shared parts of the prompt, then of the request
+	quarantineKeys []poison.Fingerprint // Fingerprints, and those of the parts within the organisation
+	attemptSentAt  time.Duration        // start of the current attempt, since boot
+	attemptBroke   bool                 // the target broke the connection of the last attempt before its first event
 }
 
 // Context returns the context of the request. It ends at the deadline and when
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -30,6 +30,7 @@
 // Handle implements Filter.
 func (f *QuarantineFilter) Handle(ex *Exchange, next Handler) error {
 	ex.Fingerprints = fingerprints(ex)
+	ex.quarantineKeys = poison.WithOrganisation(ex.Fingerprints)
 	if err := f.check(ex); err != nil {
 		return err
 	}
@@ -52,7 +53,7 @@
 	if n := len(ex.Metadata.PromptParts); n > 0 {
 		content = append(slices.Clip(content), ex.Metadata.PromptParts[n-1].ID...)
 	}
-	return append(all, poison.OfRequest(claim.DigestRequest(ex.OrganisationName(), ex.Request.Method, ex.Request.URL.RequestURI(), content)))
+	return append(all, poison.OfRequest(claim.DigestRequest(ex.OrganisationName(), ex.Request.Method, ex.Request.URL.RequestURI(), content), ex.OrganisationName()))
 }
 
 // check returns an error if the request is quarantined.
@@ -60,7 +61,7 @@
 	if f == nil {
 		return nil
 	}
-	q, quarantined := f.Detector.Find(ex.Fingerprints...)
+	q, quarantined := f.Detector.Find(ex.quarantineKeys...)
 	if !quarantined {
 		return nil
 	}
@@ -87,7 +88,7 @@
 // current attempt.
 func (f *QuarantineFilter) recordSuccess(ex *Exchange) {
 	if f != nil {
-		f.Detector.RecordSuccess(ex.attemptSentAt, ex.Fingerprints...)
+		f.Detector.RecordSuccess(ex.attemptSentAt, ex.quarantineKeys...)
 	}
 }
 
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
 )
@@ -124,3 +125,19 @@
 	assert.Equal(t, len(notices), 1)
 	assert.Assert(t, len(notices[0]) <= maxPacketBytes, "the notice has %d bytes", len(notices[0]))
 }
+
+// A part that is quarantined within one organisation must be refused to that one only, and a
+// success must end that quarantine. Otherwise an organisation gets another one's
+// prompts refused.
+func TestQuarantineOfOneOrganisation(t *testing.T) {
+	testTarget := startTarget(t, "i-1")
+	f := newFixture(t, testTarget)
+	within := func(organisation string) poison.Fingerprint {
+		return poison.WithOrganisation([]poison.Fingerprint{poison.OfPart("bad"), poison.OfRequest(claim.Digest{}, organisation)})[1]
+	}
+	request := callerRequest{path: "/once/", header: promptParts("a1:10,bad:10,c1:10")}
+	f.quarantine(within("other"))
+	assert.Equal(t, f.send(request).status, http.StatusOK)
+	f.quarantine(within("one"))
+	assert.Equal(t, f.send(request).status, http.StatusUnprocessableEntity)
+}
