--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/feed"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/gossip"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
@@ -99,6 +100,11 @@
 	// memoryLimitShare is the part of the process's memory that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitShare = 0.7
+	// responseMemoryDivisor is the part of the process's memory that responses of targets
+	// may take until they are sent on, and defaultResponseMemory replaces it if that is
+	// not limited.
+	responseMemoryDivisor = 10
+	defaultResponseMemory = 64 << 20
 )
 
 // Platform holds the clients, parsers and names that depend on the platform.
@@ -139,6 +145,7 @@
 	poisonDetector   *poison.Detector
 	quarantineKeeper *quarantineKeeper
 	targetConns      *targetconn.Pool
+	responseMemory   *memlimit.Budget
 	placer           *placement.Placer
 	metrics          *expvar.Map
 	requestLog       *relay.RequestLog
@@ -212,7 +219,12 @@
 	}
 	d.cacheDirectories = &cachedir.Set{Client: p.CacheEventClient, Addresses: d.cacheStoreAddresses, InstanceCount: d.members.LiveCount, FedByPeer: d.feed.FedByPeer, Clock: d.clock, Log: log}
 	d.feed.CacheDirectories = d.cacheDirectories
+	d.responseMemory = memlimit.NewBudget(defaultResponseMemory)
+	if s.MemoryBytes > 0 {
+		d.responseMemory = memlimit.NewBudget(s.MemoryBytes / responseMemoryDivisor)
+	}
 	d.targetConns = targetconn.NewPool(dialTimeout, unackedTimeout)
+	d.targetConns.Memory = d.responseMemory
 	d.placer = placement.New(placement.DefaultParams(), s.Zone)
 	d.poisonDetector = poison.NewDetector(d.clock)
 	d.quarantineKeeper = &quarantineKeeper{
@@ -267,7 +279,7 @@
 	keyFilter := &relay.KeyFilter{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
 	quarantineFilter := &relay.QuarantineFilter{Detector: d.poisonDetector, Clock: d.clock, RequestLog: requestLog}
 	forwardFilter := &relay.ForwardFilter{
-		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
+		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, Memory: d.responseMemory, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
 		RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
 	}
 	chain := relay.NewChain(dialect, requestLog,
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -15,6 +15,7 @@
 	d.metrics.Set("first_event", &d.requestLog.FirstEventLatency)
 	d.metrics.Set("whole_answer", &d.requestLog.TotalLatency)
 	d.metrics.Set("store_call", &d.storeCalls)
+	set("response_memory_bytes", func() any { return d.responseMemory.Used() })
 	set("connections_opened", func() any { return d.targetConns.OpenedConns.Load() })
 	set("connections_reused", func() any { return d.targetConns.ReusedConns.Load() })
 	set("connections_dropped", func() any { return d.targetConns.DroppedConns.Load() })
--- a/pkg/engine/sse.go
+++ b/pkg/engine/sse.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 )
 
 // MaxEventBytes bounds the data of one event and each line of a stream, in bytes.
@@ -25,9 +27,22 @@
 // IsEndMarker reports whether the event marks the end of a complete stream.
 func (e StreamEvent) IsEndMarker() bool { return string(e.Data) == EndMarker }
 
+// ErrOutOfMemory is returned for an event that needs more memory than is left for
+// responses.
+var ErrOutOfMemory = errors.New("no memory is left for the stream event")
+
+// freeEventBytes is the size of an event up to which nothing is reserved in
+// EventReader.Memory.
+const freeEventBytes = 32 << 10
+
 // EventReader reads server-sent events. It is not safe for concurrent use.
 type EventReader struct {
-	r *bufio.Reader
+	// Memory holds what large events take. The caller releases it. The zero value has no
+	// bound.
+	Memory memlimit.Reservation
+
+	r        *bufio.Reader
+	reserved int // bytes in Memory
 }
 
 // NewEventReader returns a reader of the events in r.
@@ -43,7 +58,7 @@
 	var data []byte
 	started := false
 	for {
-		line, err := r.readLine()
+		line, err := r.readLine(len(data))
 		if err != nil {
 			if errors.Is(err, io.EOF) && (started || len(line) > 0) {
 				err = io.ErrUnexpectedEOF
@@ -68,7 +83,8 @@
 	}
 }
 
-func (r *EventReader) readLine() ([]byte, error) {
+// readLine reads a line of an event of which dataBytes were read before.
+func (r *EventReader) readLine(dataBytes int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := r.r.ReadSlice('\n')
@@ -76,6 +92,9 @@
 		if len(line) > MaxEventBytes {
 			return nil, ErrEventTooLarge
 		}
+		if !r.reserve(dataBytes + len(line)) {
+			return nil, ErrOutOfMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -86,6 +105,20 @@
 	}
 }
 
+// reserve reports whether there is memory for an event of a size, which is held twice: in
+// its lines and in its data.
+func (r *EventReader) reserve(bytes int) bool {
+	if bytes <= freeEventBytes || 2*bytes <= r.reserved {
+		return true
+	}
+	larger := 4 * bytes
+	if !r.Memory.Grow(int64(larger - r.reserved)) {
+		return false
+	}
+	r.reserved = larger
+	return true
+}
+
 func parseField(line []byte, event *StreamEvent, data *[]byte) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -9,11 +9,16 @@
 	"strconv"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 var errResponseTooLarge = errors.New("the target's response exceeds the size limit")
 
+// errOutOfMemory is returned for a response that needs more memory than is left for
+// responses, or for those of its target.
+var errOutOfMemory = errors.New("no memory is left for this response of the target")
+
 // errNotJSON is returned for an engine's response that is cut off or malformed.
 var errNotJSON = errors.New("the target's response is not a complete JSON document")
 
@@ -33,12 +38,14 @@
 // fails on a 5xx status, on an invalid response, and if the caller already has a
 // part of a stream.
 func (s *Sender) relayBuffered(ex *Exchange, response *targetResponse) *attemptError {
-	body, err := io.ReadAll(io.LimitReader(response.resp.Body, maxBufferedResponseBytes+1))
+	memory := s.memory.For(ex.Target.ID)
+	defer func() { memory.Release() }()
+	body, err := readResponseBody(response.resp.Body, &memory)
 	switch {
+	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errOutOfMemory):
+		return &attemptError{cause: err}
 	case err != nil:
 		return response.readError("answer", err)
-	case len(body) > maxBufferedResponseBytes:
-		return &attemptError{cause: errResponseTooLarge}
 	case response.resp.StatusCode >= http.StatusInternalServerError:
 		return &attemptError{cause: fmt.Errorf("the target answered with status %d", response.resp.StatusCode)}
 	case ex.Pool.Kind == tables.PoolEngine && response.resp.StatusCode == http.StatusOK && !json.Valid(body):
@@ -60,6 +67,32 @@
 	return nil
 }
 
+// readResponseBody reads a body up to maxBufferedResponseBytes and holds what it takes in
+// memory.
+func readResponseBody(r io.Reader, memory *memlimit.Reservation) ([]byte, error) {
+	body := make([]byte, 0, 4<<10)
+	for {
+		if len(body) > maxBufferedResponseBytes {
+			return nil, errResponseTooLarge
+		}
+		if len(body) == cap(body) {
+			larger := 2 * cap(body)
+			if larger > freeResponseBytes && !memory.Grow(int64(larger-cap(body))) {
+				return nil, errOutOfMemory
+			}
+			body = append(make([]byte, 0, larger), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 type usageBody struct {
 	Usage struct {
 		PromptTokens     int `json:"prompt_tokens"`
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
@@ -26,6 +27,12 @@
 	idleConnsPerTarget       = 64
 	idleConnTimeout          = 30 * time.Second
 	maxBufferedResponseBytes = 32 << 20
+	// freeResponseBytes is the size of a response up to which nothing is reserved in
+	// Sender.memory.
+	freeResponseBytes = 64 << 10
+	// responseMemory is what responses of targets may take together until they are sent
+	// to callers, beyond a small part of each.
+	responseMemory = 256 << 20
 )
 
 // attemptError is the failure of one attempt to send a request.
@@ -50,11 +57,12 @@
 	// connection that breaks before the first byte of the response, http.Transport
 	// resends the request.
 	unpooled *http.Transport
+	memory   *memlimit.Budget
 }
 
 // NewSender returns a sender with its own connection pool.
 func NewSender() *Sender {
-	return &Sender{pooled: newTransport(false), unpooled: newTransport(true)}
+	return &Sender{pooled: newTransport(false), unpooled: newTransport(true), memory: memlimit.NewBudget(responseMemory)}
 }
 
 func newTransport(disableKeepAlives bool) *http.Transport {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -25,6 +25,8 @@
 	}
 	readUsageHeaders(ex, response.resp.Header)
 	reader := engine.NewEventReader(progressReader{response.resp.Body, response.stall})
+	reader.Memory = s.memory.For(ex.Target.ID)
+	defer func() { reader.Memory.Release() }()
 	for {
 		event, err := reader.Next()
 		if err != nil {
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
@@ -15,6 +16,9 @@
 	initialEventBufferBytes = 2 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
+	// freeEventBytes is the size of the event buffer up to which nothing is reserved in
+	// ForwardFilter.Memory. Usual events are shorter.
+	freeEventBytes = 16 << 10
 )
 
 var errEventTooLarge = errors.New("an event of the stream exceeds the size limit")
@@ -22,7 +26,8 @@
 // relayEvents sends a stream of events to the caller, complete events only: if
 // the stream breaks off within an event, another target sends that event again.
 func (f *ForwardFilter) relayEvents(ex *Exchange, response *targetconn.Response, idle *idleTimer, markStarted func()) *failure {
-	buffer := &eventBuffer{}
+	buffer := &eventBuffer{memory: f.Memory.For(ex.Target.Key())}
+	defer buffer.memory.Release()
 	last := time.Now()
 	eventsBefore := ex.EventCount
 	for {
@@ -118,11 +123,12 @@
 	data     []byte
 	returned int // length of the complete events at the start of data that were returned
 	searched int // no event ends in data between returned and here
+	memory   memlimit.Reservation
 }
 
 // readEvents reads once and returns the events that are complete then, if any. They
-// are valid until the next call. The error is that of the reader, or
-// errEventTooLarge.
+// are valid until the next call. The error is that of the reader, errEventTooLarge or
+// targetconn.ErrOutOfMemory.
 func (b *eventBuffer) readEvents(r io.Reader) ([]byte, error) {
 	if b.returned > 0 {
 		b.data = append(b.data[:0], b.data[b.returned:]...)
@@ -133,6 +139,10 @@
 		if cap(b.data) >= maxEventBytes {
 			return nil, errEventTooLarge
 		}
+		// While the bytes are copied, both buffers take memory.
+		if larger := 2 * cap(b.data); larger > freeEventBytes && !b.memory.Grow(int64(larger)) {
+			return nil, targetconn.ErrOutOfMemory
+		}
 		b.data = append(make([]byte, 0, max(initialEventBufferBytes, 2*cap(b.data))), b.data...)
 	}
 	n, err := r.Read(b.data[len(b.data):cap(b.data)])
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -43,16 +44,25 @@
 	LongestEventGap time.Duration // longest time between two consecutive events
 	Status          int           // sent to the caller
 
-	Fingerprints   []poison.Fingerprint // of the shared parts of the prompt, then of the request
-	quarantineKeys []poison.Fingerprint // Fingerprints, and those of the parts within the organisation
-	attemptSentAt  time.Duration        // start of the current attempt, since boot
-	attemptBroke   bool                 // the target broke the connection of the last attempt before its first event
+	Fingerprints   []poison.Fingerprint   // of the shared parts of the prompt, then of the request
+	quarantineKeys []poison.Fingerprint   // Fingerprints, and those of the parts within the organisation
+	attemptSentAt  time.Duration          // start of the current attempt, since boot
+	attemptBroke   bool                   // the target broke the connection of the last attempt before its first event
+	held           []memlimit.Reservation // of responses that were read, until the exchange ends
 }
 
 // Context returns the context of the request. It ends at the deadline and when
 // the caller closes the connection.
 func (ex *Exchange) Context() context.Context { return ex.Request.Context() }
 
+// releaseHeld returns the memory of responses that were read.
+func (ex *Exchange) releaseHeld() {
+	for n := range ex.held {
+		ex.held[n].Release()
+	}
+	ex.held = nil
+}
+
 // Repeatable reports whether the request may run more than once.
 func (ex *Exchange) Repeatable() bool { return ex.Route.Repeatable }
 
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -9,6 +9,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
@@ -51,6 +52,9 @@
 	CacheDirectories *cachedir.Set // directories of the cache stores
 	RetryBudget      *RetryBudget
 	LoadReporter     LoadReporter
+	// Memory bounds what responses take until they are sent to callers, beyond a
+	// small part of each; nil means no bound.
+	Memory           *memlimit.Budget
 	KeyFilter        *KeyFilter
 	QuarantineFilter *QuarantineFilter
 	RequestLog       *RequestLog
@@ -89,6 +93,7 @@
 // Handle implements Filter.
 func (f *ForwardFilter) Handle(ex *Exchange, next Handler) error {
 	f.RetryBudget.RecordRequest(ex.Pool.Name)
+	defer ex.releaseHeld()
 	r := f.placementRequest(ex)
 	tried := make(map[string]bool)
 	var last *failure
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -20,6 +20,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
@@ -103,8 +104,9 @@
 	key := &relay.KeyFilter{Configuration: f, MaxProofAge: func() time.Duration { return 4 * time.Second }}
 	quarantine := &relay.QuarantineFilter{Detector: f.detector, Clock: clock.System{}, RequestLog: requestLog}
 	directory := &cachedir.Set{}
+	f.conns.Memory = memlimit.NewBudget(13 << 20) // as for an instance of 134 MB
 	forward := &relay.ForwardFilter{
-		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, Memory: f.conns.Memory, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
 	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, quarantine, &relay.QuotaFilter{Quota: f}, forward)
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -10,10 +10,14 @@
 	"lacewingwheel.example/lacewingwheel/pkg/targetconn"
 )
 
-// maxBufferedBytes is the largest response that is read in full before it is
-// sent to the caller. A larger one is sent while it is read, so its request
-// cannot be retried.
-const maxBufferedBytes = 256 << 10
+const (
+	// maxBufferedBytes is the largest response that is read in full before it is
+	// sent to the caller. A larger one is sent while it is read, so its request
+	// cannot be retried.
+	maxBufferedBytes = 256 << 10
+	// freeBufferedBytes replaces it where no memory is left in ForwardFilter.Memory.
+	freeBufferedBytes = 16 << 10
+)
 
 const (
 	// maxDrainBytes bounds what is read of a refusal so that its connection can be
@@ -39,12 +43,12 @@
 		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream not resumed",
 			cause: errors.New("status " + strconv.Itoa(response.StatusCode))}
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, isWhole, err := f.readBuffered(ex, response)
 	if err != nil {
 		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "response cut off", cause: err}
 	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body, statedLength: response.ContentLength}
-	if len(body) > maxBufferedBytes {
+	if !isWhole {
 		return f.relayUnbuffered(ex, response, buffered)
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -55,6 +59,35 @@
 	return nil
 }
 
+// readBuffered reads the body of a response up to maxBufferedBytes, or freeBufferedBytes if
+// no memory is left. isWhole is false if there may be more. The memory is held until the
+// exchange ends.
+func (f *ForwardFilter) readBuffered(ex *Exchange, response *targetconn.Response) (body []byte, isWhole bool, err error) {
+	limit := int64(maxBufferedBytes)
+	if n := response.ContentLength; n >= 0 && n < limit {
+		limit = n
+	}
+	buffer := make([]byte, 0, min(limit+1, freeBufferedBytes))
+	memory := f.Memory.For(ex.Target.Key())
+	defer func() { ex.held = append(ex.held, memory) }()
+	for {
+		if len(buffer) == cap(buffer) {
+			if int64(len(buffer)) > limit || !memory.Grow(2*limit) {
+				return buffer, false, nil
+			}
+			buffer = append(make([]byte, 0, limit+1), buffer...)
+		}
+		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // write sends the response to the caller.
 func (b *bufferedResponse) write(ex *Exchange) {
 	h := copyEndToEndHeaders(ex.Writer.Header(), b.header)
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 )
 
 const (
@@ -29,6 +31,12 @@
 	// MaxHeadBytes bounds the header of a response, together with the headers of
 	// informational responses and of responses to earlier requests before it.
 	MaxHeadBytes = 64 << 10
+	// freeHeadBytes is the part of MaxHeadBytes for which nothing is reserved in
+	// Pool.Memory. Usual heads are shorter.
+	freeHeadBytes = 8 << 10
+	// parsedHeadFactor is the memory that a header of many short lines takes for each of
+	// its bytes.
+	parsedHeadFactor = 10
 	// maxMismatchedResponses bounds the responses to earlier requests that are
 	// discarded before one request fails.
 	maxMismatchedResponses = 2
@@ -50,6 +58,10 @@
 // that are skipped, exceeds MaxHeadBytes.
 var ErrHeadTooLarge = errors.New("the header of the target's response exceeds the size limit")
 
+// ErrOutOfMemory means that a response needs more memory than is left for responses, or for
+// those of its target.
+var ErrOutOfMemory = errors.New("no memory is left for this response of the target")
+
 // ErrInvalidStatus means that the target sent a status that no response to this
 // request can have.
 var ErrInvalidStatus = errors.New("the target sent an invalid status")
@@ -65,34 +77,48 @@
 	idleTimeout  time.Duration
 	writeDone    chan error // result of a request written in the background; otherwise nil
 	outOfSync    bool       // further bytes may belong to other requests
+	memory       memlimit.Reservation
 }
 
-// newConn returns a connection to the target with this Destination.Key.
-func newConn(raw net.Conn, key string) *Conn {
+// newConn returns a connection to the target with this Destination.Key, whose long heads
+// are reserved in memory.
+func newConn(raw net.Conn, key string, memory *memlimit.Budget) *Conn {
 	input := &boundedReader{Reader: raw}
-	return &Conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), key: key}
+	c := &Conn{Conn: raw, input: input, reader: bufio.NewReaderSize(input, readBufferBytes), key: key, memory: memory.For(key)}
+	input.reserve = func(bytes int) bool { return c.memory.Grow(int64(parsedHeadFactor * bytes)) }
+	return c
 }
 
 // boundedReader bounds what is read while a header is expected. http.ReadResponse
 // has no bound of its own.
 type boundedReader struct {
 	io.Reader
-	bounded  bool
-	left     int  // bytes that may be read while bounded
-	exceeded bool // more was asked for
+	bounded bool
+	free    int // bytes that may be read while bounded
+	left    int // bytes that may be read then, once reserve has returned true for them
+	reserve func(bytes int) bool
+	err     error // why more was not read
 }
 
-// Read implements io.Reader. It returns ErrHeadTooLarge at the bound.
+// Read implements io.Reader. It returns ErrHeadTooLarge at the bound, or ErrOutOfMemory.
 func (b *boundedReader) Read(p []byte) (int, error) {
 	if !b.bounded {
 		return b.Reader.Read(p)
 	}
-	if b.left <= 0 {
-		b.exceeded = true
-		return 0, ErrHeadTooLarge
+	if b.free <= 0 {
+		switch {
+		case b.left <= 0:
+			b.err = ErrHeadTooLarge
+		case !b.reserve(b.left):
+			b.err = ErrOutOfMemory
+		}
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.free, b.left = b.left, 0
 	}
-	n, err := b.Reader.Read(p[:min(len(p), b.left)])
-	b.left -= n
+	n, err := b.Reader.Read(p[:min(len(p), b.free)])
+	b.free -= n
 	return n, err
 }
 
@@ -181,13 +207,13 @@
 // readResponse returns the response to the request. It skips informational
 // responses and discards responses to earlier requests.
 func (c *Conn) readResponse(r *Request) (*http.Response, error) {
-	c.input.left = MaxHeadBytes
+	c.input.free, c.input.left = freeHeadBytes, MaxHeadBytes-freeHeadBytes
 	defer func() { c.input.bounded = false }()
 	for mismatched := 0; ; {
 		c.input.bounded = true
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
-		if c.input.exceeded {
-			return nil, ErrHeadTooLarge // err may be about the line that was cut
+		if c.input.err != nil {
+			return nil, c.input.err // err may be about the line that was cut
 		}
 		if err != nil {
 			return nil, err
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 )
 
 // Stage is the step at which a request failed.
@@ -61,6 +63,8 @@
 	// UnackedTimeout is the time after which a connection is closed if sent
 	// bytes remain unacknowledged.
 	UnackedTimeout time.Duration
+	// Memory bounds what long heads of responses take together; nil means no bound.
+	Memory *memlimit.Budget
 
 	OpenedConns  atomic.Int64 // connections opened
 	ReusedConns  atomic.Int64 // requests sent on an idle connection
@@ -213,7 +217,7 @@
 		return nil, err
 	}
 	p.OpenedConns.Add(1)
-	return newConn(raw, to.Key), nil
+	return newConn(raw, to.Key, p.Memory), nil
 }
 
 // takeIdleOrReserve returns the most recently used idle connection. If there is
@@ -237,6 +241,7 @@
 }
 
 func (p *Pool) put(conn *Conn) {
+	conn.memory.Release()
 	conn.idleSince = time.Now()
 	p.mu.Lock()
 	p.idle[conn.key] = append(p.idle[conn.key], conn)
@@ -245,6 +250,7 @@
 
 func (p *Pool) discard(conn *Conn) {
 	_ = conn.Close() // the connection is discarded, so the error does not matter
+	conn.memory.Release()
 	p.mu.Lock()
 	p.releaseSlot(conn.key)
 	p.mu.Unlock()
