--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/drain"
 	"lacewingwheel.example/lacewingwheel/pkg/feed"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/gossip"
@@ -151,10 +152,17 @@
 	requestLog       *relay.RequestLog
 	storeCalls       relay.LatencyHistograms
 	callerServer     *http.Server
+	callerConns      *drain.Tracker
 	idleTimeout      *idleTimeout
 	listen           func(network, address string) (net.Listener, error) // net.Listen except in tests
 	stopping         atomic.Bool
-	startedAt        time.Duration // time since boot
+	// drainEndsAt is when requests that still run are ended; nil until the instance takes
+	// only those that it can complete.
+	drainEndsAt atomic.Pointer[time.Time]
+	// requests is the context of all callers' requests, and endRequests ends it.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
+	startedAt   time.Duration // time since boot
 }
 
 // New assembles a daemon that is started with Run. settings returns the current
@@ -238,7 +246,11 @@
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
+	d.requests, d.endRequests = context.WithCancelCause(context.Background())
+	d.callerConns = drain.NewTracker()
 	d.callerServer = &http.Server{
+		ConnState:         d.callerConns.Record,
+		BaseContext:       func(net.Listener) context.Context { return d.requests },
 		Handler:           d.callerHandler(p.Dialect),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeoutMarker,
@@ -282,8 +294,9 @@
 		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, Memory: d.responseMemory, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
 		RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
 	}
+	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, keyFilter, relay.BodyFilter{}, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
@@ -391,6 +404,7 @@
 	if err != nil {
 		return err
 	}
+	callerListener = drain.NewListener(callerListener)
 	readyListener, err := d.listen("tcp4", s.ReadyListen)
 	if err != nil {
 		return errors.Join(err, callerListener.Close())
@@ -414,7 +428,7 @@
 		"metrics", s.MetricsListen, "first_start", s.FirstStart)
 	select {
 	case <-ctx.Done():
-		err = d.stop(s)
+		d.stop(s, callerListener)
 	case err = <-failed:
 	}
 	stopBackground()
--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/daemon"
 	"lacewingwheel.example/lacewingwheel/platform"
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
@@ -263,3 +265,52 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Assert(t, time.Since(startedAt) > 200*time.Millisecond)
 }
+
+// Requests that came late in a planned stop, on connections that were opened before, were
+// passed on and cut off at its end, among them such that must not be repeated. They must be
+// refused at once, as not run, unless they end in time.
+func TestLateRequestsOfPlannedStopAreNotCut(t *testing.T) {
+	x := startDaemon(t, 1)
+	x.settings.StopTimeout = 5 * time.Second
+	x.targets[0].SetStream(400, 20*time.Millisecond) // longer than the stop
+	var late [2]net.Conn
+	for n := range late {
+		conn, err := net.Dial("tcp4", x.settings.CallerListen)
+		assert.NilError(t, err)
+		defer conn.Close()
+		late[n] = conn
+	}
+	x.stop()
+	x.waitFor("not ready", func() bool { return x.readyStatus() != http.StatusOK })
+	stoppedAt := time.Now()
+	running := make(chan error, 1)
+	go func() {
+		_, _, err := x.send("/stream/", "key-1")
+		running <- err
+	}()
+	x.waitFor("a request runs", func() bool { return x.targets[0].RunningRequests() == 1 })
+	time.Sleep(3*time.Second - time.Since(stoppedAt)) // the instance takes no more requests that may be cut
+	x.targets[0].SetStream(4, 0)
+
+	for n, c := range []struct {
+		timeout string
+		status  int
+	}{{"4900", http.StatusServiceUnavailable}, {"500", http.StatusOK}} {
+		_, err := fmt.Fprintf(late[n], "POST /stream/ HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderRequestID+": late-%d\r\n"+platformtest.HeaderModel+": m\r\n"+platformtest.HeaderDeadline+": %s\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi", n, c.timeout)
+		assert.NilError(t, err)
+		assert.NilError(t, late[n].SetDeadline(time.Now().Add(testTimeout)))
+		response, err := http.ReadResponse(bufio.NewReader(late[n]), nil)
+		assert.NilError(t, err, "a request with %s ms, %v after the stop began", c.timeout, time.Since(stoppedAt))
+		assert.Equal(t, response.StatusCode, c.status, "a request with %s ms", c.timeout)
+		assert.Assert(t, response.Close)
+		if c.status == http.StatusServiceUnavailable {
+			assert.Equal(t, response.Header.Get(apierr.HeaderOutcome), string(apierr.OutcomeNotRun))
+			assert.Assert(t, response.Header.Get("Retry-After") != "")
+		}
+	}
+	assert.Assert(t, <-running != nil, "a stream that was cut at the end looks complete")
+	err := <-x.stopped
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(stoppedAt) < x.settings.StopTimeout)
+	x.stopped <- err
+}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -167,6 +167,9 @@
 
 // contextError returns the error of a request whose context has ended.
 func (f *ForwardFilter) contextError(ex *Exchange, cause error) error {
+	if errors.Is(cause, ErrStopping) {
+		return errStopping(ex)
+	}
 	if !errors.Is(cause, context.DeadlineExceeded) {
 		return errCallerGone(ex, cause)
 	}
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -57,6 +57,9 @@
 	conns         *targetconn.Pool
 	placer        *placement.Placer
 	detector      *poison.Detector
+	drainEndsAt   time.Time // zero: the instance does not stop
+	// endRequests ends the requests that run, as a stop of the instance does.
+	endRequests func()
 }
 
 type lockedBuffer struct {
@@ -109,14 +112,30 @@
 		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, Memory: f.conns.Memory, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
-	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, key, relay.BodyFilter{}, quarantine, &relay.QuotaFilter{Quota: f}, forward)
+	drain := relay.DrainFilter{EndsAt: f.drainEnd}
+	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, drain, key, relay.BodyFilter{}, drain, quarantine, &relay.QuotaFilter{Quota: f}, forward)
+	requests, endRequests := context.WithCancelCause(context.Background())
+	f.endRequests = func() { endRequests(relay.ErrStopping) }
 	f.server = httptest.NewUnstartedServer(chain)
 	f.server.Config.ConnContext = relay.ContextWithConn
+	f.server.Config.BaseContext = func(net.Listener) context.Context { return requests }
 	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
 }
 
+func (f *fixture) drainEnd() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.drainEndsAt
+}
+
+func (f *fixture) setDrainEnd(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drainEndsAt = at
+}
+
 // avoid makes a target cost more than the others, so that requests go to these first.
 func (f *fixture) avoid(n int) { f.targets[n].Live.InFlight.Add(100) }
 
--- a/pkg/server/endpoint.go
+++ b/pkg/server/endpoint.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
+	"lacewingwheel.example/lacewingwheel/pkg/drain"
 )
 
 const (
@@ -24,6 +26,7 @@
 type endpoint struct {
 	server   *http.Server
 	listener net.Listener
+	conns    *drain.Tracker
 }
 
 // endpointOptions are the options of an endpoint.
@@ -47,7 +50,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s_listen: choose another address or end the process that uses it", o.setting)
 	}
+	conns := drain.NewTracker()
 	httpServer := &http.Server{
+		ConnState:         conns.Record,
 		Handler:           o.handler,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -55,7 +60,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          o.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 	}
-	return &endpoint{server: httpServer, listener: listener}, nil
+	return &endpoint{server: httpServer, listener: drain.NewListener(listener), conns: conns}, nil
 }
 
 // loadTLSConfig loads the certificate and reloads it when its files change. It
@@ -85,4 +90,16 @@
 	return e.server.Serve(e.listener)
 }
 
+// shutdown closes the listener and waits for running requests and for those that callers
+// send on connections that were just opened. It returns the error of ctx if that ends before.
+func (e *endpoint) shutdown(ctx context.Context) error {
+	if err := drain.Begin(e.server, e.listener); err != nil {
+		return err
+	}
+	if err := e.conns.AwaitFirstRequests(ctx); err != nil {
+		return err
+	}
+	return e.server.Shutdown(ctx)
+}
+
 func (e *endpoint) address() string { return e.listener.Addr().String() }
--- a/pkg/server/server_test.go
+++ b/pkg/server/server_test.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -319,3 +321,28 @@
 		})
 	}
 }
+
+// A caller that has just connected when the listener closes must get an answer to its
+// request. It was read, and the connection was closed without one.
+func TestRequestOnNewConnectionIsAnsweredDuringStop(t *testing.T) {
+	_, address := startPlatform(t)
+	const readyGrace = 300 * time.Millisecond
+	s := startServer(t, &config.Settings{
+		Instance: config.Instance{CallerListen: anyPort, OperatorListen: anyPort}, Platform: config.Platform{Address: address},
+		Server: config.Server{ReadyGrace: readyGrace},
+	})
+	s.stop()
+	time.Sleep(readyGrace - 50*time.Millisecond)
+	conn, err := net.Dial("tcp4", s.CallerAddress())
+	assert.NilError(t, err)
+	defer conn.Close()
+	time.Sleep(150 * time.Millisecond)
+	_, err = io.WriteString(conn, "GET /none HTTP/1.1\r\nHost: x\r\n\r\n")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, response.StatusCode >= http.StatusBadRequest && response.Close, "%v", response.Status)
+	assert.NilError(t, <-s.result)
+	s.result <- nil
+}
--- a/pkg/server/stop.go
+++ b/pkg/server/stop.go
@@ -31,7 +31,7 @@
 	s.log.Info("stopping; waiting for running requests", "limit", s.settings.Server.DrainTimeout)
 	ctx, cancel := context.WithTimeout(context.Background(), s.settings.Server.DrainTimeout)
 	defer cancel()
-	if err := s.callerEndpoint.server.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.callerEndpoint.shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "requests were still running at the drain timeout; raise drain_timeout")
 	}
 	s.log.Info("stopped")
