--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
@@ -12,6 +13,10 @@
 // errMissingEvent is returned if the positions of a stream have a gap.
 var errMissingEvent = errors.New("an event is missing from the target's stream")
 
+// errNotResumed is returned if a target that was to resume a stream answers with
+// something else.
+var errNotResumed = errors.New("the target did not resume the stream")
+
 // forwardStream copies an event stream to the caller. Events that were already
 // sent to the caller are dropped; a missing event fails the attempt.
 func (s *Sender) forwardStream(ex *Exchange) *attemptError {
@@ -23,6 +28,10 @@
 	if response.resp.StatusCode != http.StatusOK {
 		return s.relayBuffered(ex, response)
 	}
+	resumes := ex.Writer.Started()
+	if resumes && !strings.HasPrefix(response.resp.Header.Get("Content-Type"), engine.ContentTypeEventStream) {
+		return &attemptError{cause: errNotResumed}
+	}
 	readUsageHeaders(ex, response.resp.Header)
 	reader := engine.NewEventReader(progressReader{response.resp.Body, response.stall})
 	reader.Memory = s.memory.For(ex.Target.ID)
@@ -32,6 +41,10 @@
 		if err != nil {
 			return response.readError("stream", err)
 		}
+		if resumes && event.Position == 0 {
+			// Its place in the stream is unknown; it may be an error of the target.
+			return &attemptError{cause: errNotResumed}
+		}
 		done, failure := deliverEvent(ex, response.stall, event)
 		if done || failure != nil {
 			return failure
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
 // streamBody returns the body of a streaming request.
@@ -212,3 +214,49 @@
 		assert.Equal(t, totals.Late == 1, stream)
 	}
 }
+
+// When a stream is resumed, the error of the second engine must not be written into the
+// stream of the first, also if it comes with status 200.
+func TestErrorOfSecondEngineIsNotPartOfStream(t *testing.T) {
+	for name, second := range map[string]func(w http.ResponseWriter){
+		"error document": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", "application/json")
+			fmt.Fprint(w, `{"error":"SECOND"}`)
+		},
+		"text that looks like an event": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", "text/plain")
+			fmt.Fprint(w, "id: 3\ndata: SECOND\n\n")
+		},
+		"event without a position": func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", engine.ContentTypeEventStream)
+			fmt.Fprint(w, "data: SECOND\n\n")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
+				if requests.Add(1) > 1 {
+					second(w)
+					return
+				}
+				w.Header().Set("Content-Type", engine.ContentTypeEventStream)
+				fmt.Fprint(w, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n")
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			var targets []*target.Target
+			for _, id := range []string{"e-1", "e-2"} {
+				e := newTarget(t, id, handle)
+				e.CanResume = true
+				targets = append(targets, e.Target)
+			}
+			r := newRouter(t, standin.NewPlatform(), targets...)
+			r.serve()
+			got := r.post(pathGenerate, "", streamBody(4))
+			assert.Assert(t, requests.Load() >= 2)
+			assert.Assert(t, strings.Contains(got.body, "two") && !strings.Contains(got.body, "SECOND"), got.body)
+			assert.Assert(t, !strings.Contains(got.body, engine.EndMarker), got.body)
+		})
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
@@ -89,7 +90,9 @@
 		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "response without the target's signature"}
 	}
 	var failed *failure
-	if ex.Route.StreamsEvents && response.StatusCode == http.StatusOK {
+	if ex.HeaderSent && !isEventStream(response.Header) {
+		failed = notResumed(errors.New("status " + strconv.Itoa(response.StatusCode) + ", content type " + strconv.Quote(response.Header.Get("Content-Type"))))
+	} else if ex.Route.StreamsEvents && response.StatusCode == http.StatusOK {
 		failed = f.relayEvents(ex, response, idle, func() {
 			onFirstEvent()
 			f.QuarantineFilter.recordSuccess(ex)
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
@@ -21,11 +23,19 @@
 	freeEventBytes = 16 << 10
 )
 
+// errEventRepeated means that a target which resumed a stream began with an event that the
+// caller has.
+var errEventRepeated = errors.New("the resumed stream repeats an event")
+
 var errEventTooLarge = errors.New("an event of the stream exceeds the size limit")
 
 // relayEvents sends a stream of events to the caller, complete events only: if
 // the stream breaks off within an event, another target sends that event again.
 func (f *ForwardFilter) relayEvents(ex *Exchange, response *targetconn.Response, idle *idleTimer, markStarted func()) *failure {
+	resumedAfter := ""
+	if ex.HeaderSent {
+		resumedAfter = ex.Metadata.LastEventID
+	}
 	buffer := &eventBuffer{memory: f.Memory.For(ex.Target.Key())}
 	defer buffer.memory.Release()
 	last := time.Now()
@@ -34,6 +44,10 @@
 		events, err := buffer.readEvents(response.Body)
 		if len(events) > 0 {
 			if carriesEvent(events) {
+				if repeatsEvent(events, resumedAfter) {
+					return notResumed(errEventRepeated)
+				}
+				resumedAfter = ""
 				markStarted()
 				idle.reset()
 				now := time.Now()
@@ -67,6 +81,35 @@
 	}
 }
 
+// isEventStream reports whether a response is a stream of events. The answer of a target
+// that was to resume a stream is an error otherwise, whatever its status.
+func isEventStream(h http.Header) bool {
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
+// notResumed returns the failure of an attempt to resume a stream. Nothing of the target's
+// answer was sent to the caller.
+func notResumed(cause error) *failure {
+	return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream not resumed", cause: cause}
+}
+
+// repeatsEvent reports whether the first ID in events is not after the one of the last
+// event before the stream was resumed. It is false unless both are numbers.
+func repeatsEvent(events []byte, last string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return false
+	}
+	for line := range bytes.Lines(events) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			first, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
+			return err == nil && first <= before
+		}
+	}
+	return false
+}
+
 // endsWithConnection reports whether only the end of the connection ends the body.
 func endsWithConnection(response *targetconn.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -245,6 +245,18 @@
 		"large answer": {Status: http.StatusNotFound, Respond: func(conn *net.TCPConn, head string) {
 			_, _ = io.WriteString(conn, head+"\r\n"+strings.Repeat("x", 300<<10))
 		}},
+		"error as a success": {Respond: func(conn *net.TCPConn, head string) {
+			_, _ = io.WriteString(conn, head+"Content-Type: application/json\r\n\r\n{\"error\":\"no memory\"}\n\n")
+		}},
+		"head of another answer as its body": {Respond: func(conn *net.TCPConn, head string) {
+			_, _ = io.WriteString(conn, head+"Content-Type: text/plain\r\nContent-Length: 40\r\n\r\nHTTP/1.1 500 Internal Server Error\r\n\r\n\n\n")
+		}},
+		"success without content": {Respond: func(conn *net.TCPConn, head string) {
+			_, _ = io.WriteString(conn, head+"Content-Length: 0\r\n\r\n")
+		}},
+		"stream from its start": {Respond: func(conn *net.TCPConn, head string) {
+			_, _ = io.WriteString(conn, head+"Content-Type: text/event-stream\r\n\r\n"+streamEvents(1, 4))
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			one, two := startTarget(t, "i-1"), startTarget(t, "i-2")
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -40,8 +40,7 @@
 // stream that has begun.
 func (f *ForwardFilter) relayBuffered(ex *Exchange, response *targetconn.Response) *failure {
 	if ex.HeaderSent {
-		return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream not resumed",
-			cause: errors.New("status " + strconv.Itoa(response.StatusCode))}
+		return notResumed(errors.New("status " + strconv.Itoa(response.StatusCode)))
 	}
 	body, isWhole, err := f.readBuffered(ex, response)
 	if err != nil {
