--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -46,6 +46,7 @@
 	tookOver     bool          // the previous holder did not release the lease
 	takeoverWait time.Duration // see TakeoverWait
 	afterSettled bool          // see AfterSettled
+	continued    bool          // see Continued
 	// mustReadFresh is set after a failed write, which may have named an old
 	// version: a stale read could return that version again.
 	mustReadFresh bool
@@ -75,6 +76,10 @@
 // holder could still have an effect: it was never held, or released as settled.
 func (l *Lease) AfterSettled() bool { return l.afterSettled }
 
+// Continued reports whether the lease was held before by this instance and has lapsed since
+// without another holder. Actions of that time may still have an effect.
+func (l *Lease) Continued() bool { return l.continued }
+
 // Reconcile renews the lease, or acquires it if it is free or expired. A nil
 // error does not mean that the lease is held; check Held.
 func (l *Lease) Reconcile(ctx context.Context) error { return l.reconcile(ctx, true) }
@@ -102,7 +107,7 @@
 		if !acquireSettled {
 			return nil
 		}
-		l.afterSettled = true
+		l.afterSettled, l.continued = true, false
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
 	}
 	if err != nil {
@@ -120,12 +125,14 @@
 	}
 	switch {
 	case record.Holder == l.Incarnation:
+		// Another fence is that of a write whose response was lost: it was never held.
+		l.continued = record.Fence == l.fence
 		return l.write(ctx, leaseRecord{Fence: record.Fence}, object.Version, l.tookOver)
 	case record.Holder == "" && record.Settled && !acquireSettled:
 		l.expires = 0
 		return nil
 	}
-	l.afterSettled = record.Holder == "" && record.Settled
+	l.afterSettled, l.continued = record.Holder == "" && record.Settled, false
 	switch {
 	case record.Holder == "":
 		return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, false)
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -200,14 +200,18 @@
 	}
 	if !r.holdsLease {
 		r.holdsLease = true
-		clear(r.openOrders)
-		r.noOrdersUntil = 0
-		if !r.Lease.AfterSettled() {
-			// The previous holder may have sent orders until its lease expired.
-			r.noOrdersUntil = r.Clock.Elapsed() + r.effectTime() - r.Lease.TakeoverWait()
+		// Orders that this instance sent before its lease lapsed may still have an
+		// effect, so that what is known of them stays.
+		if !r.Lease.Continued() {
+			clear(r.openOrders)
+			r.noOrdersUntil = 0
+			if !r.Lease.AfterSettled() {
+				// The previous holder may have sent orders until its lease expired.
+				r.noOrdersUntil = r.Clock.Elapsed() + r.effectTime() - r.Lease.TakeoverWait()
+			}
+			r.settledFrom = r.Clock.Elapsed()
 		}
-		r.settledFrom = r.Clock.Elapsed()
-		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "first_order_in", max(0, r.noOrdersUntil-r.Clock.Elapsed()))
+		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "continued", r.Lease.Continued(), "first_order_in", max(0, r.noOrdersUntil-r.Clock.Elapsed()))
 	}
 	if r.Clock.Elapsed() < r.noOrdersUntil {
 		return pollInterval
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -469,3 +469,30 @@
 		})
 	}
 }
+
+// A holder whose lease lapsed while the store turned it away, and that renewed it before
+// another took it over, released it at once as settled. The next holder then gave orders
+// within the pause after those of the first.
+func TestRenewedLapsedLeaseKeepsPauseBetweenHolders(t *testing.T) {
+	f := newFleet(4)
+	store := &leaseStore{}
+	one, two := f.newController(store, "one"), f.newController(store, "two")
+	f.simulate(t, time.Second, one)
+	f.newest = "2"
+	for len(f.orders) < len(f.engines) {
+		f.simulate(t, 10*time.Millisecond, one)
+	}
+	lastOfFirst := f.orders[len(f.orders)-1].at
+	store.err = &objectstore.Error{Kind: objectstore.KindUnavailable, Cause: errors.New("turned away")}
+	for one.holdsLease || f.outdatedCount() > 0 {
+		f.simulate(t, 10*time.Millisecond, one)
+	}
+	store.err = nil
+	f.simulate(t, 700*time.Millisecond, one)
+	f.newest = "3"
+	orders := len(f.orders)
+	f.simulate(t, 6*time.Second, two) // the first one is killed
+	assert.Assert(t, len(f.orders) > orders, "the next holder sends no orders")
+	pause := f.orders[orders].at - lastOfFirst
+	assert.Assert(t, pause >= handover, "the next holder ordered %v after the last order of the first one", pause)
+}
