test/soak: SIGHUP and SIGTERM reach routers that stop

A planned stop is now followed by SIGHUP and a second SIGTERM at random times before the router ends.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -256,6 +256,11 @@
 			x.signal(syscall.SIGCONT)
 			c.recordStop(x)
 			x.signal(syscall.SIGTERM)
+			// A router takes longer than that to stop, so that no other process gets them.
+			const latestRepeat = 2000
+			for _, again := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+				time.AfterFunc(time.Duration(r.IntN(latestRepeat))*time.Millisecond, func() { x.signal(again) })
+			}
 			return func() {
 				if !x.awaitExit(stopLimit + schedulingSlack) {
 					c.t.Errorf("router %s is still running %v after SIGTERM", x.name, stopLimit)
