pkg/follow: a watch that fails once is no loss of the store (DRAIN)

Cause: when the store drops its history it answers no watch for a second. Two instances took the timeout of a watch for a loss, found the store back after 60 ms, and passed that on to all as the end of an outage.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -106,7 +106,9 @@
 			continue
 		}
 		var err error
-		if state := f.SyncState(); state.IsSynced {
+		state := f.SyncState()
+		watched := state.IsSynced
+		if watched {
 			err = f.watch(ctx, state.Revision)
 		} else {
 			err = f.list(ctx)
@@ -124,10 +126,13 @@
 			f.requireList()
 			continue
 		}
-		f.StoreHealth.RecordFailure(err)
-		// A single broken connection does not mean that the store is lost: the next
-		// call opens a new one.
-		if failed++; failed <= quickRetries {
+		// A single failed call does not mean that the store is lost: the next one
+		// opens a new connection. A watch that fails says nothing about the time in
+		// which it waited; the store may drop it with its history.
+		if failed++; failed > 1 || !watched {
+			f.StoreHealth.RecordFailure(err)
+		}
+		if failed <= quickRetries {
 			clock.Sleep(ctx, clock.Jitter(wait))
 		} else {
 			f.StoreHealth.waitForRetry(ctx, clock.Jitter(wait), clock.Jitter(lostRetryMax))
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -259,3 +259,32 @@
 	f.Run(ctx)
 	assert.Equal(t, len(view.values), 0, "%v", view.values)
 }
+
+// A watch that the store drops after it waited must not count as a loss of the store: the
+// instances that get changes from this one would look for another.
+func TestDroppedWatchIsNoLoss(t *testing.T) {
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client := platform.NewStore(func() string { return strings.TrimPrefix(server.URL, "http://") }, func(string) time.Duration { return 5 * time.Second })
+	view := &recordedObjects{values: make(map[string]string)}
+	health := &follow.StoreHealth{Clock: clock.System{}, Log: hclog.NewNullLogger()}
+	f := follow.Follower{Store: client, Kind: "things", Replace: view.replace, Apply: view.apply, StoreHealth: health, Log: hclog.NewNullLogger()}
+	var dropped atomic.Bool
+	store.SetFailure(func(r *http.Request) int {
+		if r.URL.Query().Has("watch") && !dropped.Swap(true) {
+			time.Sleep(time.Second) // longer than calls must fail before the store counts as lost
+			return http.StatusServiceUnavailable
+		}
+		return 0
+	})
+	store.Put("things", "one", 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		assert.Assert(t, !health.IsLost())
+	}
+	assert.Assert(t, dropped.Load())
+}
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -228,6 +228,34 @@
 	assert.Equal(t, len(targetsByID(x)), 0, "a deleted target was kept although the store is up")
 }
 
+// When the store drops its history, it answers no watch for a while. An instance whose
+// watch failed took that for an outage, told the others, and all went on to use targets
+// that had left meanwhile (pumpvakt-drift-grown scale-1).
+func TestFailedWatchIsNoOutage(t *testing.T) {
+	fake := clock.NewFake(time.Now())
+	fake.Advance(time.Hour)
+	watching, fed := newTargets(fake), newTargets(fake)
+	for _, x := range []*Targets{watching, fed} {
+		x.Follower().Merge(follow.Changes{IsFullList: true, Objects: []objectstore.Object{object("a", 1, "1 1 0"), object("b", 2, "1 1 0")}, SyncState: follow.SyncState{IsSynced: true, Revision: 2}})
+		x.StoreHealth.RecordSuccess()
+	}
+	for range 6 { // other instances read the store for both
+		fake.Advance(time.Second)
+		watching.StoreHealth.RecordPeerContact(fake.Elapsed() - 300*time.Millisecond)
+		fed.StoreHealth.RecordPeerContact(fake.Elapsed() - 300*time.Millisecond)
+	}
+	watching.StoreHealth.RecordFailure(context.DeadlineExceeded)
+	fake.Advance(60 * time.Millisecond)
+	watching.StoreHealth.RecordSuccess()
+	if ago, ok := watching.StoreHealth.LastRecovery(); ok {
+		fed.StoreHealth.RecordPeerRecovery(ago)
+	}
+	for _, x := range []*Targets{watching, fed} {
+		x.Follower().Merge(follow.Changes{Events: []objectstore.Event{{Object: object("a", 5, ""), Deleted: true}}, SyncState: follow.SyncState{IsSynced: true, Revision: 5}})
+		assert.Equal(t, len(targetsByID(x)), 1, "a target that has left is still used")
+	}
+}
+
 // Requests must not run on weights that were superseded longer ago than the rollout
 // deadline allows, also if still newer weights were announced meanwhile.
 func TestSupersededWeightsBecomeTooOld(t *testing.T) {
