KNOWN-RED, test/e2e: TestGracefulStopWithPeers is a refusal, not a cut stream

With logs: two routers start together, one acquires all 16 quota shares, and the other, which is ready, refuses the first request because it knows no holder yet.

--- a/test/e2e/peers_test.go
+++ b/test/e2e/peers_test.go
@@ -355,7 +355,9 @@
 	r1.Signal(t, syscall.SIGTERM)
 	harness.WaitStatus(t, r1, 2*time.Second, "stopping", func(s server.Status) bool { return s.Stopping && !s.Ready })
 	streams = append(streams, f.Post(r1, "/v1/chat/completions", body))
-	for _, stream := range streams {
+	for n, stream := range streams {
+		// An error document reads like a stream that was cut.
+		assert.Equal(t, stream.StatusCode, http.StatusOK, "stream %d", n)
 		readStream(t, body, stream.Body, 150)
 	}
 	<-r1.Exited
