pkg/relay: a stopping instance closes connections after responses of targets too

Seen: a stopping instance sets Connection: close, but the header was removed from each response of a target together with the hop-by-hop headers of the target's connection. Callers went on to use connections that were closed 2.5 s after SIGTERM.

Change: only the headers of the target are left out; those of the caller's connection stay.

Evidence: TestTargetResponsesOfStoppingInstanceCloseTheConnection failed before ('response.Close is false').

--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -314,3 +314,22 @@
 	assert.Assert(t, time.Since(stoppedAt) < x.settings.StopTimeout)
 	x.stopped <- err
 }
+
+// A stopping instance must ask callers to open a new connection for their next request, also
+// in responses of targets. Otherwise they go on to use connections that are about to be
+// closed.
+func TestTargetResponsesOfStoppingInstanceCloseTheConnection(t *testing.T) {
+	x := startDaemon(t, 1)
+	x.stop()
+	x.waitFor("not ready", func() bool { return x.readyStatus() != http.StatusOK })
+	conn, err := net.Dial("tcp4", x.settings.CallerListen)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /stream/ HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderRequestID+": id-close\r\n"+platformtest.HeaderModel+": m\r\nAuthorization: Token key-1\r\nContent-Length: 2\r\n\r\nhi")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, response.Close)
+}
--- a/pkg/relay/response.go
+++ b/pkg/relay/response.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -132,13 +133,13 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// copyEndToEndHeaders copies all headers but the hop-by-hop headers.
+// copyEndToEndHeaders copies all headers but the hop-by-hop headers. Those of the caller's
+// connection, which are in to, stay.
 func copyEndToEndHeaders(to, from http.Header) http.Header {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range hopByHopHeaders {
-		to.Del(name)
+		if !slices.Contains(hopByHopHeaders, name) {
+			to[name] = values
+		}
 	}
 	return to
 }
