pkg/drain: requests that cross the end of a stop are answered or not passed on (LOST)

Cause: disabling keep-alives closes idle connections, which races with requests that arrive on them. Shutdown does the same, but then does not pass them on.

Change: idle connections stay open; once no request runs the handler refuses all, and only then the server is closed.

Evidence: TestRequestThatCrossesTheEndIsAnsweredOrNotHandled fails with the version before ('request /9 was handled and got no answer') and passes twice under the race detector.

--- a/pkg/daemon/stop.go
+++ b/pkg/daemon/stop.go
@@ -5,7 +5,6 @@
 	"net"
 	"time"
 
-	"lacewingwheel.example/lacewingwheel/pkg/drain"
 	"lacewingwheel.example/lacewingwheel/pkg/relay"
 )
 
@@ -33,7 +32,7 @@
 	time.Sleep(readyGrace)
 	endsAt := started.Add(s.StopTimeout - killMargin)
 	d.drainEndsAt.Store(&endsAt)
-	if err := drain.Begin(d.callerServer, callerListener); err != nil {
+	if err := callerListener.Close(); err != nil {
 		d.log.Warn("the listener for callers did not close", "cause", err)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
@@ -41,11 +40,14 @@
 	if err := d.callerConns.AwaitQuiet(ctx); err != nil {
 		d.log.Warn("stop timeout reached; requests still running are ended", "after", time.Since(started))
 		d.endRequests(relay.ErrStopping)
-		ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
-		defer cancel()
-		if err := d.callerConns.AwaitQuiet(ctx); err != nil {
-			d.log.Warn("requests did not end and are cut off", "after", time.Since(started), "cause", err)
-		}
+	}
+	// Requests that arrive from now on are refused, so that none is cut when the server closes.
+	now := time.Now()
+	d.drainEndsAt.Store(&now)
+	ctx, cancel = context.WithTimeout(context.Background(), finalAnswerTime)
+	defer cancel()
+	if err := d.callerConns.AwaitQuiet(ctx); err != nil {
+		d.log.Warn("requests did not end and are cut off", "after", time.Since(started), "cause", err)
 	}
 	if err := d.callerServer.Close(); err != nil {
 		d.log.Warn("the server for callers did not close", "cause", err)
--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -72,22 +72,17 @@
 	return len(t.active) > 0
 }
 
-// Begin closes the listener and the idle connections of a server and makes each response
-// the last on its connection. Requests on other connections are still handled.
-func Begin(server *http.Server, listener net.Listener) error {
-	err := listener.Close()
-	server.SetKeepAlivesEnabled(false)
-	return err
-}
-
-// AwaitFirstRequests waits after Begin until connections that were just opened have their
-// request. It returns the error of ctx if that ends before.
+// AwaitFirstRequests waits, after the listener was closed, until connections that were just
+// opened have their request. It returns the error of ctx if that ends before.
 func (t *Tracker) AwaitFirstRequests(ctx context.Context) error {
 	return await(ctx, func() bool { return !t.awaitsFirstRequest() })
 }
 
-// AwaitQuiet waits after Begin until no request runs and connections that were just opened
-// have had theirs. It returns the error of ctx if that ends before.
+// AwaitQuiet waits, after the listener was closed, until no request runs and connections
+// that were just opened have had theirs. It returns the error of ctx if that ends before.
+// Idle connections stay open, because a caller may have sent a request that was not read yet:
+// once AwaitQuiet has returned, the handler must refuse requests, and AwaitQuiet be called
+// again, before the server may be closed.
 func (t *Tracker) AwaitQuiet(ctx context.Context) error {
 	return await(ctx, func() bool { return !t.hasActive() && !t.awaitsFirstRequest() })
 }
--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -73,7 +76,7 @@
 	_, err = io.WriteString(long, "GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
 	assert.NilError(t, err)
 	<-started
-	assert.NilError(t, Begin(server, listener))
+	assert.NilError(t, listener.Close())
 	first := make(chan error, 1)
 	go func() { first <- tracker.AwaitFirstRequests(t.Context()) }()
 	_, err = io.WriteString(new, request)
@@ -91,3 +94,54 @@
 	assertAnswered(t, long, "the request that ran")
 	assert.NilError(t, tracker.AwaitQuiet(t.Context()))
 }
+
+// Requests that cross the end of a stop on connections that were idle must be answered, or
+// must not be handled at all. Some were passed on and their connections closed as idle.
+func TestRequestThatCrossesTheEndIsAnsweredOrNotHandled(t *testing.T) {
+	const callers, rounds = 64, 10
+	for range rounds {
+		raw, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		tracker := NewTracker()
+		var refuses atomic.Bool
+		var handled sync.Map
+		server := &http.Server{ConnState: tracker.Record, ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if refuses.Load() {
+				w.Header().Set("Connection", "close")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			handled.Store(r.URL.Path, true)
+			time.Sleep(time.Millisecond)
+		})}
+		listener := NewListener(raw)
+		go func() { _ = server.Serve(listener) }()
+		conns := make([]net.Conn, callers)
+		for n := range conns {
+			conns[n] = dial(t, raw)
+			_, err = io.WriteString(conns[n], request)
+			assert.NilError(t, err)
+			assertAnswered(t, conns[n], "the first request of a connection")
+		}
+		var group sync.WaitGroup
+		for n, conn := range conns {
+			group.Go(func() {
+				time.Sleep(time.Duration(n) * 100 * time.Microsecond)
+				path := fmt.Sprintf("/%d", n)
+				_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n")
+				if err == nil {
+					_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+				}
+				if _, wasHandled := handled.Load(path); err != nil && wasHandled {
+					t.Errorf("request %s was handled and got no answer: %v", path, err)
+				}
+			})
+		}
+		assert.NilError(t, listener.Close())
+		assert.NilError(t, tracker.AwaitQuiet(t.Context()))
+		refuses.Store(true)
+		assert.NilError(t, tracker.AwaitQuiet(t.Context()))
+		assert.NilError(t, server.Close())
+		group.Wait()
+	}
+}
--- a/pkg/server/endpoint.go
+++ b/pkg/server/endpoint.go
@@ -93,7 +93,7 @@
 // shutdown closes the listener and waits for running requests and for those that callers
 // send on connections that were just opened. It returns the error of ctx if that ends before.
 func (e *endpoint) shutdown(ctx context.Context) error {
-	if err := drain.Begin(e.server, e.listener); err != nil {
+	if err := e.listener.Close(); err != nil {
 		return err
 	}
 	if err := e.conns.AwaitFirstRequests(ctx); err != nil {
