pkg/relay, pkg/follow, pkg/state: logs tell why a target that may have left is used

The lines of the timeline did not tell the hypotheses apart: not why an instance thought that there was an outage, nor by which list a request was sent. Now: evidence on the store with 'target missing ...', a line and two counters for requests to targets without an entry or by a list older than it should become (list age, revision, sender), and a line for each full list. No decision changes. Tests of the packages pass.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -250,7 +250,7 @@
 	}
 	for kind, changes := range response.Kinds {
 		if follower := f.Followers[kind]; follower != nil {
-			follower.Merge(decodeChanges(kind, changes, requestedAt))
+			follower.Merge(decodeChanges(kind, changes, requestedAt, reader))
 		}
 	}
 	if response.ConfigurationRevision > 0 {
@@ -371,12 +371,12 @@
 	return out
 }
 
-// decodeChanges is the reverse of encodeChanges. The age counts from
-// requestedAt.
-func decodeChanges(kind string, c peer.ObjectChanges, requestedAt time.Duration) follow.Changes {
+// decodeChanges is the reverse of encodeChanges, for changes from the instance at the
+// address from. The age counts from requestedAt.
+func decodeChanges(kind string, c peer.ObjectChanges, requestedAt time.Duration, from string) follow.Changes {
 	out := follow.Changes{
 		IsFullList: c.IsFullList,
-		SyncState:  follow.SyncState{IsSynced: true, Revision: c.Revision, AsOf: requestedAt - fromMillis(c.AgeMillis)},
+		SyncState:  follow.SyncState{IsSynced: true, Revision: c.Revision, AsOf: requestedAt - fromMillis(c.AgeMillis), From: from},
 	}
 	for _, row := range c.Rows {
 		o := objectstore.Object{Kind: kind, Name: row.Name, Version: row.Version, Value: row.Value}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -81,6 +81,9 @@
 	// counts from the start of calls and from the waits that the store keeps, not
 	// from when a response was read: the process may have been stopped meanwhile.
 	AsOf time.Duration
+	// From is the address of the instance that proved AsOf; empty after a call to the
+	// store of this instance.
+	From string
 }
 
 // change is an event and the revision of the store at which it was read.
@@ -193,12 +196,20 @@
 		return
 	case c.IsFullList:
 		if !f.syncState.IsSynced || c.SyncState.Revision > f.syncState.Revision {
-			f.replace(c.Objects, c.SyncState.Revision)
+			f.replace(c.Objects, c.SyncState.Revision, c.SyncState.From)
 		}
 	case f.syncState.IsSynced:
 		f.apply(c.Events, c.SyncState.Revision)
 	}
-	f.syncState.AsOf = max(f.syncState.AsOf, c.SyncState.AsOf)
+	f.recordComplete(c.SyncState.AsOf, c.SyncState.From)
+}
+
+// recordComplete records that the view is complete up to a time since boot, as proven by
+// an instance or, with an empty address, by the store. The caller holds mu.
+func (f *Follower) recordComplete(asOf time.Duration, from string) {
+	if asOf > f.syncState.AsOf {
+		f.syncState.AsOf, f.syncState.From = asOf, from
+	}
 }
 
 // requireList makes the next call to the store a list.
@@ -218,9 +229,9 @@
 	defer f.mu.Unlock()
 	// Another instance may have sent a newer list since the call began.
 	if !f.syncState.IsSynced || revision >= f.syncState.Revision {
-		f.replace(objects, revision)
+		f.replace(objects, revision, "")
 	}
-	f.syncState.AsOf = max(f.syncState.AsOf, startedAt)
+	f.recordComplete(startedAt, "")
 	return nil
 }
 
@@ -236,7 +247,7 @@
 	}
 	f.mu.Lock()
 	f.apply(events, revision)
-	f.syncState.AsOf = max(f.syncState.AsOf, completeUntil)
+	f.recordComplete(completeUntil, "")
 	f.mu.Unlock()
 	if len(events) > 0 && f.WatchPause != nil {
 		clock.Sleep(ctx, f.WatchPause())
@@ -251,8 +262,10 @@
 	return f.Clock.Elapsed()
 }
 
-// replace sets the view to a full list. The caller holds mu.
-func (f *Follower) replace(objects []objectstore.Object, revision uint64) {
+// replace sets the view to a full list that an instance sent or, with an empty address,
+// the store. The caller holds mu.
+func (f *Follower) replace(objects []objectstore.Object, revision uint64, from string) {
+	f.Log.Info("full list of objects", "kind", f.Kind, "objects", len(objects), "revision", revision, "revision_before", f.syncState.Revision, "from", from)
 	f.objects = make(map[string]objectstore.Object, len(objects))
 	for _, o := range objects {
 		f.objects[o.Name] = o
@@ -370,6 +383,20 @@
 	}
 }
 
+// Evidence returns what is known about the store as keys and values of a log line:
+// whether the calls of this process fail, and the times since the store is known to have
+// answered any instance, since an instance that reaches it sent an update, and since
+// an outage ended. Times before the first such event count since boot.
+func (h *StoreHealth) Evidence() []any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now, answered := h.Clock.Elapsed(), time.Duration(0)
+	if n := len(h.contacts); n > 0 {
+		answered = h.contacts[n-1]
+	}
+	return []any{"calls_fail", h.lost, "store_answered", now - answered, "peer_update", now - h.lastPeerUpdate, "outage_ended", now - h.recoveredAt}
+}
+
 // IsLost reports whether the calls of this process to the store have failed for
 // longer than lossThreshold.
 func (h *StoreHealth) IsLost() bool {
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -148,6 +148,7 @@
 			if err := f.checkCanSend(ex, t); err != nil {
 				return nil, err
 			}
+			f.RequestLog.RecordSend(ex, f.current(ex.Pool.Name, t), f.Targets.ListState(), f.Clock.Elapsed())
 			options.Timeout = f.timeAtTarget(ex, t)
 			return f.Dialect.TargetHeader(ex.Request.Header, options), nil
 		},
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -21,6 +21,8 @@
 type TargetSource interface {
 	// InPool returns the targets of a pool.
 	InPool(name string) []*target.Target
+	// ListState returns how current the list of targets is.
+	ListState() target.ListState
 	// NewestVersion returns the newest weight version of a model, or "" if none
 	// is known.
 	NewestVersion(model string) string
--- a/pkg/relay/requestlog.go
+++ b/pkg/relay/requestlog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -22,6 +23,8 @@
 	// event, or to the response if that is not a stream. TotalLatency is the
 	// time to the end of the response.
 	FirstEventLatency, TotalLatency LatencyHistograms
+
+	doubtfulSendAt atomic.Int64 // boot time of the last line of RecordSend
 }
 
 // formatAge returns the time since t, or "never" if t is zero.
@@ -123,6 +126,33 @@
 		"usable_for", left, "usable_for_when_sent", t.WeightsUsableUntil-sentAt, "waited", now-sentAt)
 }
 
+// doubtfulSendInterval is the least time between two lines of RecordSend.
+const doubtfulSendInterval = 200 * time.Millisecond
+
+// RecordSend counts requests that are sent to a target without an entry in the list, or by a
+// list that is older than it should become, and logs some of them. now is the boot time.
+func (l *RequestLog) RecordSend(ex *Exchange, t *target.Target, list target.ListState, now time.Duration) {
+	if t == nil {
+		return
+	}
+	isOld := list.MaxAge > 0 && list.Age > list.MaxAge
+	if isOld {
+		l.Metrics.Add("sent_by_old_list", 1)
+	}
+	if t.MissingSince > 0 {
+		l.Metrics.Add("sent_to_missing_target", 1)
+	}
+	last := l.doubtfulSendAt.Load()
+	if !isOld && t.MissingSince == 0 || last > 0 && now-time.Duration(last) < doubtfulSendInterval || !l.doubtfulSendAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	args := []any{"request_id", ex.Metadata.ID, "target", t.ID, "attempt", ex.Attempts, "list_age", list.Age, "list_revision", list.Revision, "list_from", list.From}
+	if t.MissingSince > 0 {
+		args = append(args, "missing_for", now-t.MissingSince)
+	}
+	l.Log.Info("request sent to a target that may have left", args...)
+}
+
 // RecordDeniedRetry logs and counts a request that is not sent again, with the
 // reason.
 func (l *RequestLog) RecordDeniedRetry(ex *Exchange, last *failure, reason string) {
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -107,6 +107,12 @@
 // HasSynced reports whether the list has been read at least once.
 func (t *Targets) HasSynced() bool { return t.current.Load() != nil }
 
+// ListState returns how old the list is, in which revision, and from where.
+func (t *Targets) ListState() target.ListState {
+	state := t.Follower().SyncState()
+	return target.ListState{Age: t.Clock.Elapsed() - state.AsOf, MaxAge: t.MaxViewAge, Revision: state.Revision, From: state.From}
+}
+
 // ForEachPool calls f for each pool that has targets, in random order.
 func (t *Targets) ForEachPool(f func(pool string, targets []*target.Target)) {
 	if v := t.current.Load(); v != nil {
@@ -225,7 +231,7 @@
 func (t *Targets) removeOrKeepLapsed(id string, e *entry) {
 	if e.target != nil && t.StoreHealth.UnavailableWithin(lapsedGrace) {
 		e.lapsed, e.lapsedAt = true, t.Clock.Elapsed()
-		t.Log.Info("target missing after an outage of the store; kept until its entry had time to return", "target", id)
+		t.Log.Info("target missing after an outage of the store; kept until its entry had time to return", append([]any{"target", id}, t.StoreHealth.Evidence()...)...)
 		return
 	}
 	delete(t.entries, id)
@@ -404,6 +410,9 @@
 			continue
 		}
 		shown := *e.target
+		if e.lapsed {
+			shown.MissingSince = e.lapsedAt
+		}
 		if e.reportedVersion != "" {
 			shown.WeightVersion = e.reportedVersion
 		}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -39,11 +39,22 @@
 	WeightsUsableUntil time.Duration
 	// WeightsUseIsAssumed is set if the true end of their use may be later.
 	WeightsUseIsAssumed bool
-	Slots               int    // requests that it can run concurrently; zero if unknown
-	CacheTokens         int    // memory for running requests and cached parts, in tokens; zero if unknown
-	Pool                string // empty if the list of targets does not name it
-	Load                Load   // as of the snapshot; NewestLoad may be more recent
-	Live                *LiveState
+	// MissingSince is the boot time from which its entry is missing; zero while it is
+	// listed. The target is used because the entry may only have lapsed.
+	MissingSince time.Duration
+	Slots        int    // requests that it can run concurrently; zero if unknown
+	CacheTokens  int    // memory for running requests and cached parts, in tokens; zero if unknown
+	Pool         string // empty if the list of targets does not name it
+	Load         Load   // as of the snapshot; NewestLoad may be more recent
+	Live         *LiveState
+}
+
+// ListState tells how current a list of targets is.
+type ListState struct {
+	Age      time.Duration // since the time up to which the list is known to be complete
+	MaxAge   time.Duration // from which this instance reads changes itself; zero if it always does
+	Revision uint64        // of the store
+	From     string        // address of the instance that sent the newest proof; empty for the store
 }
 
 // IsNewerVersion reports whether weight version a is newer than b.
