--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -374,3 +374,31 @@
 		}
 	}
 }
+
+// An instance that has lost the store, fed by a relay that has lost it too, must not take
+// removals for lapsed entries of an outage: it went on to use targets that had left.
+func TestChangesOfLostRelayAreNoOutage(t *testing.T) {
+	const settle = 2200 * time.Millisecond
+	f := startFleetWithRelays(t, 5)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.waitForValue("a", "1", testTimeout)
+	}
+	time.Sleep(time.Second)
+	lost := f.instances[1:]
+	for _, x := range lost {
+		x.store.cut.Store(true)
+		x.feed.StoreHealth.RecordFailure(errCutOff)
+		assert.Assert(t, x.feed.StoreHealth.IsLost())
+	}
+	for n := 2; n < 50; n++ {
+		f.store.put("a", fmt.Sprint(n), false)
+		time.Sleep(100 * time.Millisecond)
+		for i, x := range lost {
+			assert.Assert(t, !x.feed.StoreHealth.UnavailableWithin(settle), "instance %d, step %d", i+1, n)
+		}
+	}
+	for _, x := range lost {
+		x.waitForValue("a", "49", maxAge)
+	}
+}
