--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -239,9 +239,6 @@
 		f.unresponsive.RecordFailure(reader, f.Clock.Elapsed())
 		f.Log.Info("reader has lost the store; changes are fetched from another instance", "reader", reader)
 	}
-	if !response.StoreUnreachable {
-		f.StoreHealth.RecordPeerUpdate()
-	}
 	if response.StoreWasUnreachable {
 		f.StoreHealth.RecordPeerRecovery(fromMillis(response.StoreRecoveredMillis))
 	}
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -384,10 +384,17 @@
 	for _, x := range f.instances {
 		x.waitForValue("a", "1", testTimeout)
 	}
-	time.Sleep(time.Second)
+	for n := range 30 { // longer than the shortest outage, so that the store is known to answer
+		f.store.put("a", fmt.Sprint(n), false)
+		time.Sleep(100 * time.Millisecond)
+	}
 	lost := f.instances[1:]
 	for _, x := range lost {
 		x.store.cut.Store(true)
+	}
+	f.store.put("a", "1", false)
+	time.Sleep(300 * time.Millisecond) // ends the calls that are under way
+	for _, x := range lost {
 		x.feed.StoreHealth.RecordFailure(errCutOff)
 		assert.Assert(t, x.feed.StoreHealth.IsLost())
 	}
@@ -395,7 +402,7 @@
 		f.store.put("a", fmt.Sprint(n), false)
 		time.Sleep(100 * time.Millisecond)
 		for i, x := range lost {
-			assert.Assert(t, !x.feed.StoreHealth.UnavailableWithin(settle), "instance %d, step %d", i+1, n)
+			assert.Assert(t, !x.feed.StoreHealth.UnavailableWithin(settle), "instance %d, step %d: %v", i+1, n, x.feed.StoreHealth.Evidence())
 		}
 	}
 	for _, x := range lost {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -320,13 +320,12 @@
 	Clock clock.Clock
 	Log   hclog.Logger
 
-	mu             sync.Mutex
-	lost           bool
-	lastSuccess    time.Duration
-	recoveredAt    time.Duration   // when the store was back after an outage, as seen here or by a peer
-	lastPeerUpdate time.Duration   // when another instance last sent an update
-	contacts       []time.Duration // when the store is known to have answered this or another instance, in order
-	recovered      chan struct{}   // closed when the store is reached again; nil while nobody waits
+	mu          sync.Mutex
+	lost        bool
+	lastSuccess time.Duration
+	recoveredAt time.Duration   // when the store was back after an outage, as seen here or by a peer
+	contacts    []time.Duration // when the store is known to have answered this or another instance, in order
+	recovered   chan struct{}   // closed when the store is reached again; nil while nobody waits
 }
 
 // lossThreshold is how long calls must fail before the store counts as lost. A
@@ -385,8 +384,8 @@
 
 // Evidence returns what is known about the store as keys and values of a log line:
 // whether the calls of this process fail, and the times since the store is known to have
-// answered any instance, since an instance that reaches it sent an update, and since
-// an outage ended. Times before the first such event count since boot.
+// answered any instance and since an outage ended. Times before the first such event
+// count since boot.
 func (h *StoreHealth) Evidence() []any {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -394,7 +393,7 @@
 	if n := len(h.contacts); n > 0 {
 		answered = h.contacts[n-1]
 	}
-	return []any{"calls_fail", h.lost, "store_answered", now - answered, "peer_update", now - h.lastPeerUpdate, "outage_ended", now - h.recoveredAt}
+	return []any{"calls_fail", h.lost, "store_answered", now - answered, "outage_ended", now - h.recoveredAt}
 }
 
 // IsLost reports whether the calls of this process to the store have failed for
@@ -405,28 +404,20 @@
 	return h.lost
 }
 
-// peerUpdateTTL is how long an update from another instance counts as contact
-// with the store: the time of a few updates.
-const peerUpdateTTL = 2 * time.Second
-
-// RecordPeerUpdate records an update from another instance that reaches the
-// store. The objects then count as available for peerUpdateTTL, while IsLost
-// still reports the failure of the calls of this process.
-func (h *StoreHealth) RecordPeerUpdate() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.Clock.Elapsed()
-	if h.lost && !h.hasPeerUpdates(now) {
-		h.recordRecovery(now)
-	}
-	h.lastPeerUpdate = now
-}
+// contactTTL is how long an answer of the store to any instance counts as contact: the
+// time of a few updates.
+const contactTTL = 2 * time.Second
 
 // RecordPeerContact records that the store answered another instance, at a time
-// since boot of this instance.
+// since boot of this instance. Whether the instance that passed this on reaches the
+// store itself does not matter. The objects then count as available for contactTTL,
+// while IsLost still reports the failure of the calls of this process.
 func (h *StoreHealth) RecordPeerContact(at time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if now := h.Clock.Elapsed(); h.lost && !h.hasContact(now) && now-at < contactTTL {
+		h.recordRecovery(at)
+	}
 	h.addContact(at)
 }
 
@@ -466,10 +457,11 @@
 	h.recoveredAt = max(h.recoveredAt, at)
 }
 
-// hasPeerUpdates reports whether another instance sent an update within
-// peerUpdateTTL. The caller holds mu.
-func (h *StoreHealth) hasPeerUpdates(now time.Duration) bool {
-	return h.lastPeerUpdate > 0 && now-h.lastPeerUpdate < peerUpdateTTL
+// hasContact reports whether the store is known to have answered another instance within
+// contactTTL and since it last answered this one. The caller holds mu.
+func (h *StoreHealth) hasContact(now time.Duration) bool {
+	n := len(h.contacts)
+	return n > 0 && h.contacts[n-1] > h.lastSuccess && now-h.contacts[n-1] < contactTTL
 }
 
 // UnavailableWithin reports whether the objects of the store are unavailable
@@ -478,7 +470,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Elapsed()
-	return h.lost && !h.hasPeerUpdates(now) || h.recoveredAt > 0 && now-h.recoveredAt < d
+	return h.lost && !h.hasContact(now) || h.recoveredAt > 0 && now-h.recoveredAt < d
 }
 
 // RecordPeerRecovery records that another instance regained the store the given
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -139,11 +139,11 @@
 	assert.Assert(t, health.UnavailableWithin(settle), "the loss ended without any contact with the store")
 
 	for elapsed := time.Duration(0); elapsed < settle; elapsed += 400 * time.Millisecond {
-		health.RecordPeerUpdate()
+		health.RecordPeerContact(fake.Elapsed())
 		assert.Assert(t, health.UnavailableWithin(settle), "the store counts as available %v after the first update", elapsed)
 		fake.Advance(400 * time.Millisecond)
 	}
-	health.RecordPeerUpdate()
+	health.RecordPeerContact(fake.Elapsed())
 	assert.Assert(t, !health.UnavailableWithin(settle), "updates from another instance do not end the loss")
 	assert.Assert(t, health.IsLost(), "the failure of the own calls is forgotten")
 
@@ -170,14 +170,12 @@
 	}
 	for elapsed := time.Duration(0); elapsed < 12*time.Second; elapsed += 400 * time.Millisecond {
 		reading.RecordSuccess()
-		fed.RecordPeerUpdate()
 		fed.RecordPeerContact(fake.Elapsed() - 500*time.Millisecond)
 		if elapsed < 8*time.Second {
 			cutOff.RecordFailure(errors.New("cut off"))
 		} else {
 			cutOff.RecordSuccess()
 		}
-		cutOff.RecordPeerUpdate()
 		cutOff.RecordPeerContact(fake.Elapsed())
 		report(reading)
 		report(fed)
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -163,7 +163,7 @@
 func (f *fixture) ReportLoad(string, target.Load) {}
 func (f *fixture) ReportDown(string)              {}
 func (f *fixture) ReportLeaving(string)           {}
-func (f *fixture) ListState() target.ListState { return target.ListState{} }
+func (f *fixture) ListState() target.ListState    { return target.ListState{} }
 
 func (f *fixture) RecordNotice(t *target.Target, n target.Notice) {
 	f.update(func() {
