--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -142,6 +142,7 @@
 	feed             *feed.Feed
 	ranking          *dutyRanking
 	platformStore    objectstore.Store
+	storeHealth      *follow.StoreHealth
 	gossip           *gossip.Gossip
 	poisonDetector   *poison.Detector
 	quarantineKeeper *quarantineKeeper
@@ -195,7 +196,7 @@
 	if !s.FirstStart {
 		d.weights.InitialAge = max(0, s.MaxRolloutDelay-restartGrace)
 	}
-	d.platformStore = p.Store
+	d.platformStore, d.storeHealth = p.Store, storeHealth
 	d.buckets = &share.Buckets{
 		Tolerance: func() share.Tolerance {
 			return share.Tolerance{Overage: settings().QuotaOverage, Slack: settings().QuotaSlack}
@@ -305,6 +306,11 @@
 	})
 }
 
+// probeStore reads the configuration while the store is lost and nothing else calls it.
+func (d *Daemon) probeStore(ctx context.Context) {
+	d.storeHealth.Probe(ctx, func(ctx context.Context) { d.configuration.ReadWithProof(ctx) })
+}
+
 // proofInterval returns the time between reads that prove that the configuration
 // is the newest.
 func (d *Daemon) proofInterval() time.Duration {
@@ -414,7 +420,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- /dev/null
+++ b/pkg/follow/export_test.go
@@ -0,0 +1,4 @@
+package follow
+
+// LostRetryWait exports lostRetryWait for tests.
+var LostRetryWait = lostRetryWait
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -28,6 +29,10 @@
 	// lost. It is longer than the backoff because a successful call of any
 	// other loop of this process ends the wait.
 	lostRetryMax = 3 * time.Second
+	// probeInterval is the longest time between two calls to the store while it is
+	// lost. An instance counts as in touch with the store three seconds after its path
+	// is back at the earliest.
+	probeInterval = 1500 * time.Millisecond
 	// maxRecentChanges is the number of changes kept for other instances. An
 	// instance that has missed more gets the full list.
 	maxRecentChanges = 1000
@@ -138,12 +143,16 @@
 		if failed <= quickRetries {
 			clock.Sleep(ctx, clock.Jitter(wait))
 		} else {
-			f.StoreHealth.waitForRetry(ctx, clock.Jitter(wait), clock.Jitter(lostRetryMax))
+			f.StoreHealth.waitForRetry(ctx, clock.Jitter(wait), lostRetryWait())
 		}
 		wait = min(2*wait, retryMax)
 	}
 }
 
+// lostRetryWait returns the wait after a failed call while the store is lost, at random
+// from a third of lostRetryMax up to it.
+func lostRetryWait() time.Duration { return clock.Jitter(2 * lostRetryMax / 3) }
+
 // timeUntilStoreRead returns how long the view stays recent enough without a
 // call to the store. It is zero or negative if the store must be called now.
 func (f *Follower) timeUntilStoreRead() time.Duration {
@@ -326,6 +335,8 @@
 	recoveredAt time.Duration   // when the store was back after an outage, as seen here or by a peer
 	contacts    []time.Duration // when the store is known to have answered this or another instance, in order
 	recovered   chan struct{}   // closed when the store is reached again; nil while nobody waits
+	lastFailure time.Duration   // of a call of this process
+	loss        chan struct{}   // wakes Probe; nil while it does not run
 }
 
 // lossThreshold is how long calls must fail before the store counts as lost. A
@@ -355,9 +366,42 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Clock.Elapsed()
+	h.lastFailure = now
 	if !h.lost && now-h.lastSuccess > lossThreshold {
 		h.lost = true
 		h.Log.Warn("store lost", "last_answer", now-h.lastSuccess, "cause", err)
+		select {
+		case h.loss <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Probe calls the store while it counts as lost and no other call of this process fails
+// meanwhile, until ctx ends: nothing else may call it while other instances send the
+// changes. probe records its outcome with RecordSuccess or RecordFailure.
+func (h *StoreHealth) Probe(ctx context.Context, probe func(context.Context)) {
+	h.mu.Lock()
+	h.loss = make(chan struct{}, 1)
+	lost := h.lost
+	h.mu.Unlock()
+	for ctx.Err() == nil {
+		if !lost {
+			select {
+			case <-ctx.Done():
+				return
+			case <-h.loss:
+			}
+		}
+		clock.Sleep(ctx, probeInterval*3/4+rand.N(probeInterval/4))
+		h.mu.Lock()
+		lost = h.lost
+		due := lost && h.Clock.Elapsed()-h.lastFailure >= probeInterval/2
+		h.mu.Unlock()
+		if due {
+			probe(ctx)
+			lost = h.IsLost()
+		}
 	}
 }
 
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -286,3 +286,51 @@
 	}
 	assert.Assert(t, dropped.Load())
 }
+
+// An instance that gets changes from others makes no call of its own. The loss of its
+// connection must still end soon after the store answers it again: a lost instance does not
+// read changes for others, and keeps targets that are gone once its own source fails.
+func TestLossEndsWithoutOtherCalls(t *testing.T) {
+	health := &follow.StoreHealth{Clock: clock.System{}, Log: hclog.NewNullLogger()}
+	var answers atomic.Bool
+	var calls atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		health.Probe(ctx, func(context.Context) {
+			calls.Add(1)
+			if answers.Load() {
+				health.RecordSuccess()
+			} else {
+				health.RecordFailure(errors.New("refused"))
+			}
+		})
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	for range 2 {
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, calls.Load(), int64(0), "calls although the store is not lost")
+		answers.Store(false)
+		time.Sleep(time.Second)
+		health.RecordFailure(errors.New("refused"))
+		assert.Assert(t, health.IsLost())
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, health.IsLost())
+		answers.Store(true)
+		for deadline := time.Now().Add(2 * time.Second); health.IsLost(); time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(deadline), "the loss does not end")
+		}
+		made := calls.Swap(0)
+		assert.Assert(t, made <= 5, "%d calls", made)
+	}
+}
+
+// The waits after failed calls must end within the time after which an instance counts as in
+// touch with the store again.
+func TestWaitsWhileLostAreBounded(t *testing.T) {
+	for range 1000 {
+		wait := follow.LostRetryWait()
+		assert.Assert(t, wait >= 500*time.Millisecond && wait <= 3*time.Second, "%v", wait)
+	}
+}
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -86,7 +86,7 @@
 		}
 		wait := laterRetryInterval
 		switch {
-		case c.readWithProof(ctx):
+		case c.ReadWithProof(ctx):
 			failed = 0
 			continue
 		case failed < firstRetries || c.Snapshot() == nil:
@@ -159,13 +159,16 @@
 	}
 }
 
-// readWithProof reads the configuration from the store and reports whether the read
+// ReadWithProof reads the configuration from the store and reports whether the read
 // proves that the one in force is the newest.
-func (c *Configuration) readWithProof(ctx context.Context) bool {
+func (c *Configuration) ReadWithProof(ctx context.Context) bool {
 	started := c.Clock.Elapsed()
 	object, err := c.Store.Get(ctx, c.Kind, c.Name)
 	if err != nil {
-		if ctx.Err() == nil && !objectstore.IsKind(err, objectstore.KindNotFound) {
+		switch {
+		case objectstore.IsKind(err, objectstore.KindNotFound):
+			c.StoreHealth.RecordSuccess()
+		case ctx.Err() == nil:
 			c.StoreHealth.RecordFailure(err)
 		}
 		return false
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -105,15 +105,15 @@
 	store := &fakeStore{object: object("main", 5, "7"), onGet: func() { fake.Advance(3 * time.Second) }}
 	c := newConfiguration(store, fake)
 	assert.Assert(t, c.ProofAge() >= time.Hour, "there is a proof before the first read")
-	assert.Assert(t, c.readWithProof(t.Context()))
+	assert.Assert(t, c.ReadWithProof(t.Context()))
 	assert.Equal(t, c.ProofAge(), 3*time.Second)
 	store.err = errors.New("down")
-	assert.Assert(t, !c.readWithProof(t.Context()))
+	assert.Assert(t, !c.ReadWithProof(t.Context()))
 	assert.Equal(t, c.ProofAge(), 6*time.Second)
 	// A stale response, from a replica that lags behind, does not replace a newer
 	// configuration.
 	store.err, store.object = nil, object("main", 4, "3")
-	c.readWithProof(t.Context())
+	c.ReadWithProof(t.Context())
 	assert.Equal(t, c.Snapshot().Generation, uint64(7))
 }
 
