--- a/pkg/follow/complete_test.go
+++ b/pkg/follow/complete_test.go
@@ -78,3 +78,69 @@
 		})
 	}
 }
+
+// After the store dropped its history, a follower needs a full list. One of another instance
+// that is older than the view must not replace it: targets that were removed since, also
+// without saying that they leave, came back.
+func TestListAfterLostHistoryDoesNotGoBack(t *testing.T) {
+	var view []string
+	f := &Follower{Kind: "k", Log: hclog.NewNullLogger(), Apply: func([]objectstore.Event) {}}
+	f.Replace = func(objects []objectstore.Object) {
+		view = nil
+		for _, o := range objects {
+			view = append(view, o.Name)
+		}
+	}
+	list := func(revision uint64, names ...string) Changes {
+		c := Changes{IsFullList: true, SyncState: SyncState{IsSynced: true, Revision: revision}}
+		for _, name := range names {
+			c.Objects = append(c.Objects, objectstore.Object{Name: name, Version: 1})
+		}
+		return c
+	}
+	f.Merge(list(10, "a"))
+	f.requireList()
+	f.Merge(list(5, "a", "gone"))
+	assert.DeepEqual(t, view, []string{"a"})
+	assert.Assert(t, !f.SyncState().IsSynced, "an older list ends the need for one")
+	f.Merge(list(12, "b"))
+	assert.DeepEqual(t, view, []string{"b"})
+	assert.Assert(t, f.SyncState().IsSynced)
+}
+
+// listsInOrder returns one list after the other.
+type listsInOrder struct {
+	objectstore.Store
+	revisions    []uint64
+	beforeReturn func()
+}
+
+func (s *listsInOrder) List(context.Context, string) ([]objectstore.Object, uint64, error) {
+	revision := s.revisions[0]
+	s.revisions = s.revisions[1:]
+	if s.beforeReturn != nil {
+		s.beforeReturn()
+	}
+	return []objectstore.Object{{Name: "gone", Version: 1}}, revision, nil
+}
+
+// The same for a list of the store that was delayed while another instance sent a newer one.
+// A list that was not overtaken is in force, also if the store was restored to an earlier
+// revision: otherwise the follower would list for ever.
+func TestOnlyOvertakenListsOfTheStoreAreIgnored(t *testing.T) {
+	var view []objectstore.Object
+	store := &listsInOrder{revisions: []uint64{5, 5}}
+	f := &Follower{Kind: "k", Store: store, Log: hclog.NewNullLogger(), Replace: func(objects []objectstore.Object) { view = objects }, Apply: func([]objectstore.Event) {}}
+	f.Merge(Changes{IsFullList: true, SyncState: SyncState{IsSynced: true, Revision: 8}})
+	f.requireList()
+	store.beforeReturn = func() {
+		f.Merge(Changes{IsFullList: true, SyncState: SyncState{IsSynced: true, Revision: 10}})
+		f.requireList()
+	}
+	assert.NilError(t, f.list(t.Context()))
+	assert.Equal(t, len(view), 0, "a list that was overtaken is in force")
+	store.beforeReturn = nil
+	assert.NilError(t, f.list(t.Context()))
+	assert.Equal(t, len(view), 1)
+	assert.DeepEqual(t, f.SyncState(), SyncState{IsSynced: true, Revision: 5})
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -204,7 +204,8 @@
 	case !c.SyncState.IsSynced:
 		return
 	case c.IsFullList:
-		if !f.syncState.IsSynced || c.SyncState.Revision > f.syncState.Revision {
+		// After requireList the view still has all changes up to its revision.
+		if c.SyncState.Revision > f.syncState.Revision || !f.syncState.IsSynced && c.SyncState.Revision == f.syncState.Revision {
 			f.replace(c.Objects, c.SyncState.Revision, c.SyncState.From)
 		}
 	case f.syncState.IsSynced:
@@ -229,15 +230,16 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	startedAt := f.now()
+	startedAt, before := f.now(), f.SyncState().Revision
 	objects, revision, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// Another instance may have sent a newer list since the call began.
-	if !f.syncState.IsSynced || revision >= f.syncState.Revision {
+	// Another instance may have sent a newer list since the call began. Otherwise the
+	// answer of the store holds, also after it was restored to an earlier revision.
+	if revision >= f.syncState.Revision || f.syncState.Revision == before {
 		f.replace(objects, revision, "")
 	}
 	f.recordComplete(startedAt, "")
