--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -117,7 +117,7 @@
 		state := f.SyncState()
 		watched := state.IsSynced
 		if watched {
-			err = f.watch(ctx, state.Revision)
+			err = f.watch(f.watchContext(ctx), state.Revision)
 		} else {
 			err = f.list(ctx)
 		}
@@ -163,6 +163,15 @@
 	return f.MaxViewAge - (f.Clock.Elapsed() - state.AsOf)
 }
 
+// watchContext returns the context of the next watch. If other instances send the changes,
+// it is made because the view is old, and must not wait for a change.
+func (f *Follower) watchContext(ctx context.Context) context.Context {
+	if f.FedByPeer != nil && f.FedByPeer() {
+		return objectstore.WithoutWait(ctx)
+	}
+	return ctx
+}
+
 // CompleteUntil returns the time since boot up to which the view is known to be
 // complete without the changes that are being delivered; zero before the first
 // list. It may be called by Replace and Apply only.
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -334,3 +334,28 @@
 		assert.Assert(t, wait >= 500*time.Millisecond && wait <= 3*time.Second, "%v", wait)
 	}
 }
+
+// An instance that others feed reads the store itself once its view is old. That read must
+// not wait for a change: until it returns, nothing proves that the view is complete, and a
+// dead connection is noticed only after the wait.
+func TestOldViewIsRenewedWithoutWaiting(t *testing.T) {
+	const maxViewAge = 300 * time.Millisecond
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client := platform.NewStore(func() string { return strings.TrimPrefix(server.URL, "http://") }, func(string) time.Duration { return 5 * time.Second })
+	view := &recordedObjects{values: make(map[string]string)}
+	health := &follow.StoreHealth{Clock: clock.System{}, Log: hclog.NewNullLogger()}
+	f := follow.Follower{Store: client, Kind: "things", Replace: view.replace, Apply: view.apply, FedByPeer: func() bool { return true }, MaxViewAge: maxViewAge,
+		WatchWait: 5 * time.Second, Clock: clock.System{}, StoreHealth: health, Log: hclog.NewNullLogger()}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	store.Put("things", "one", 1)
+	view.waitForValue(t, "one", "1")
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		age := clock.System{}.Elapsed() - f.SyncState().AsOf
+		assert.Assert(t, age < maxViewAge+300*time.Millisecond, "the view is %v old", age)
+	}
+}
--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -61,6 +61,17 @@
 // StaleAllowed reports whether reads with the context may return old data.
 func StaleAllowed(ctx context.Context) bool { return ctx.Value(staleKey{}) != nil }
 
+type withoutWaitKey struct{}
+
+// WithoutWait returns a context with which Watch returns at once, also if there is no
+// change. The caller then knows soon whether it has all changes.
+func WithoutWait(ctx context.Context) context.Context {
+	return context.WithValue(ctx, withoutWaitKey{}, true)
+}
+
+// WaitUnwanted reports whether a watch with the context returns at once.
+func WaitUnwanted(ctx context.Context) bool { return ctx.Value(withoutWaitKey{}) != nil }
+
 // Role is the kind of program that an instance of the platform runs.
 type Role string
 
