pkg/targetconn, pkg/relay, pkg/gateway tests: heads that break off are no answers

Not here: heads cut at each of their bytes fail, and both routers answer 502 with an unknown outcome. The tests pass on the code before.

--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -260,3 +260,31 @@
 		})
 	}
 }
+
+// A target that breaks off in the middle of the head of its answer has given none. The
+// caller must not get a success, empty or short, that is framed as whole.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, path := range []string{pathBook, pathLookup, pathGenerate} {
+		for _, rest := range []string{"", "Content-Len", "Content-Length: 1", "Content-Length: 10\r\n", "Content-Type: text/event-stream\r\n\r"} {
+			t.Run(fmt.Sprintf("%s %q", path, rest), func(t *testing.T) {
+				x := newTarget(t, "x-1", func(w http.ResponseWriter, r *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer conn.Close()
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s", engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID), rest)
+				})
+				r := newRouter(t, standin.NewPlatform(), x.Target)
+				r.serve()
+				body := generateBody
+				if path == pathGenerate {
+					body = streamBody(4)
+				}
+				got := r.post(path, "key-1", body)
+				assert.Equal(t, got.status, http.StatusBadGateway, got.body)
+			})
+		}
+	}
+}
--- a/pkg/relay/framing_test.go
+++ b/pkg/relay/framing_test.go
@@ -180,6 +180,33 @@
 	}
 }
 
+// A target that breaks off in the middle of the head of its answer has given none. The
+// caller must not get a success, empty or short, that is framed as whole.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, path := range []string{"/once/", "/stream/once/", "/stream/resumable/"} {
+		for _, reset := range []bool{false, true} {
+			for _, rest := range []string{"", "Content-Len", "Content-Length: 1", "Content-Length: 10\r\n", "Content-Type: text/event-stream\r\n\r"} {
+				t.Run(fmt.Sprintf("%s %q %t", path, rest, reset), func(t *testing.T) {
+					testTarget := startTarget(t, "i-1")
+					testTarget.SetFaults(func(int, string) platformtest.Fault {
+						return platformtest.Fault{Respond: func(conn *net.TCPConn, head string) {
+							_, _ = io.WriteString(conn, head+rest)
+							if reset {
+								_ = conn.SetLinger(0)
+							}
+						}}
+					})
+					f := newFixture(t, testTarget)
+					response, body, err := f.sendVersion("HTTP/1.1", path, nil, 0)
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusBadGateway, body)
+					assert.Equal(t, response.Header.Get("X-Outcome"), "unknown")
+				})
+			}
+		}
+	}
+}
+
 // An answer whose end is the end of its connection looks complete when this process
 // is killed while it sends. Callers that know chunks must get chunks.
 func TestAnswerWithoutLengthIsSentInChunks(t *testing.T) {
--- a/pkg/targetconn/pool_test.go
+++ b/pkg/targetconn/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -349,6 +350,30 @@
 	assert.Equal(t, stageOf(t, err), targetconn.StageBody)
 }
 
+// A head that breaks off must fail at each of its bytes: what was read of it is no answer
+// with an empty body.
+func TestHeadThatBreaksOffFails(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\nContent-Length: 10\r\nContent-Type: text/plain\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\n" + idHeader + ": r1\nConnection: close\n\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\n\r\n",
+	} {
+		var cut atomic.Int64
+		destination := startRawTarget(t, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, head[:cut.Load()])
+			_ = conn.Close()
+		})
+		pool := targetconn.NewPool(time.Second, time.Second)
+		for n := range len(head) {
+			cut.Store(int64(n))
+			_, err := pool.Do(t.Context(), destination, newRequest("r1"))
+			assert.Assert(t, err != nil, "%q is taken for an answer", head[:n])
+			assert.Equal(t, stageOf(t, err), targetconn.StageSent)
+		}
+	}
+}
+
 // A target may respond before it has read the whole request body. It would take
 // a second request on that connection for the rest of the first body, so the
 // connection must be closed.
