--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -14,6 +14,10 @@
 // kindLease is the kind of lease objects in the store.
 const kindLease = "lease"
 
+// maxEffectMillis is the longest time that a record may state for the effect of actions.
+// One that states more, or less than zero, was not written by an instance.
+const maxEffectMillis = 60_000
+
 // leaseRecord is the value of a lease object.
 type leaseRecord struct {
 	Holder   string `json:"holder"` // incarnation of the holder; empty after a release
@@ -23,6 +27,10 @@
 	// Settled is set after a release if no action of the last holder can still have an
 	// effect.
 	Settled bool `json:"settled,omitempty"`
+	// Idle is set while the last holder has taken no action. EffectMillis is then the
+	// time from the write in which actions of earlier holders may still have an effect.
+	Idle         bool  `json:"idle,omitempty"`
+	EffectMillis int64 `json:"effect_ms,omitempty"`
 }
 
 // Lease is a lock in the object store that at most one instance holds at a
@@ -38,13 +46,18 @@
 	Incarnation string
 	Duration    time.Duration
 	Guard       time.Duration // added to Duration before a takeover
+	// EffectTime is how long after the last renewal of a holder its actions may have an
+	// effect. Zero means that the lease does not tell holders that act from idle ones.
+	EffectTime time.Duration
 
 	fence        uint64
 	expires      time.Duration // on Clock; zero while not held
 	version      uint64        // last version seen
 	seenAt       time.Duration // when that version was first seen
 	tookOver     bool          // the previous holder did not release the lease
-	takeoverWait time.Duration // see TakeoverWait
+	effectsEnd   time.Duration // see EffectsEnd
+	idle         bool          // this holder has not begun to act
+	mayAct       bool          // see MayAct
 	afterSettled bool          // see AfterSettled
 	continued    bool          // see Continued
 	// mustReadFresh is set after a failed write, which may have named an old
@@ -60,10 +73,23 @@
 // that.
 func (l *Lease) Remaining() time.Duration { return l.expires - l.Clock.Elapsed() }
 
-// TakeoverWait returns the time between the first and the last read of the
-// version that this instance took over, in which the previous holder did not
-// renew.
-func (l *Lease) TakeoverWait() time.Duration { return l.takeoverWait }
+// EffectsEnd returns the boot time until which actions of earlier holders may still have
+// an effect, as of the acquisition; zero if there are none.
+func (l *Lease) EffectsEnd() time.Duration { return l.effectsEnd }
+
+// MayAct reports whether this instance holds the lease and the lease says that it acts.
+// With EffectTime, call it in place of Held before each action.
+func (l *Lease) MayAct() bool { return l.mayAct && l.Held() }
+
+// BeginActing writes that the holder acts from now on, unless the lease says so already. The
+// holder must not act before MayAct returns true: the next one would not wait for it.
+func (l *Lease) BeginActing(ctx context.Context) error {
+	if l.MayAct() || !l.Held() {
+		return nil
+	}
+	l.idle = false
+	return l.write(ctx, leaseRecord{Fence: l.fence}, l.version, l.tookOver)
+}
 
 // Fence returns the fencing token of the last acquired lease.
 func (l *Lease) Fence() uint64 { return l.fence }
@@ -108,6 +134,7 @@
 			return nil
 		}
 		l.afterSettled, l.continued = true, false
+		l.effectsEnd, l.idle = 0, false
 		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
 	}
 	if err != nil {
@@ -120,9 +147,6 @@
 	if object.Version != l.version {
 		l.version, l.seenAt = object.Version, l.Clock.Elapsed()
 	}
-	if record.Holder != l.Incarnation {
-		l.takeoverWait = l.Clock.Elapsed() - l.seenAt
-	}
 	switch {
 	case record.Holder == l.Incarnation:
 		// Another fence is that of a write whose response was lost: it was never held.
@@ -132,26 +156,34 @@
 		l.expires = 0
 		return nil
 	}
-	l.afterSettled, l.continued = record.Holder == "" && record.Settled, false
+	isFree := record.Holder == ""
+	if !isFree && l.Clock.Elapsed()-l.seenAt <= l.Duration+l.Guard {
+		l.expires = 0
+		return nil
+	}
+	l.afterSettled, l.continued = isFree && record.Settled, false
+	l.effectsEnd = 0
 	switch {
-	case record.Holder == "":
-		return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, false)
-	case l.Clock.Elapsed()-l.seenAt > l.Duration+l.Guard:
-		return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, true)
+	case l.afterSettled:
+	case record.Idle && record.EffectMillis >= 0 && record.EffectMillis <= maxEffectMillis:
+		l.effectsEnd = l.seenAt + time.Duration(record.EffectMillis)*time.Millisecond
+	default:
+		l.effectsEnd = l.seenAt + l.EffectTime
 	}
-	l.expires = 0
-	return nil
+	l.idle = l.EffectTime > 0 && !l.afterSettled
+	return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, !isFree)
 }
 
 // write stores record with this instance as the holder, on condition that the
 // object still has the given version. Version zero creates the object.
 func (l *Lease) write(ctx context.Context, record leaseRecord, version uint64, takeover bool) error {
 	record.Holder, record.Instance, record.Nonce = l.Incarnation, l.Instance, uuid.NewString()
+	sentAt := l.Clock.Elapsed()
+	l.stateEffects(&record, sentAt)
 	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
-	sentAt := l.Clock.Elapsed()
 	// Set before the write: if the response is lost and the object cannot be
 	// read back, the next Reconcile finds itself as the holder and needs it.
 	l.tookOver = takeover
@@ -171,9 +203,18 @@
 	l.version, l.seenAt = object.Version, l.Clock.Elapsed()
 	l.fence = record.Fence
 	l.expires = sentAt + l.Duration
+	l.mayAct = !record.Idle
 	return nil
 }
 
+// stateEffects sets whether this holder is idle and for how long actions of earlier ones
+// may have an effect.
+func (l *Lease) stateEffects(record *leaseRecord, now time.Duration) {
+	if record.Idle = l.idle; l.idle {
+		record.EffectMillis = max(0, l.effectsEnd-now+time.Millisecond-1).Milliseconds()
+	}
+}
+
 // readBack reads the object after a write whose response was lost. It returns
 // the object if the write took effect, and writeErr if it did not.
 func (l *Lease) readBack(ctx context.Context, nonce string, writeErr error) (objectstore.Object, error) {
@@ -205,7 +246,9 @@
 	}
 	l.expires = 0
 	l.mustReadFresh = true
-	value, err := json.Marshal(leaseRecord{Fence: l.fence, Settled: settled})
+	record := leaseRecord{Fence: l.fence, Settled: settled}
+	l.stateEffects(&record, l.Clock.Elapsed())
+	value, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -165,6 +165,7 @@
 // time until the next call.
 func (r *Controller) reconcile(ctx context.Context) time.Duration {
 	now := r.Clock.Elapsed()
+	r.Lease.EffectTime = r.effectTime()
 	r.observeOutdated(now)
 	if !r.holdsLease {
 		if wait := r.timeUntilStandby(now); wait > 0 {
@@ -204,11 +205,7 @@
 		// effect, so that what is known of them stays.
 		if !r.Lease.Continued() {
 			clear(r.openOrders)
-			r.noOrdersUntil = 0
-			if !r.Lease.AfterSettled() {
-				// The previous holder may have sent orders until its lease expired.
-				r.noOrdersUntil = r.Clock.Elapsed() + r.effectTime() - r.Lease.TakeoverWait()
-			}
+			r.noOrdersUntil = r.Lease.EffectsEnd()
 			r.settledFrom = r.Clock.Elapsed()
 		}
 		r.Log.Info("holds the lease for orders", "fence", r.Lease.Fence(), "took_over", r.Lease.TookOver(), "after_settled", r.Lease.AfterSettled(), "continued", r.Lease.Continued(), "first_order_in", max(0, r.noOrdersUntil-r.Clock.Elapsed()))
@@ -216,6 +213,13 @@
 	if r.Clock.Elapsed() < r.noOrdersUntil {
 		return pollInterval
 	}
+	if r.outdatedCount > 0 && !r.Lease.MayAct() {
+		if err := r.Lease.BeginActing(ctx); err != nil {
+			r.Log.Debug("lease does not say yet that orders are sent; the next round tries again", "cause", err)
+			return pollInterval
+		}
+		r.renewedAt = r.Clock.Elapsed()
+	}
 	if !r.orderOutdated(ctx) {
 		return min(renewInterval, max(0, renewInterval-(r.Clock.Elapsed()-r.renewedAt)))
 	}
@@ -426,7 +430,7 @@
 // nothing to wait for.
 func (r *Controller) orderTarget(ctx context.Context, t *target.Target) openOrder {
 	newest := r.Source.NewestVersion(t.Model)
-	if !r.Lease.Held() {
+	if !r.Lease.MayAct() {
 		return openOrder{}
 	}
 	call, cancel := context.WithTimeout(ctx, min(orderTimeout, r.Lease.Remaining()))
@@ -453,7 +457,7 @@
 	if last != nil && last.isUnanswered && last.acceptedBefore == status.AcceptedOrders {
 		return r.waitAfterFailure(0, 0) // ordered again when it is its turn
 	}
-	if !r.Lease.Held() || status.Notice.Leaving {
+	if !r.Lease.MayAct() || status.Notice.Leaving {
 		return openOrder{}
 	}
 	order := Order{Model: t.Model, Version: newest, Holder: r.Holder, Fence: r.Lease.Fence(), ExpectedOrders: status.AcceptedOrders}
--- a/pkg/rollout/rollout_test.go
+++ b/pkg/rollout/rollout_test.go
@@ -496,3 +496,65 @@
 	pause := f.orders[orders].at - lastOfFirst
 	assert.Assert(t, pause >= handover, "the next holder ordered %v after the last order of the first one", pause)
 }
+
+// A holder that is lost in the wait for orders of the one before has sent none. The next one
+// must not begin that wait anew: where holders are lost every few seconds, no orders went
+// out, and engines kept old weights past their bound.
+func TestHoldersLostInTheirWaitDoNotProlongIt(t *testing.T) {
+	for _, isReleased := range []bool{false, true} {
+		t.Run(fmt.Sprint("released ", isReleased), func(t *testing.T) {
+			f := newFleet(40)
+			store := &leaseStore{}
+			one, two, three, four := f.newController(store, "one"), f.newController(store, "two"), f.newController(store, "three"), f.newController(store, "four")
+			f.newest = "2"
+			f.simulate(t, time.Second, one) // and is killed
+			assert.Assert(t, len(f.orders) > 0)
+			lastOfFirst, orders := f.orders[len(f.orders)-1].at, len(f.orders)
+			lost := time.Duration(0)
+			for _, holder := range []*Controller{two, three} {
+				for !holder.holdsLease {
+					f.simulate(t, 10*time.Millisecond, holder)
+				}
+				f.simulate(t, 300*time.Millisecond, holder)
+				if isReleased {
+					holder.release(t.Context())
+				}
+				lost = f.clock.Elapsed()
+			}
+			assert.Equal(t, len(f.orders), orders, "orders within the pause")
+			f.simulate(t, 10*time.Second, four)
+			assert.Assert(t, len(f.orders) > orders, "the next holder sends no orders")
+			next := f.orders[orders].at
+			assert.Assert(t, next-lastOfFirst >= handover, "the next holder ordered %v after the last order of the first one", next-lastOfFirst)
+			takeover := LeaseDuration + 200*time.Millisecond + 2*standbyInterval
+			latest := max(lost+takeover, lastOfFirst+takeover+one.effectTime())
+			assert.Assert(t, next <= latest+pollInterval, "the first order came %v after the last holder was lost, %v after the last order", next-lost, next-lastOfFirst)
+		})
+	}
+}
+
+// A holder that has begun to send orders must be taken for one that sends them, also if the
+// answer to the write that says so was lost.
+func TestHolderOrdersOnlyOnceItsLeaseSaysSo(t *testing.T) {
+	f := newFleet(6)
+	store := &leaseStore{}
+	one, two, three := f.newController(store, "one"), f.newController(store, "two"), f.newController(store, "three")
+	f.newest = "2"
+	f.simulate(t, time.Second, one)
+	for !two.holdsLease {
+		f.simulate(t, 10*time.Millisecond, two)
+	}
+	orders := len(f.orders)
+	f.simulate(t, two.noOrdersUntil-f.clock.Elapsed()-20*time.Millisecond, two)
+	store.err = &objectstore.Error{Kind: objectstore.KindUnavailable, Cause: errors.New("turned away")}
+	f.simulate(t, LeaseDuration-300*time.Millisecond, two)
+	assert.Equal(t, len(f.orders), orders, "orders of a holder whose lease does not say that it sends them")
+	store.err = nil
+	f.simulate(t, 500*time.Millisecond, two)
+	assert.Assert(t, len(f.orders) > orders)
+	lastOfSecond, orders := f.orders[len(f.orders)-1].at, len(f.orders)
+	f.newest = "3"
+	f.simulate(t, 10*time.Second, three)
+	assert.Assert(t, len(f.orders) > orders)
+	assert.Assert(t, f.orders[orders].at-lastOfSecond >= handover, "%v", f.orders[orders].at-lastOfSecond)
+}
