pkg/control: an instance that gets no quota share knows the holders when it is ready

Callers of a router of 'serve' that had just become ready got 429 within the limits. Cause: two routers start together and one acquires all shares between the other's read of the records and its writes; the other loses each race, knows no holder to borrow from, is ready, and reads the records again 2.5 to 7.5 s later. Now it reads them again at once when a write failed because another instance had changed the record. Evidence: TestInstanceThatGetsNoShareKnowsTheHolders failed before ('+ "a0"').

--- a/pkg/control/quotaacquire.go
+++ b/pkg/control/quotaacquire.go
@@ -8,11 +8,14 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // acquireFree acquires the free shares for which this instance is the
-// candidate. A candidate of rank n waits n times candidateDelay.
-func (c *QuotaLeaseController) acquireFree(ctx context.Context) {
+// candidate. A candidate of rank n waits n times candidateDelay. lost reports whether
+// another instance has changed one of the records since they were read.
+func (c *QuotaLeaseController) acquireFree(ctx context.Context) (lost bool) {
 	counts := c.countSharesByHolder()
 	probed := make(map[string]bool)
 	for share := range c.views {
@@ -32,14 +35,16 @@
 		rank = slices.Index(candidates, c.Self.ID)
 		counts[candidates[0]]++
 		if rank >= 0 && c.Clock.Elapsed()-v.freeSince >= time.Duration(rank)*candidateDelay {
-			c.acquireShare(ctx, share)
+			err := c.acquireShare(ctx, share)
+			lost = lost || objectstore.IsKind(err, objectstore.KindExists) || objectstore.IsKind(err, objectstore.KindConflict)
 		}
 	}
+	return lost
 }
 
 // acquireShare writes a record with this instance as the holder. Tokens that a
 // previous holder handed back go to this instance.
-func (c *QuotaLeaseController) acquireShare(ctx context.Context, share int) {
+func (c *QuotaLeaseController) acquireShare(ctx context.Context, share int) error {
 	v := &c.views[share]
 	record := &QuotaShareRecord{
 		ShareCount: len(c.views), Holder: c.Self.ID, Incarnation: c.Self.Incarnation, Address: c.Self.Address,
@@ -54,9 +59,11 @@
 			record.Tokens = v.record.Tokens
 		}
 	}
-	if c.write(ctx, share, record) == nil {
+	err := c.write(ctx, share, record)
+	if err == nil {
 		c.Log.Info("quota share acquired", "share", share, "fence", record.Fence)
 	}
+	return err
 }
 
 // isFree reports whether no instance can spend from the share any more. If this
--- a/pkg/control/quotalease.go
+++ b/pkg/control/quotalease.go
@@ -189,11 +189,17 @@
 		c.renew(ctx, share)
 	}
 	if !blocked {
-		c.acquireFree(ctx)
+		lost := c.acquireFree(ctx)
 		c.handOverExcessShare(ctx)
+		if lost {
+			// The new holders are those to borrow from.
+			if objects, _, err = c.Store.List(ctx, KindQuotaShare); err == nil {
+				c.observeAll(objects, shares)
+			}
+		}
 	}
 	c.publishHolders()
-	return nil
+	return err
 }
 
 // readInstances updates the live instances. It uses the last list while the
--- a/pkg/control/quotalease_test.go
+++ b/pkg/control/quotalease_test.go
@@ -474,3 +474,39 @@
 		}
 	})
 }
+
+// raceStore lets something happen before the first write.
+type raceStore struct {
+	objectstore.Store
+	beforeWrite func()
+}
+
+func (s *raceStore) Create(ctx context.Context, kind, name string, value []byte) (objectstore.Object, error) {
+	if run := s.beforeWrite; run != nil {
+		s.beforeWrite = nil
+		run()
+	}
+	return s.Store.Create(ctx, kind, name, value)
+}
+
+// aloneInList is an instance list that shows one instance only, as it does when another has
+// just started.
+type aloneInList struct{ id string }
+
+func (l aloneInList) Instances(context.Context) ([]objectstore.Instance, error) {
+	return []objectstore.Instance{{ID: l.id, Role: objectstore.RoleRouter}}, nil
+}
+
+// An instance that starts while another acquires all shares must know that holder when it
+// becomes ready. It knew none to borrow from, and refused requests within the limits until
+// it read the records again, seconds later.
+func TestInstanceThatGetsNoShareKnowsTheHolders(t *testing.T) {
+	f := newLeaseFleet(2)
+	first, second := f.nodes[0], f.nodes[1]
+	first.List = aloneInList{first.Self.ID}
+	second.Store = &raceStore{Store: f.store, beforeWrite: func() { assert.NilError(t, first.Reconcile(t.Context())) }}
+	assert.NilError(t, second.Reconcile(t.Context()))
+	assert.Equal(t, first.heldShares(), leaseShares)
+	assert.Equal(t, second.heldShares(), 0)
+	assert.DeepEqual(t, second.HolderAddresses(), []string{first.Self.Address})
+}
