pkg/daemon: proofs of the configuration come at an interval that follows from the bound

An instance that cannot reach the store, and gets its proofs from another, left readiness for moments: with the bound of 3 s for revoked keys it is ready while its proof is younger than 1.65 s, and the reader proved each second, half a second further away. The interval is now a fifth of the bound, and still 1 s with the platform's 5 s.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -63,10 +63,12 @@
 	// readerWatchPause is the pause between watches by an instance that passes
 	// changes on. Leaving targets are then known within a tenth of their bound.
 	readerWatchPause = 220 * time.Millisecond
-	// readerProofInterval is the time between proofs of the configuration by such
-	// an instance. The proofs that the other instances get from it are then
-	// younger than those that they would read themselves.
+	// readerProofInterval is the longest time between proofs of the configuration by
+	// such an instance, and readerProofShare the longest part of MaxRevocationDelay.
+	// The proofs that the other instances get from it, half a second later, are then
+	// younger than those that they would read themselves, and than readyProofAgeShare.
 	readerProofInterval = time.Second
+	readerProofShare    = 0.2
 	// maxFeedAgeShare is the part of MaxTargetLeaveDelay after which an instance
 	// reads changes of targets itself although a reader sends them.
 	maxFeedAgeShare = 0.8
@@ -314,12 +316,14 @@
 // proofInterval returns the time between reads that prove that the configuration
 // is the newest.
 func (d *Daemon) proofInterval() time.Duration {
-	if d.feed.ReadsStore() {
-		return readerProofInterval
-	}
 	maxDelay := d.settings().MaxRevocationDelay
-	if maxDelay <= 0 {
+	switch {
+	case maxDelay <= 0 && d.feed.ReadsStore():
+		return readerProofInterval
+	case maxDelay <= 0:
 		return state.DefaultProofInterval
+	case d.feed.ReadsStore():
+		return min(readerProofInterval, time.Duration(readerProofShare*float64(maxDelay)))
 	}
 	return min(state.DefaultProofInterval, time.Duration(proofIntervalShare*float64(maxDelay)))
 }
--- a/pkg/daemon/peers_test.go
+++ b/pkg/daemon/peers_test.go
@@ -101,6 +101,27 @@
 	}
 }
 
+// An instance that gets its proofs of the configuration from another must stay ready without
+// a break, whatever the bound for revoked keys: it left readiness for moments, as its
+// proofs came at an interval that did not follow from the bound.
+func TestInstanceWithoutStoreStaysReady(t *testing.T) {
+	instances, proxies := startTwoDaemons(t)
+	for lost, x := range instances {
+		proxies[lost].unavailable.Store(true)
+		time.Sleep(x.settings.MaxRevocationDelay)
+		polls, refused := 0, 0
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			polls++
+			if x.readyStatus() != http.StatusOK {
+				refused++
+			}
+		}
+		assert.Equal(t, refused, 0, "instance %d was not ready at %d of %d polls", lost, refused, polls)
+		proxies[lost].unavailable.Store(false)
+		time.Sleep(x.settings.MaxRevocationDelay)
+	}
+}
+
 // Only one of two instances may read changes from the store; the other one gets
 // them from it. Otherwise the calls to the store, which have a price, grow with the
 // fleet.
