pkg/state: a shorter interval between proofs of the configuration applies at once

Callers were turned away from an instance for moments after another one lost the store: its proofs came 1.44 s apart although others relied on it by then. Cause: the instance that took over reading slept out the interval of one that is fed by others. TestShorterProofIntervalAppliesAtOnce failed before.

--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -31,6 +31,9 @@
 	fedByPeerRetryInterval = 1400 * time.Millisecond
 	// firstRetries is the number of retries after firstRetryInterval.
 	firstRetries = 2
+	// proofCheckInterval is the longest time between checks whether a read is due. The
+	// interval shortens when other instances begin to rely on this one.
+	proofCheckInterval = 100 * time.Millisecond
 )
 
 // Configuration holds the newest configuration of the operators and never returns
@@ -81,7 +84,7 @@
 func (c *Configuration) Run(ctx context.Context) {
 	for failed := 0; ctx.Err() == nil; {
 		if left := c.ProofInterval() - c.ProofAge(); c.provenAt.Load() > 0 && left > 0 {
-			clock.Sleep(ctx, left)
+			clock.Sleep(ctx, min(left, proofCheckInterval))
 			continue
 		}
 		wait := laterRetryInterval
--- a/pkg/state/state_test.go
+++ b/pkg/state/state_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,26 @@
 	assert.Equal(t, c.Snapshot().Generation, uint64(7))
 }
 
+// When others begin to rely on an instance for the proof, its interval shortens. It must not
+// sleep out the longer one: the proofs of the others become too old meanwhile, and they
+// leave readiness.
+func TestShorterProofIntervalAppliesAtOnce(t *testing.T) {
+	var reads atomic.Int64
+	var interval atomic.Int64
+	interval.Store(int64(3 * time.Second))
+	c := newConfiguration(&fakeStore{object: object("main", 5, "7"), onGet: func() { reads.Add(1) }}, clock.System{})
+	c.ProofInterval = func() time.Duration { return time.Duration(interval.Load()) }
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { c.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, reads.Load(), int64(1))
+	interval.Store(int64(200 * time.Millisecond))
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, reads.Load() >= 2, "the proof is not renewed")
+}
+
 func newTargets(c clock.Clock) *Targets {
 	return &Targets{
 		Kind: "servers", Clock: c, StoreHealth: &follow.StoreHealth{Clock: c, Log: nullLog}, Log: nullLog, RolloutDeadline: 12 * time.Second,
