pkg/feed: an instance without the store asks its only source again at once

An instance that had lost the store left readiness when one poll was answered late: its only source was in backoff for 2 s, and it asked nobody. Now it asks the one whose backoff ends first; without the store, late changes are better than none. TestOnlySourceIsAskedAgainAtOnce failed before ('a is "2", not "3"').

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -152,6 +152,9 @@
 		}
 		if err := f.fetch(ctx, reader); err != nil && ctx.Err() == nil {
 			f.markUnresponsive(reader, err)
+			if f.isOnlySource(reader) {
+				clock.Sleep(ctx, readerCheckInterval)
+			}
 			continue
 		}
 		clock.Sleep(ctx, f.pollPause())
@@ -194,9 +197,27 @@
 			return address
 		}
 	}
+	if lost {
+		return f.firstOutOfBackoff(addresses)
+	}
 	return ""
 }
 
+// firstOutOfBackoff returns the address whose backoff ends first, or "" if there is none. An
+// instance that has lost the store asks it all the same: late changes are better than none.
+func (f *Feed) firstOutOfBackoff(addresses []string) string {
+	first := ""
+	for _, address := range addresses {
+		if address != "" && (first == "" || f.unresponsive.Until(address) < f.unresponsive.Until(first)) {
+			first = address
+		}
+	}
+	return first
+}
+
+// isOnlySource reports whether the instance would ask the same address again.
+func (f *Feed) isOnlySource(address string) bool { return f.reader() == address }
+
 // markUnresponsive records that a reader failed to answer, so that it is
 // avoided for a while.
 func (f *Feed) markUnresponsive(reader string, err error) {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -409,3 +409,25 @@
 		x.waitForValue("a", "49", maxAge)
 	}
 }
+
+// An instance that has lost the store must go on to ask the only other instance after a poll
+// that was answered late. It waited for two seconds without a source, and left readiness.
+func TestOnlySourceIsAskedAgainAtOnce(t *testing.T) {
+	f := startFleet(t, 2)
+	f.store.put("a", "1", false)
+	for _, x := range f.instances {
+		x.waitForValue("a", "1", testTimeout)
+	}
+	time.Sleep(time.Second)
+	lost := f.instances[1]
+	lost.store.cut.Store(true)
+	f.store.put("a", "2", false)
+	time.Sleep(300 * time.Millisecond) // ends the call that is under way
+	lost.feed.StoreHealth.RecordFailure(errCutOff)
+	assert.Assert(t, lost.feed.StoreHealth.IsLost())
+	f.down.Store("0", true)
+	time.Sleep(maxPollWait + responseTimeout)
+	f.down.Delete("0")
+	f.store.put("a", "3", false)
+	lost.waitForValue("a", "3", maxPollWait+responseTimeout)
+}
--- a/pkg/peer/backoff.go
+++ b/pkg/peer/backoff.go
@@ -35,6 +35,14 @@
 	return now >= b.states[address].until
 }
 
+// Until returns when the backoff of the address ends, in time since boot; zero if it has
+// none.
+func (b *Backoff) Until(address string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.states[address].until
+}
+
 // RecordFailure starts a backoff after a failed call at now and returns its
 // length. It returns zero and changes nothing if the address is in backoff already.
 func (b *Backoff) RecordFailure(address string, now time.Duration) time.Duration {
