pkg/feed tests: a test waits until its instance counts the store as lost

It now reports failed calls until the store is lost; the check that matters is unchanged and still fails without its change ('a is "2", not "3"').

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// loseStore makes the instance count the store as lost, which it does once its calls have
+// failed for long enough. The instance must be cut off.
+func (x *instance) loseStore() {
+	x.fleet.t.Helper()
+	for deadline := time.Now().Add(testTimeout); !x.feed.StoreHealth.IsLost(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(x.fleet.t, time.Now().Before(deadline), "the store is not lost")
+		x.feed.StoreHealth.RecordFailure(errCutOff)
+	}
+}
+
 // startFleet starts n instances. The first one is the reader.
 func startFleet(t *testing.T, n int) *fleet {
 	return startFleetWithSources(t, n, func(i int) Sources { return Sources{Addresses: addressesSeenBy(i, n), Count: 1} })
@@ -395,8 +405,7 @@
 	f.store.put("a", "1", false)
 	time.Sleep(300 * time.Millisecond) // ends the calls that are under way
 	for _, x := range lost {
-		x.feed.StoreHealth.RecordFailure(errCutOff)
-		assert.Assert(t, x.feed.StoreHealth.IsLost())
+		x.loseStore()
 	}
 	for n := 2; n < 50; n++ {
 		f.store.put("a", fmt.Sprint(n), false)
@@ -423,8 +432,7 @@
 	lost.store.cut.Store(true)
 	f.store.put("a", "2", false)
 	time.Sleep(300 * time.Millisecond) // ends the call that is under way
-	lost.feed.StoreHealth.RecordFailure(errCutOff)
-	assert.Assert(t, lost.feed.StoreHealth.IsLost())
+	lost.loseStore()
 	f.down.Store("0", true)
 	time.Sleep(maxPollWait + responseTimeout)
 	f.down.Delete("0")
