--- a/pkg/daemon/settings.go
+++ b/pkg/daemon/settings.go
@@ -37,6 +37,19 @@
 	QuotaWindow  time.Duration // over which an organisation's tokens are counted
 	QuotaOverage float64       // fraction of a limit by which it may be exceeded
 	QuotaSlack   float64       // tokens by which a limit may be exceeded in addition
+
+	// Deliveries of service versions. MaxExposureShare is the largest part of a service's
+	// requests that an unproven version may get, and ExposureSlack the requests that it may
+	// get in addition. RollbackDelay bounds the time from a failed version's last tolerated
+	// error until it gets no more requests. Zero shares and delays: no deliveries.
+	MaxExposureShare float64
+	ExposureSlack    float64
+	RollbackDelay    time.Duration
+
+	// ExpectsContention is set where callers regularly ask for more than the targets can
+	// serve, so that requests are admitted by urgency and share.
+	ExpectsContention bool
+	LinkBitsPerSecond float64 // of the instance's network link; zero: not stated
 }
 
 // Host returns the host of CallerListen, or "" if the address is invalid.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -175,6 +175,7 @@
 	CacheSource    *target.Target // another target that the missing cached parts can be fetched from; nil if none
 	UncachedTokens int            // prompt tokens that the target is expected to prefill
 	Cost           time.Duration  // expected delay, plus other costs expressed as time
+	Delay          time.Duration  // expected time until the first event
 	IsHome         bool           // Target is the first of its weight version in the order of the prompt's hash
 }
 
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -16,6 +16,9 @@
 	Running      int `json:"running"`       // requests
 	Waiting      int `json:"waiting"`       // requests in the target's queue
 	QueuedTokens int `json:"queued_tokens"` // prompt tokens that are not prefilled yet
+	// PacePercent is how long work takes on the target's machine now, in percent of the
+	// usual time; zero if the report does not state it.
+	PacePercent int `json:"pace_percent,omitempty"`
 }
 
 // Target is a snapshot of one target. It is immutable apart from Live.
