config, server: settings for the memory and the descriptors of the process

serve had no setting for the memory of its machine, so that nothing could be sized by it, and a test could not lower it. memory_limit sets the memory limit of the Go runtime as memory_mb does for edge. descriptor_limit has no effect yet; the bound of connections will use it.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -52,10 +52,12 @@
 	PeerCA       string // CA certificate that verifies the certificates of all instances
 }
 
-// Server holds the timings of a shutdown.
+// Server holds the timings of a shutdown and the limits of the process.
 type Server struct {
-	DrainTimeout time.Duration // longest wait for running requests
-	ReadyGrace   time.Duration // time between reporting not ready and closing the listener
+	DrainTimeout    time.Duration // longest wait for running requests
+	ReadyGrace      time.Duration // time between reporting not ready and closing the listener
+	MemoryLimit     int64         // bytes that the process may use; zero: the memory of the machine
+	DescriptorLimit int           // descriptors that the process may open; zero: the limit of the process
 }
 
 // Load reads and checks the settings file at path. The error is an
--- a/pkg/config/fields.go
+++ b/pkg/config/fields.go
@@ -33,6 +33,11 @@
 	minDrainTimeout = 100 * time.Millisecond
 	maxDrainTimeout = 24 * time.Hour
 	maxReadyGrace   = 10 * time.Minute
+	// An idle process takes about 25 MB and 50 descriptors.
+	minMemoryLimit     = 64 << 20
+	maxMemoryLimit     = 1 << 40
+	minDescriptorLimit = 256
+	maxDescriptorLimit = 1 << 20
 )
 
 // sectionSpec lists the fields of a section.
@@ -70,6 +75,8 @@
 		{sectionServer, []inifile.Field{
 			inifile.Duration("drain_timeout", &s.Server.DrainTimeout, inifile.Range[time.Duration]{Default: defaultDrainTimeout, Min: minDrainTimeout, Max: maxDrainTimeout}),
 			inifile.Duration("ready_grace", &s.Server.ReadyGrace, inifile.Range[time.Duration]{Max: maxReadyGrace}),
+			inifile.Size("memory_limit", &s.Server.MemoryLimit, inifile.Range[int64]{Min: minMemoryLimit, Max: maxMemoryLimit}),
+			inifile.Int("descriptor_limit", &s.Server.DescriptorLimit, inifile.Range[int]{Min: minDescriptorLimit, Max: maxDescriptorLimit}),
 		}},
 	}
 }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,10 @@
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
+// memoryLimitShare is the part of the process's memory that is set as the soft memory
+// limit of the Go runtime.
+const memoryLimitShare = 0.7
+
 // Server is one router.
 type Server struct {
 	settings *config.Settings
@@ -50,6 +55,9 @@
 // New assembles a router and opens its listeners. Run serves them. Errors name the
 // setting to change.
 func New(settings *config.Settings, log hclog.Logger) (*Server, error) {
+	if settings.Server.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Server.MemoryLimit)))
+	}
 	client := httpapi.New(settings.Platform.Address)
 	instanceList := control.NewInstanceListCache(client, log.Named("listing"))
 	targetClient := engine.NewHTTPClient()
