callerconn, memlimit, relay, gateway: one budget for the memory that callers make an instance hold

Cause: net/http bounds the bytes of one head, not its lines; a body's stated length was allocated before a byte had come (edge) or read up to 16 MB (serve); neither had a bound over all connections, and edge no end for a body that stalls. A crowd of legal callers filled the memory, and any number of connections the descriptors.

Change: pkg/callerconn reserves connections, heads as they are read and bodies as they grow in one budget of pkg/memlimit, a third of the process's memory. Small reservations keep a quarter, one request takes half at most. Without room a request gets 503 with Retry-After (out_of_memory, not run) or its connection is closed; receipts without progress for 250 ms give way, those first that hold most for longest, and connections without a running request. The number of connections is bounded by descriptors and memory. edge ends a body at the request's deadline and when the instance stops; serve no longer waits for the rest of a refused body. edge counts a head without spaces that it may not have had: a legal head got 431. serve sizes the budget for responses by memory_limit.

Not covered: heads under TLS are estimated at 10 B a byte until they are parsed.

--- a/pkg/apierr/apierr.go
+++ b/pkg/apierr/apierr.go
@@ -47,6 +47,7 @@
 	CodeNotReady               Code = "not_ready"
 	CodeInternal               Code = "internal"
 	CodeCallerGone             Code = "caller_gone"
+	CodeOutOfMemory            Code = "out_of_memory"
 )
 
 // Error is an error response for a caller.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
 	"lacewingwheel.example/lacewingwheel/pkg/drain"
@@ -156,6 +157,7 @@
 	storeCalls       relay.LatencyHistograms
 	callerServer     *http.Server
 	callerConns      *drain.Tracker
+	callers          *callerconn.Limiter
 	idleTimeout      *idleTimeout
 	listen           func(network, address string) (net.Listener, error) // net.Listen except in tests
 	stopping         atomic.Bool
@@ -251,15 +253,21 @@
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.callerConns = drain.NewTracker()
+	d.callers = callerconn.New(callerconn.Limits{Memory: s.MemoryBytes, Descriptors: s.MaxDescriptors}, log, d.metrics.Set)
 	d.callerServer = &http.Server{
-		ConnState:         d.callerConns.Record,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			d.callerConns.Record(conn, state)
+			d.callers.Record(conn, state)
+		},
 		BaseContext:       func(net.Listener) context.Context { return d.requests },
 		Handler:           d.callerHandler(p.Dialect),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeoutMarker,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       relay.ContextWithConn,
-		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return callerconn.ContextWithConn(relay.ContextWithConn(ctx, conn), conn)
+		},
+		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	d.publishMetrics()
 	return d
@@ -299,12 +307,13 @@
 	}
 	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{Callers: d.callers}, drainFilter, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+	handler := d.callers.Handler(chain, http.HandlerFunc(chain.RefuseOutOfMemory))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		chain.ServeHTTP(w, r)
+		handler.ServeHTTP(w, r)
 	})
 }
 
@@ -431,7 +440,7 @@
 	group.Go(func() { d.peerEndpoint.run(background, d.platformStore, s) })
 	probeServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 3)
-	go func() { failed <- d.callerServer.Serve(d.idleTimeout.wrap(callerListener)) }()
+	go func() { failed <- d.callerServer.Serve(d.callers.Listen(d.idleTimeout.wrap(callerListener), false)) }()
 	go func() { failed <- probeServer.Serve(readyListener) }()
 	d.serveMetrics(s.MetricsListen)
 	d.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", s.CallerListen, "ready", s.ReadyListen,
--- a/pkg/gateway/deadlines.go
+++ b/pkg/gateway/deadlines.go
@@ -8,6 +8,8 @@
 const (
 	// bodyTimeout bounds the time in which a caller must send the request body.
 	bodyTimeout = 30 * time.Second
+	// unreadBodyTimeout bounds reading the rest of a body that was refused.
+	unreadBodyTimeout = time.Second
 	// finalWriteTimeout bounds the writing of the error after a request has ended,
 	// because its caller may have stopped reading.
 	finalWriteTimeout = time.Second
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -5,12 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 	"lacewingwheel.example/lacewingwheel/pkg/slowcaller"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
@@ -21,18 +22,26 @@
 
 // Routing reads the body, selects the route and its pool, checks that the caller
 // may use the route, and sets the deadline.
-type Routing struct{}
+type Routing struct {
+	// Callers holds the memory of bodies; nil means no bound.
+	Callers *callerconn.Limiter
+}
+
+// bodyCopies is the number of copies of a body that a request holds: the prompt is decoded
+// from it.
+const bodyCopies = 2
 
 // Name implements Filter.
 func (Routing) Name() string { return "route" }
 
 // Handle implements Filter.
-func (Routing) Handle(ex *Exchange, next Handler) error {
-	body, err := readBody(ex)
+func (f Routing) Handle(ex *Exchange, next Handler) error {
+	body, err := f.readBody(ex)
 	if err != nil {
 		return err
 	}
-	ex.Body = body
+	defer body.Release()
+	ex.Body = body.Bytes
 	parseErr := parseGeneration(ex)
 	if err := selectRoute(ex); err != nil {
 		return err
@@ -51,15 +60,23 @@
 	return next(ex)
 }
 
-// readBody returns the request body, or an error with status 413 or 400.
-func readBody(ex *Exchange) ([]byte, error) {
-	defer setBodyReadDeadline(ex.Writer)()
-	body, err := io.ReadAll(http.MaxBytesReader(ex.Writer, ex.Request.Body, maxBodyBytes))
+// readBody returns the request body, or an error with status 413, 400 or 503.
+func (f Routing) readBody(ex *Exchange) (*callerconn.Body, error) {
+	clearDeadline := setBodyReadDeadline(ex.Writer)
+	ex.Request.Body = http.MaxBytesReader(ex.Writer, ex.Request.Body, maxBodyBytes)
+	body, err := f.Callers.ReadBody(ex.Writer, ex.Request, maxBodyBytes, bodyCopies)
 	if err == nil {
+		clearDeadline()
 		return body, nil
 	}
+	// The server reads on after the error and would wait for a caller that stalls.
+	_ = http.NewResponseController(ex.Writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	ex.Writer.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, callerconn.ErrOutOfMemory) || errors.Is(err, callerconn.ErrStalled):
+		return nil, errNoRequestMemory(err)
+	case errors.Is(err, callerconn.ErrBodyTooLarge) || errors.As(err, &tooLarge):
 		return nil, &apierr.Error{
 			Code: apierr.CodeBodyTooLarge, Status: http.StatusRequestEntityTooLarge, Outcome: apierr.OutcomeNotRun,
 			Message: fmt.Sprintf("the body exceeds %d bytes", maxBodyBytes),
@@ -73,6 +90,25 @@
 	}
 }
 
+// OutOfMemory refuses all requests, because no memory is left for their heads.
+type OutOfMemory struct{}
+
+// Name implements Filter.
+func (OutOfMemory) Name() string { return "out_of_memory" }
+
+// Handle implements Filter.
+func (OutOfMemory) Handle(*Exchange, Handler) error {
+	return errNoRequestMemory(callerconn.ErrOutOfMemory)
+}
+
+func errNoRequestMemory(cause error) error {
+	return &apierr.Error{
+		Code: apierr.CodeOutOfMemory, Status: http.StatusServiceUnavailable, Outcome: apierr.OutcomeNotRun,
+		Message: "no memory is left for the request", Remedy: "send the request again after the time in Retry-After",
+		RetryAfter: apierr.DefaultRetryAfter, Cause: cause,
+	}
+}
+
 type generationBody struct {
 	Model               string          `json:"model"`
 	Stream              bool            `json:"stream"`
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -30,9 +30,11 @@
 	// freeResponseBytes is the size of a response up to which nothing is reserved in
 	// Sender.memory.
 	freeResponseBytes = 64 << 10
-	// responseMemory is what responses of targets may take together until they are sent
-	// to callers, beyond a small part of each.
-	responseMemory = 256 << 20
+	// maxResponseMemory is what responses of targets may take together until they are sent
+	// to callers, beyond a small part of each, and responseMemoryDivisor the part of the
+	// process's memory.
+	maxResponseMemory     = 256 << 20
+	responseMemoryDivisor = 10
 )
 
 // attemptError is the failure of one attempt to send a request.
@@ -62,7 +64,13 @@
 
 // NewSender returns a sender with its own connection pool.
 func NewSender() *Sender {
-	return &Sender{pooled: newTransport(false), unpooled: newTransport(true), memory: memlimit.NewBudget(responseMemory)}
+	return &Sender{pooled: newTransport(false), unpooled: newTransport(true), memory: memlimit.NewBudget(maxResponseMemory)}
+}
+
+// LimitMemory sizes the memory of responses by that of the process. It must be called before
+// the first request.
+func (s *Sender) LimitMemory(processBytes int64) {
+	s.memory = memlimit.NewBudget(min(maxResponseMemory, processBytes/responseMemoryDivisor))
 }
 
 func newTransport(disableKeepAlives bool) *http.Transport {
--- a/pkg/memlimit/memlimit_test.go
+++ b/pkg/memlimit/memlimit_test.go
@@ -57,3 +57,19 @@
 	r.Release()
 	assert.Equal(t, b.Used(), int64(0))
 }
+
+// Large reservations must leave a part of the budget to small ones, and one reservation must
+// leave half of it to others.
+func TestLargeReservationsLeaveRoomForSmallOnes(t *testing.T) {
+	b := NewCallerBudget(4 << 20)
+	first, second, third, small := b.For("body"), b.For("body"), b.For("body"), b.For("head")
+	assert.Assert(t, !first.Grow(2<<20+1))
+	assert.Assert(t, first.Grow(2<<20))
+	assert.Assert(t, second.Grow(1<<20))
+	assert.Assert(t, !third.Grow(SmallBytes+1))
+	assert.Assert(t, small.Grow(SmallBytes))
+	assert.Assert(t, !small.Grow(1))
+	assert.Equal(t, b.UsedBy("body"), int64(3<<20))
+	second.Shrink(1 << 19)
+	assert.Assert(t, third.Grow(1<<19-SmallBytes))
+}
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -1,61 +1,87 @@
 package relay
 
 import (
+	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 )
 
 // BodyFilter reads the whole request body, so that a target never waits for a
 // slow caller and the request can be sent again.
-type BodyFilter struct{}
+type BodyFilter struct {
+	// Callers holds the memory of bodies; nil means no bound.
+	Callers *callerconn.Limiter
+}
 
 // defaultBodyLimit is the largest body in bytes if the configuration states no
 // limit.
 const defaultBodyLimit = 4 << 20
 
 // Handle implements Filter.
-func (BodyFilter) Handle(ex *Exchange, next Handler) error {
+func (f BodyFilter) Handle(ex *Exchange, next Handler) error {
 	limit := ex.Snapshot.Tables.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	if ex.Request.ContentLength > limit {
-		return errBodyTooLarge()
-	}
 	if ex.Request.Body == nil || ex.Request.Body == http.NoBody {
 		return next(ex)
 	}
-	var err error
-	ex.Body, err = readBody(ex, limit)
+	stopWatch := unblockReads(ex)
+	body, err := f.Callers.ReadBody(ex.Writer, ex.Request, limit, 1)
+	stopWatch()
 	if err != nil {
-		return err
-	}
-	if int64(len(ex.Body)) > limit {
-		return errBodyTooLarge()
+		return bodyError(ex, err)
 	}
+	defer body.Release()
+	ex.Body = body.Bytes
 	return next(ex)
 }
 
-func readBody(ex *Exchange, limit int64) ([]byte, error) {
-	var body []byte
-	var err error
-	if n := ex.Request.ContentLength; n >= 0 {
-		body = make([]byte, n)
-		_, err = io.ReadFull(ex.Request.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(ex.Request.Body, limit+1))
-	}
-	if err == nil {
-		return body, nil
+// unblockReads makes reads of the body fail when the context of the request ends, until the
+// returned function is called.
+func unblockReads(ex *Exchange) (stop func()) {
+	controller := http.NewResponseController(ex.Writer)
+	done := make(chan struct{})
+	stopWatch := context.AfterFunc(ex.Context(), func() {
+		defer close(done)
+		_ = controller.SetReadDeadline(time.Unix(1, 0)) // the connection may be closed
+	})
+	return func() {
+		if !stopWatch() {
+			<-done
+		}
 	}
+}
+
+// bodyError returns the error of a request whose body could not be read.
+func bodyError(ex *Exchange, err error) error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errBodyTooLarge()
+	switch {
+	case errors.Is(err, callerconn.ErrBodyTooLarge) || errors.As(err, &tooLarge):
+		return errBodyTooLarge()
+	case errors.Is(err, callerconn.ErrOutOfMemory) || errors.Is(err, callerconn.ErrStalled):
+		return errOutOfMemory(ex, err)
+	case errors.Is(context.Cause(ex.Context()), ErrStopping):
+		return errStopping(ex)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errNotRun(ex, apierr.CodeDeadlineExceeded, http.StatusServiceUnavailable, "the body was not complete at the deadline", remedyRetry, 0)
 	}
-	return nil, errCallerGone(ex, err)
+	return errCallerGone(ex, err)
+}
+
+// memoryRetryAfter is the time after which memory is expected to be free again.
+const memoryRetryAfter = 300 * time.Millisecond
+
+// errOutOfMemory returns the error of a request for which no memory is left.
+func errOutOfMemory(ex *Exchange, cause error) error {
+	failure := errNotRun(ex, apierr.CodeOutOfMemory, http.StatusServiceUnavailable, "no memory is left for the request", remedyRetry, memoryRetryAfter)
+	failure.Cause = cause
+	return failure
 }
 
 func errBodyTooLarge() error {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -112,9 +113,19 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) { c.serve(w, r, c.handler) }
+
+// RefuseOutOfMemory answers a request for whose head no memory is left.
+func (c *Chain) RefuseOutOfMemory(w http.ResponseWriter, r *http.Request) {
+	c.serve(w, r, func(ex *Exchange) error {
+		ex.Deadline = requestDeadline(ex)
+		return errOutOfMemory(ex, callerconn.ErrOutOfMemory)
+	})
+}
+
+func (c *Chain) serve(w http.ResponseWriter, r *http.Request, handler Handler) {
 	ex := &Exchange{Writer: w, Request: r, Start: time.Now(), Metadata: c.dialect.ParseRequestHeader(r.Header)}
-	err := c.handler(ex)
+	err := handler(ex)
 	if err == nil {
 		c.requestLog.RecordSuccess(ex)
 		return
--- a/pkg/relay/route.go
+++ b/pkg/relay/route.go
@@ -73,7 +73,7 @@
 // or the default, shortened by the timeout of the caller.
 func requestDeadline(ex *Exchange) time.Time {
 	limit := defaultTimeout
-	if ex.Route.Deadline > 0 {
+	if ex.Route != nil && ex.Route.Deadline > 0 {
 		limit = ex.Route.Deadline
 	}
 	if ex.Metadata.Timeout > 0 {
@@ -114,12 +114,13 @@
 	return name
 }
 
-// headerBytes returns the approximate size of the request header on the wire.
+// headerBytes returns the least size of the request header on the wire, without spaces that
+// it may have had.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, value := range values {
-			n += len(name) + len(value) + len(": \r\n")
+			n += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return n
--- a/pkg/server/callers.go
+++ b/pkg/server/callers.go
@@ -19,7 +19,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", gateway.NewChain(log, s.filters(authentication)...))
 	mux.Handle("GET /v1/models", gateway.NewChain(log, gateway.RequestID{}, authentication, gateway.ModelList{}))
-	return mux
+	return s.callers.Handler(mux, gateway.NewChain(log, gateway.RequestID{}, gateway.OutOfMemory{}))
 }
 
 // filters returns the filters of the whole chain, in the order in which they run.
@@ -29,7 +29,7 @@
 		gateway.RequestID{},
 		&gateway.AccessLog{Log: s.log.Named("request"), Recorder: s.newRecorder()},
 		authentication,
-		gateway.Routing{},
+		gateway.Routing{Callers: s.callers},
 		&gateway.Idempotency{Claims: s.claims, Log: s.log.Named("idempotency")},
 
 		&gateway.Quarantine{PoisonDetector: s.poisonDetector},
@@ -45,6 +45,9 @@
 
 func (s *Server) newSender() *gateway.Sender {
 	sender := gateway.NewSender()
+	if limit := s.settings.Server.MemoryLimit; limit > 0 {
+		sender.LimitMemory(limit)
+	}
 	sender.Targets = s.targets
 	return sender
 }
--- a/pkg/server/endpoint.go
+++ b/pkg/server/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 	"lacewingwheel.example/lacewingwheel/pkg/certs"
 	"lacewingwheel.example/lacewingwheel/pkg/drain"
 )
@@ -27,6 +28,7 @@
 	server   *http.Server
 	listener net.Listener
 	conns    *drain.Tracker
+	callers  *callerconn.Limiter
 }
 
 // endpointOptions are the options of an endpoint.
@@ -36,6 +38,7 @@
 	certFile string
 	keyFile  string
 	handler  http.Handler
+	callers  *callerconn.Limiter // bounds the connections; nil means no bound
 	log      hclog.Logger
 }
 
@@ -52,7 +55,11 @@
 	}
 	conns := drain.NewTracker()
 	httpServer := &http.Server{
-		ConnState:         conns.Record,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			conns.Record(conn, state)
+			o.callers.Record(conn, state)
+		},
+		ConnContext:       callerconn.ContextWithConn,
 		Handler:           o.handler,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -60,7 +67,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          o.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 	}
-	return &endpoint{server: httpServer, listener: drain.NewListener(listener), conns: conns}, nil
+	return &endpoint{server: httpServer, listener: drain.NewListener(listener), conns: conns, callers: o.callers}, nil
 }
 
 // loadTLSConfig loads the certificate and reloads it when its files change. It
@@ -84,10 +91,12 @@
 
 // serve accepts connections until the server is closed. It always returns an error.
 func (e *endpoint) serve() error {
-	if e.server.TLSConfig != nil {
-		return e.server.ServeTLS(e.listener, "", "")
+	encrypted := e.server.TLSConfig != nil
+	listener := e.callers.Listen(e.listener, encrypted)
+	if encrypted {
+		return e.server.ServeTLS(listener, "", "")
 	}
-	return e.server.Serve(e.listener)
+	return e.server.Serve(listener)
 }
 
 // shutdown closes the listener and waits for running requests and for those that callers
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"lacewingwheel.example/lacewingwheel/pkg/burn"
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 	"lacewingwheel.example/lacewingwheel/pkg/claim"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/config"
@@ -48,6 +49,7 @@
 	incarnation     string // random for each start, so that peers detect a restart
 	stopping        atomic.Bool
 
+	callers          *callerconn.Limiter
 	callerEndpoint   *endpoint
 	operatorEndpoint *endpoint
 }
@@ -74,6 +76,8 @@
 		burnRecorder:    burn.NewRecorder(time.Now),
 		incarnation:     uuid.NewString(),
 	}
+	limits := callerconn.Limits{Memory: settings.Server.MemoryLimit, Descriptors: settings.Server.DescriptorLimit}
+	s.callers = callerconn.New(limits, log.Named("callers"), s.metrics.Publish)
 	s.claims = claim.NewManager(claim.Options{
 		Store: client, Clock: clock.System{}, Log: log.Named("claims"),
 		Instance: settings.Instance.ID, Incarnation: s.incarnation, HasEnded: s.incarnationEnded,
@@ -120,7 +124,7 @@
 	s.quota = s.newQuota()
 	s.callerEndpoint, err = newEndpoint(endpointOptions{
 		setting: "caller", address: instance.CallerListen, certFile: files.CallerCert, keyFile: files.CallerKey,
-		handler: s.closeConnsWhenStopping(s.callerHandler()), log: s.log,
+		handler: s.closeConnsWhenStopping(s.callerHandler()), callers: s.callers, log: s.log,
 	})
 	return err
 }
