targetconn, gateway: an answer that ends with its connection needs a request that was written whole

Cause: a target answered a long upload at once without a length, sent a part and reset the connection. The write of the upload takes the error of the reset, and the next read gets a clean end; nobody asked the writer, so that the part was sent to the caller as a complete answer, on both routers.

Change: at such an end targetconn waits for the result of the writer, until the context of the attempt ends, and gateway for http.Transport's (httptrace) and for errors of writes on the connection. With an error the answer is cut off: 502, or a reset if a part was sent on.

Result: TestAnswerThatBreaksOffDuringUploadIsNotWhole (16 and 12 MB uploads; edge: short answer, long answer, stream; serve: three routes). TestEarlyAnswerWithoutLengthArrives passes before and after: a target that ends its answer and then reads the rest of the request is still served. Not covered: a last piece of up to 4 KB in http.Transport's buffer counts as written (serve).

--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -8,12 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
@@ -75,7 +73,7 @@
 
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialWatched,
 		MaxIdleConnsPerHost: idleConnsPerTarget,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   disableKeepAlives,
@@ -116,10 +114,8 @@
 // close the response.
 func (s *Sender) send(ex *Exchange) (*targetResponse, *attemptError) {
 	stall := newStallTimer(ex.Context(), ex.Pool.StallTimeout, s.keepWaitingFunc(ex))
-	var connected atomic.Bool
-	ctx := httptrace.WithClientTrace(stall.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	watch := newWriteWatch()
+	ctx := httptrace.WithClientTrace(stall.ctx, watch.trace())
 	req, err := newTargetRequest(ctx, ex)
 	if err != nil {
 		stall.stop()
@@ -131,10 +127,13 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		connectionLost := connected.Load() && stall.ctx.Err() == nil
+		connectionLost := watch.connected() && stall.ctx.Err() == nil
 		cause := stall.cause(err)
 		stall.stop()
-		return nil, &attemptError{cause: cause, notRun: !connected.Load(), connectionLost: connectionLost}
+		return nil, &attemptError{cause: cause, notRun: !watch.connected(), connectionLost: connectionLost}
+	}
+	if endsWithConnection(resp) {
+		resp.Body = unframedBody{ReadCloser: resp.Body, ctx: stall.ctx, watch: watch}
 	}
 	response := &targetResponse{resp: resp, stall: stall}
 	if failure := checkHeader(ex, resp); failure != nil {
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -69,7 +69,7 @@
 		if buffer.isInsideEvent() {
 			return f.streamFailure(ex, io.ErrUnexpectedEOF)
 		}
-		if ex.EventCount == eventsBefore && endsWithConnection(response) {
+		if ex.EventCount == eventsBefore && response.EndsWithConnection() {
 			// A target that crashed before its first event ends its stream in the
 			// same way.
 			return f.streamFailure(ex, io.ErrUnexpectedEOF)
@@ -110,11 +110,6 @@
 	return false
 }
 
-// endsWithConnection reports whether only the end of the connection ends the body.
-func endsWithConnection(response *targetconn.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
-}
-
 func (f *ForwardFilter) streamFailure(ex *Exchange, err error) *failure {
 	return &failure{requestSent: true, mayHaveRun: true, canTryOther: true, reason: "stream cut off", cause: err}
 }
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -75,7 +75,8 @@
 	requestCount int
 	idleSince    time.Time
 	idleTimeout  time.Duration
-	writeDone    chan error // result of a request written in the background; otherwise nil
+	writeDone    chan error // result of a request that is written in the background; otherwise nil
+	writeErr     error      // from writeDone
 	outOfSync    bool       // further bytes may belong to other requests
 	memory       memlimit.Reservation
 }
@@ -239,6 +240,21 @@
 	}
 }
 
+// awaitWritten waits until the request is written and returns the error of writing it, or that
+// of ctx.
+func (c *Conn) awaitWritten(ctx context.Context) error {
+	if c.writeDone == nil {
+		return c.writeErr
+	}
+	select {
+	case c.writeErr = <-c.writeDone:
+		c.writeDone = nil
+		return c.writeErr
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // canReuse reports whether the connection can carry another request after a
 // response whose body was read to its end. It sets the idle timeout.
 func (c *Conn) canReuse(response *http.Response) bool {
@@ -247,15 +263,15 @@
 	}
 	if c.writeDone != nil {
 		select {
-		case err := <-c.writeDone:
+		case c.writeErr = <-c.writeDone:
 			c.writeDone = nil
-			if err != nil {
-				return false
-			}
 		default:
 			return false
 		}
 	}
+	if c.writeErr != nil {
+		return false
+	}
 	c.idleTimeout = keepAliveTimeout(response.Header)
 	return c.idleTimeout > 0
 }
--- a/pkg/targetconn/pool.go
+++ b/pkg/targetconn/pool.go
@@ -149,9 +149,21 @@
 	ctx      context.Context
 }
 
-// Read implements io.Reader.
+// EndsWithConnection reports whether only the end of the connection ends the body.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// Read implements io.Reader. A body that ends with its connection is whole only if the request
+// was written without an error: while it is written, a reset of the connection may show there
+// alone, and a read gets a clean end.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.response.EndsWithConnection() {
+		if writeErr := b.response.conn.awaitWritten(b.ctx); writeErr != nil {
+			err = fmt.Errorf("the connection ended before the request was written: %w", writeErr)
+		}
+	}
 	switch {
 	case err == io.EOF:
 		b.response.bodyRead = true
