targetconn, gateway: a final status is one of 200 to 599

Cause: http.ReadResponse takes any three digits. edge refused statuses below 100 and 101, and passed on 600 and above. serve passed on 101, and 600 and above of services whose requests may not be repeated, and panicked on statuses below 100, so that the caller's connection closed without an answer. Change: targetconn refuses 600 and above too, gateway all that is not 200 to 599: the attempt fails, 502, outcome unknown.

--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -159,10 +159,16 @@
 	}
 }
 
-// checkHeader fails the attempt if the response belongs to another request, comes
+// errInvalidStatus is returned for a status that no final response can have.
+var errInvalidStatus = errors.New("the target sent an invalid status")
+
+// checkHeader fails the attempt if the response has an invalid status, belongs to another request, comes
 // from other weights than the pool's, or states that the target did not run the
 // request. It also records the load that an engine reports.
 func checkHeader(ex *Exchange, resp *http.Response) *attemptError {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > 599 {
+		return &attemptError{cause: errInvalidStatus}
+	}
 	if requestIDMismatch(ex, resp.Header.Get(engine.HeaderRequestID)) {
 		return &attemptError{cause: errRequestIDMismatch}
 	}
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -220,7 +220,7 @@
 			return nil, err
 		}
 		switch {
-		case response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols:
+		case response.StatusCode < 100 || response.StatusCode > 599 || response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrInvalidStatus
 		case response.StatusCode < 200:
 			continue
