callerconn, relay: no clock without need; a connection whose read was ended is closed

A read of a body that is ended (deadline, stop, no progress) cancels the later requests of its connection too, which would have failed as caller_gone: the answer now says Connection: close. TestStalledBodyEnds checks it. The clock is read only where room must be made.

--- a/pkg/callerconn/limiter.go
+++ b/pkg/callerconn/limiter.go
@@ -177,16 +177,29 @@
 
 // grow reserves bytes for a receipt. If none are left, receipts that stalled are ended.
 func (l *Limiter) grow(r *receipt, bytes int64) error {
-	for deadline := time.Now().Add(releaseTime); !r.reservation.Grow(bytes); time.Sleep(releaseCheckInterval) {
-		if !r.reservation.CanEverGrow(bytes) || !l.endStalled(r, bytes) || time.Now().After(deadline) {
-			l.recordEvent(l.refused, r.cause, "request refused; no memory is left for callers", "wanted", bytes, "held", r.reservation.Bytes())
-			return ErrOutOfMemory
-		}
+	if !r.reservation.Grow(bytes) && !l.makeRoom(r, bytes) {
+		l.recordEvent(l.refused, r.cause, "request refused; no memory is left for callers", "wanted", bytes, "held", r.reservation.Bytes())
+		return ErrOutOfMemory
 	}
 	l.recordHeld(r)
 	return nil
 }
 
+// makeRoom ends receipts that stalled and reserves bytes once they have released their memory.
+// It reports whether that succeeded.
+func (l *Limiter) makeRoom(r *receipt, bytes int64) bool {
+	if !r.reservation.CanEverGrow(bytes) {
+		return false
+	}
+	for deadline := time.Now().Add(releaseTime); l.endStalled(r, bytes) && time.Now().Before(deadline); {
+		time.Sleep(releaseCheckInterval)
+		if r.reservation.Grow(bytes) {
+			return true
+		}
+	}
+	return false
+}
+
 // shrink returns a part of what a receipt holds.
 func (l *Limiter) shrink(r *receipt, bytes int64) {
 	r.reservation.Shrink(bytes)
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -33,7 +33,10 @@
 	}
 	stopWatch := unblockReads(ex)
 	body, err := f.Callers.ReadBody(ex.Writer, ex.Request, limit, 1)
-	stopWatch()
+	if ended := stopWatch(); ended || errors.Is(err, callerconn.ErrStalled) {
+		// The read that failed has cancelled the later requests of the connection too.
+		ex.Writer.Header().Set("Connection", "close")
+	}
 	if err != nil {
 		return bodyError(ex, err)
 	}
@@ -43,18 +46,20 @@
 }
 
 // unblockReads makes reads of the body fail when the context of the request ends, until the
-// returned function is called.
-func unblockReads(ex *Exchange) (stop func()) {
+// returned function is called, which reports whether that happened.
+func unblockReads(ex *Exchange) (stop func() bool) {
 	controller := http.NewResponseController(ex.Writer)
 	done := make(chan struct{})
 	stopWatch := context.AfterFunc(ex.Context(), func() {
 		defer close(done)
 		_ = controller.SetReadDeadline(time.Unix(1, 0)) // the connection may be closed
 	})
-	return func() {
-		if !stopWatch() {
-			<-done
+	return func() bool {
+		if stopWatch() {
+			return false
 		}
+		<-done
+		return true
 	}
 }
 
--- a/pkg/relay/body_test.go
+++ b/pkg/relay/body_test.go
@@ -35,6 +35,7 @@
 			assert.NilError(t, err)
 			defer response.Body.Close()
 			assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+			assert.Assert(t, response.Close, "the caller may send another request on a connection whose requests are cancelled")
 			assert.Equal(t, response.Header.Get(apierr.HeaderOutcome), string(apierr.OutcomeNotRun))
 			assert.Equal(t, len(testTarget.Requests()), 0)
 		})
