--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -8,12 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
@@ -30,9 +28,11 @@
 	// freeResponseBytes is the size of a response up to which nothing is reserved in
 	// Sender.memory.
 	freeResponseBytes = 64 << 10
-	// responseMemory is what responses of targets may take together until they are sent
-	// to callers, beyond a small part of each.
-	responseMemory = 256 << 20
+	// maxResponseMemory is what responses of targets may take together until they are sent
+	// to callers, beyond a small part of each, and responseMemoryDivisor the part of the
+	// process's memory.
+	maxResponseMemory     = 256 << 20
+	responseMemoryDivisor = 10
 )
 
 // attemptError is the failure of one attempt to send a request.
@@ -62,12 +62,18 @@
 
 // NewSender returns a sender with its own connection pool.
 func NewSender() *Sender {
-	return &Sender{pooled: newTransport(false), unpooled: newTransport(true), memory: memlimit.NewBudget(responseMemory)}
+	return &Sender{pooled: newTransport(false), unpooled: newTransport(true), memory: memlimit.NewBudget(maxResponseMemory)}
+}
+
+// LimitMemory sizes the memory of responses by that of the process. It must be called before
+// the first request.
+func (s *Sender) LimitMemory(processBytes int64) {
+	s.memory = memlimit.NewBudget(min(maxResponseMemory, processBytes/responseMemoryDivisor))
 }
 
 func newTransport(disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dialWatched,
 		MaxIdleConnsPerHost: idleConnsPerTarget,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   disableKeepAlives,
@@ -108,10 +114,8 @@
 // close the response.
 func (s *Sender) send(ex *Exchange) (*targetResponse, *attemptError) {
 	stall := newStallTimer(ex.Context(), ex.Pool.StallTimeout, s.keepWaitingFunc(ex))
-	var connected atomic.Bool
-	ctx := httptrace.WithClientTrace(stall.ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	watch := newWriteWatch()
+	ctx := httptrace.WithClientTrace(stall.ctx, watch.trace())
 	req, err := newTargetRequest(ctx, ex)
 	if err != nil {
 		stall.stop()
@@ -123,10 +127,13 @@
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		connectionLost := connected.Load() && stall.ctx.Err() == nil
+		connectionLost := watch.connected() && stall.ctx.Err() == nil
 		cause := stall.cause(err)
 		stall.stop()
-		return nil, &attemptError{cause: cause, notRun: !connected.Load(), connectionLost: connectionLost}
+		return nil, &attemptError{cause: cause, notRun: !watch.connected(), connectionLost: connectionLost}
+	}
+	if endsWithConnection(resp) {
+		resp.Body = unframedBody{ReadCloser: resp.Body, ctx: stall.ctx, watch: watch}
 	}
 	response := &targetResponse{resp: resp, stall: stall}
 	if failure := checkHeader(ex, resp); failure != nil {
@@ -152,10 +159,16 @@
 	}
 }
 
-// checkHeader fails the attempt if the response belongs to another request, comes
+// errInvalidStatus is returned for a status that no final response can have.
+var errInvalidStatus = errors.New("the target sent an invalid status")
+
+// checkHeader fails the attempt if the response has an invalid status, belongs to another request, comes
 // from other weights than the pool's, or states that the target did not run the
 // request. It also records the load that an engine reports.
 func checkHeader(ex *Exchange, resp *http.Response) *attemptError {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > 599 {
+		return &attemptError{cause: errInvalidStatus}
+	}
 	if requestIDMismatch(ex, resp.Header.Get(engine.HeaderRequestID)) {
 		return &attemptError{cause: errRequestIDMismatch}
 	}
