objectstore, target: status of objects, software version of targets

Cause: a delivery has to read the version of a target's software and to write the status of an order. Change: Store.UpdateStatus and Object.Status, passed on by pkg/feed; the platform's stand-in keeps a status; target.Version and WarmingUp.

--- a/pkg/daemon/timedstore.go
+++ b/pkg/daemon/timedstore.go
@@ -47,6 +47,12 @@
 	return s.Store.Update(ctx, kind, name, value, version)
 }
 
+// UpdateStatus implements objectstore.Store.
+func (s *timedStore) UpdateStatus(ctx context.Context, kind, name string, status []byte, version uint64) (objectstore.Object, error) {
+	defer s.record("update_status", kind, time.Now())
+	return s.Store.UpdateStatus(ctx, kind, name, status, version)
+}
+
 // record counts a call that began at startedAt and records its latency.
 func (s *timedStore) record(call, kind string, startedAt time.Time) {
 	s.calls.Add("store_"+call+"_"+kind, 1)
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -380,10 +380,21 @@
 // their age at the time now.
 func encodeChanges(c follow.Changes, now time.Duration) peer.ObjectChanges {
 	out := peer.ObjectChanges{IsFullList: c.IsFullList, Revision: c.SyncState.Revision, AgeMillis: ceilMillis(now - c.SyncState.AsOf)}
+	addStatus := func(o objectstore.Object) {
+		if len(o.Status) == 0 {
+			return
+		}
+		if out.Statuses == nil {
+			out.Statuses = make(map[string][]byte)
+		}
+		out.Statuses[o.Name] = o.Status
+	}
 	for _, o := range c.Objects {
+		addStatus(o)
 		out.Rows = append(out.Rows, peer.ChangeRow{Name: o.Name, Version: o.Version, Value: o.Value})
 	}
 	for _, e := range c.Events {
+		addStatus(e.Object)
 		out.Rows = append(out.Rows, peer.ChangeRow{Name: e.Object.Name, Version: e.Object.Version, Value: e.Object.Value, Deleted: e.Deleted})
 	}
 	return out
@@ -397,7 +408,7 @@
 		SyncState:  follow.SyncState{IsSynced: true, Revision: c.Revision, AsOf: requestedAt - fromMillis(c.AgeMillis), From: from},
 	}
 	for _, row := range c.Rows {
-		o := objectstore.Object{Kind: kind, Name: row.Name, Version: row.Version, Value: row.Value}
+		o := objectstore.Object{Kind: kind, Name: row.Name, Version: row.Version, Value: row.Value, Status: c.Statuses[row.Name]}
 		if c.IsFullList {
 			out.Objects = append(out.Objects, o)
 		} else {
--- a/pkg/objectstore/httpapi/client.go
+++ b/pkg/objectstore/httpapi/client.go
@@ -99,6 +99,11 @@
 	return out, err
 }
 
+// UpdateStatus implements objectstore.Store. The protocol has no status.
+func (c *Client) UpdateStatus(_ context.Context, kind, name string, _ []byte, _ uint64) (objectstore.Object, error) {
+	return objectstore.Object{}, &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "update status of " + kind + "/" + name, Cause: errors.ErrUnsupported}
+}
+
 // Delete implements objectstore.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	return c.call(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, isWrite: true}, nil)
--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -18,6 +18,9 @@
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
 	Value   []byte `json:"value"`
+	// Status is what instances write about the object, apart from its value; empty if
+	// there is none or the kind has none.
+	Status []byte `json:"status,omitempty"`
 }
 
 // Event is a change that Watch returns. The object of a deletion has no value.
@@ -41,6 +44,9 @@
 	// Update replaces the value of an object. It returns an error of KindConflict if
 	// the object has another version, or KindNotFound if there is none.
 	Update(ctx context.Context, kind, name string, value []byte, version uint64) (Object, error)
+	// UpdateStatus replaces the status of an object and keeps its value. It returns the
+	// same errors as Update.
+	UpdateStatus(ctx context.Context, kind, name string, status []byte, version uint64) (Object, error)
 	// Delete removes an object. It returns the same errors as Update.
 	Delete(ctx context.Context, kind, name string, version uint64) error
 	// Watch waits for changes of a kind after a revision and returns them with the
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -69,6 +69,8 @@
 	Rows       []ChangeRow `cbor:"rows"`
 	Revision   uint64      `cbor:"revision"`
 	AgeMillis  int64       `cbor:"age_ms"` // since Rows was known to be complete up to Revision
+	// Statuses has the statuses of the objects in Rows that have one, by name.
+	Statuses map[string][]byte `cbor:"statuses,omitempty"`
 }
 
 // ChangeRow is the current version of an object, or its deletion.
--- a/pkg/standin/store.go
+++ b/pkg/standin/store.go
@@ -79,6 +79,20 @@
 	return s.put(kind, name, value)
 }
 
+// UpdateStatus implements objectstore.Store.
+func (s *Store) UpdateStatus(_ context.Context, kind, name string, status []byte, version uint64) (objectstore.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[objectKey{kind, name}]
+	if !ok {
+		return objectstore.Object{}, storeError("update status", objectstore.KindNotFound)
+	}
+	if object.Version != version {
+		return objectstore.Object{}, storeError("update status", objectstore.KindConflict)
+	}
+	return s.putObject(objectstore.Object{Kind: kind, Name: name, Value: object.Value, Status: append([]byte(nil), status...)})
+}
+
 // Delete implements objectstore.Store.
 func (s *Store) Delete(_ context.Context, kind, name string, version uint64) error {
 	s.mu.Lock()
@@ -134,8 +148,14 @@
 	if len(value) > objectstore.MaxValueBytes {
 		return objectstore.Object{}, storeError("put", objectstore.KindTooLarge)
 	}
-	object := objectstore.Object{Kind: kind, Name: name, Version: s.revision + 1, Value: append([]byte(nil), value...)}
-	s.objects[objectKey{kind, name}] = object
+	status := s.objects[objectKey{kind, name}].Status
+	return s.putObject(objectstore.Object{Kind: kind, Name: name, Value: append([]byte(nil), value...), Status: status})
+}
+
+// putObject stores an object under the next version. The caller holds mu.
+func (s *Store) putObject(object objectstore.Object) (objectstore.Object, error) {
+	object.Version = s.revision + 1
+	s.objects[objectKey{object.Kind, object.Name}] = object
 	s.publish(objectstore.Event{Object: object})
 	return object, nil
 }
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -213,7 +213,7 @@
 	} else {
 		parsed.Live = &target.LiveState{}
 		t.Log.Info("target listed", "target", o.Name, "incarnation", parsed.Incarnation, "address", parsed.Address,
-			"pool", parsed.Pool, "zone", parsed.Zone, "leaving", parsed.Leaving, "weights", parsed.WeightVersion)
+			"pool", parsed.Pool, "zone", parsed.Zone, "leaving", parsed.Leaving, "weights", parsed.WeightVersion, "version", parsed.Version)
 	}
 	t.entries[o.Name] = next
 }
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -28,6 +28,8 @@
 	Address       string
 	Zone          string
 	Labels        map[string]string
+	Version       string // of its software; empty if the list does not state it
+	WarmingUp     bool   // is slower than usual after its start
 	Leaving       bool
 	Incarnation   string // changes when the target restarts; its cache is then empty
 	Model         string
