pkg/delivery: move a service's traffic to another software version

Cause: orders to move a service to another version were not served; targets of a new version got traffic as soon as they were listed. Change: pkg/delivery (judgement, steps, allowance of each instance, evidence by datagrams, status by conditional writes), used by the relay for each attempt and assembled by the daemon if the settings state MaxExposureShare; otherwise no call and no datagram is new. The lease that was considered is not used, see docs/design/delivery.md. Result: go test ./pkg/delivery passes; with the allowance and the range taken out TestBadVersionKeepsToTheBound fails, with the roll-back taken out TestRollBackIsNotUndone fails.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/control"
+	"lacewingwheel.example/lacewingwheel/pkg/delivery"
 	"lacewingwheel.example/lacewingwheel/pkg/drain"
 	"lacewingwheel.example/lacewingwheel/pkg/feed"
 	"lacewingwheel.example/lacewingwheel/pkg/follow"
@@ -124,6 +125,7 @@
 	// ConfigurationKind, TargetKind and WeightsKind are kinds of objects in the
 	// store. ConfigurationName is the name of the configuration's object.
 	ConfigurationKind, ConfigurationName, TargetKind, WeightsKind string
+	Deliveries                                                    DeliveryPlatform
 }
 
 // Daemon is one router process.
@@ -137,6 +139,7 @@
 	weights          *state.WeightsWatcher
 	members          *state.Members
 	rollout          *rollout.Controller
+	delivery         *delivery.Controller // nil unless the settings bound the exposure of new versions
 	cacheDirectories *cachedir.Set
 	buckets          *share.Buckets
 	borrower         *share.Borrower
@@ -220,6 +223,10 @@
 	d.feed.Followers = map[string]*follow.Follower{
 		p.ConfigurationKind: d.configuration.Follower(), p.TargetKind: d.targets.Follower(), p.WeightsKind: d.weights.Follower(),
 	}
+	d.delivery = d.newDelivery(p, incarnation)
+	if d.delivery != nil {
+		d.feed.Followers[p.Deliveries.Kind] = d.delivery.Follower()
+	}
 	d.peerEndpoint.handleChanges(d.feed)
 	d.rollout = &rollout.Controller{
 		Lease: &control.Lease{
@@ -248,6 +255,9 @@
 		Supersessions: d.targets.Supersessions, AsksSupersessions: d.targets.HasSuperseded, OnSupersession: d.targets.RecordSupersession, Clock: d.clock,
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
+	if d.delivery != nil {
+		d.gossip.DeliveryNotices, d.gossip.OnDeliveryNotice = d.delivery.Notices, d.delivery.HandleNotice
+	}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.callerConns = drain.NewTracker()
@@ -295,7 +305,7 @@
 	quarantineFilter := &relay.QuarantineFilter{Detector: d.poisonDetector, Clock: d.clock, RequestLog: requestLog}
 	forwardFilter := &relay.ForwardFilter{
 		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, Memory: d.responseMemory, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
-		RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
+		RetryBudget: relay.NewRetryBudget(d.retryLimits), Delivery: d.delivery, InstanceCount: d.members.LiveCount,
 	}
 	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	chain := relay.NewChain(dialect, requestLog,
@@ -397,6 +407,8 @@
 		return "no configuration"
 	case !d.targets.HasSynced():
 		return "no list of targets"
+	case !d.delivery.HasSynced():
+		return "no list of delivery orders"
 	case d.members.KnownCount() == 0 && d.clock.Elapsed()-d.startedAt < membersTimeout:
 		return "no list of instances"
 	}
@@ -428,6 +440,9 @@
 	} {
 		group.Go(func() { run(background) })
 	}
+	if d.delivery != nil {
+		group.Go(func() { d.whenReaderKnown(d.delivery.Run)(background) })
+	}
 	group.Go(func() { d.peerEndpoint.run(background, d.platformStore, s) })
 	probeServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 3)
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -40,6 +40,8 @@
 	// instances which do not know them still read load reports.
 	version       = 1
 	noticeVersion = 2
+	// deliveryVersion is the version of notices about deliveries.
+	deliveryVersion = 8
 )
 
 // report is the load of one target as it is sent.
@@ -102,7 +104,11 @@
 	// be nil.
 	Notices  func() [][]byte
 	OnNotice func(notice []byte)
-	Log      hclog.Logger
+	// DeliveryNotices and OnDeliveryNotice are the same for messages about deliveries of
+	// software versions.
+	DeliveryNotices  func() [][]byte
+	OnDeliveryNotice func(notice []byte)
+	Log              hclog.Logger
 
 	mu      sync.Mutex
 	reports map[uint64]timedReport
@@ -207,6 +213,11 @@
 			add(noticeDatagram{Version: noticeVersion, Notice: notice})
 		}
 	}
+	if g.DeliveryNotices != nil {
+		for _, notice := range g.DeliveryNotices() {
+			add(noticeDatagram{Version: deliveryVersion, Notice: notice})
+		}
+	}
 	return payloads
 }
 
@@ -273,6 +284,11 @@
 		if g.OnNotice != nil && cbor.Unmarshal(payload, &n) == nil {
 			g.OnNotice(n.Notice)
 		}
+	case deliveryVersion:
+		var n noticeDatagram
+		if g.OnDeliveryNotice != nil && cbor.Unmarshal(payload, &n) == nil {
+			g.OnDeliveryNotice(n.Notice)
+		}
 	case supersessionQueryVersion, supersessionReplyVersion:
 		g.handleSupersessions(payload, answer)
 	case leavingVersion:
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -206,7 +206,7 @@
 	var failed *targetconn.Error
 	if errors.As(err, &failed) && failed.Stage == targetconn.StageConnect {
 		wait := time.Duration(0)
-		if errors.Is(err, errTargetLeft) || errors.Is(err, errTargetPaused) || errors.Is(err, errWeightsExpired) {
+		if errors.Is(err, errTargetLeft) || errors.Is(err, errTargetPaused) || errors.Is(err, errVersionWithdrawn) || errors.Is(err, errWeightsExpired) {
 			return &failure{canTryOther: true, reason: "the target may not be used any more", cause: err}
 		}
 		if !errors.Is(err, targetconn.ErrTooManyConnections) && !errors.Is(err, context.Canceled) {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/delivery"
 	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/poison"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -44,6 +45,7 @@
 	LongestEventGap time.Duration // longest time between two consecutive events
 	Status          int           // sent to the caller
 
+	versions       *delivery.Selection    // software versions that the request may go to; nil: all
 	Fingerprints   []poison.Fingerprint   // of the shared parts of the prompt, then of the request
 	quarantineKeys []poison.Fingerprint   // Fingerprints, and those of the parts within the organisation
 	attemptSentAt  time.Duration          // start of the current attempt, since boot
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -9,6 +9,7 @@
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/delivery"
 	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
@@ -64,6 +65,8 @@
 	// RolloutDeadline is the time from the announcement of weights to the last
 	// request that begins on older ones; zero means no deadline.
 	RolloutDeadline time.Duration
+	// Delivery selects the software versions that requests may go to; nil: all.
+	Delivery *delivery.Controller
 	// InstanceCount returns the number of instances that share the connections
 	// that targets accept.
 	InstanceCount func() int
@@ -97,6 +100,7 @@
 	f.RetryBudget.RecordRequest(ex.Pool.Name)
 	defer ex.releaseHeld()
 	r := f.placementRequest(ex)
+	ex.versions = f.Delivery.Begin(f.deliveryRequest(ex, r))
 	tried := make(map[string]bool)
 	var last *failure
 	for tries := 0; tries < maxTargetTries; tries++ {
@@ -115,7 +119,9 @@
 		ex.Target = choice.Target
 		eventsBefore := ex.EventCount
 		f.QuarantineFilter.startAttempt(ex)
+		attemptStart := time.Now()
 		last = f.attempt(ex, r, choice)
+		f.recordForDelivery(ex, last, time.Since(attemptStart))
 		f.QuarantineFilter.finishAttempt(ex, last, eventsBefore)
 		if last == nil {
 			return next(ex)
--- a/pkg/relay/sendcheck.go
+++ b/pkg/relay/sendcheck.go
@@ -16,6 +16,10 @@
 // chosen.
 var errTargetPaused = errors.New("the target has asked for a pause")
 
+// errVersionWithdrawn ends an attempt whose target has a software version that may not be
+// used any more since it was chosen.
+var errVersionWithdrawn = errors.New("the target's version may not be used any more")
+
 // checkCanSend returns an error if the request may not be sent to t any more: the
 // target was chosen before its connection was opened.
 func (f *ForwardFilter) checkCanSend(ex *Exchange, t *target.Target) error {
@@ -25,6 +29,8 @@
 		return errTargetLeft
 	case !now.Intake(f.Clock.Elapsed()).Allowed:
 		return errTargetPaused
+	case !ex.versions.MayUse(now):
+		return errVersionWithdrawn
 	case timeOnWeights(now, f.Clock.Elapsed()) <= 0:
 		return errWeightsExpired
 	}
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -57,9 +57,20 @@
 }
 
 // pickTarget chooses a target that was not tried and whose weights may be used
-// for long enough.
+// for long enough, of the software versions that the request may go to.
 func (f *ForwardFilter) pickTarget(ex *Exchange, r *placement.Request, tried map[string]bool) placement.Choice {
-	candidates, now, untilDeadline := f.Targets.InPool(ex.Pool.Name), f.Clock.Elapsed(), time.Until(ex.Deadline)
+	candidates, others := ex.versions.Candidates(f.Targets.InPool(ex.Pool.Name))
+	choice := f.pickAmong(ex, r, tried, candidates)
+	if choice.Target == nil && len(others) > 0 {
+		choice = f.pickAmong(ex, r, tried, others)
+	}
+	ex.versions.Choose(choice.Target)
+	return choice
+}
+
+// pickAmong is pickTarget among the given targets.
+func (f *ForwardFilter) pickAmong(ex *Exchange, r *placement.Request, tried map[string]bool, candidates []*target.Target) placement.Choice {
+	now, untilDeadline := f.Clock.Elapsed(), time.Until(ex.Deadline)
 	pick := func(needed time.Duration) placement.Choice {
 		return f.Placer.Pick(candidates, r, func(t *target.Target) bool {
 			return tried[t.Key()] || !t.IntakeForChoice(now).Allowed || timeOnWeights(t, now) < min(needed, untilDeadline)
