--- a/pkg/daemon/daemon_test.go
+++ b/pkg/daemon/daemon_test.go
@@ -38,6 +38,12 @@
 }
 
 func startDaemon(t *testing.T, targetCount int) *testDaemon {
+	t.Helper()
+	return startDaemonWith(t, targetCount, func(*testDaemon) {})
+}
+
+// startDaemonWith starts a daemon after configure has changed its settings.
+func startDaemonWith(t *testing.T, targetCount int, configure func(*testDaemon)) *testDaemon {
 	t.Helper()
 	x := &testDaemon{t: t, store: platformtest.NewStore(), stopped: make(chan error, 1), apiKeys: []string{"key-1"}}
 	server := httptest.NewServer(x.store)
@@ -59,6 +65,7 @@
 		StopTimeout: 8 * time.Second, MaxRevocationDelay: 2 * time.Second, MaxRolloutDelay: 12 * time.Second, OrderHandoverPause: 100 * time.Millisecond,
 		RetryRatio: 0.2, ExtraRetries: 50, RetryWindow: 10 * time.Second, QuotaOverage: 0.1, QuotaSlack: 1000,
 	}
+	configure(x)
 	current := func() *daemon.Settings { return x.settings }
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
