--- a/pkg/delivery/controller.go
+++ b/pkg/delivery/controller.go
@@ -19,8 +19,10 @@
 const (
 	// stepInterval is the time between two judgements.
 	stepInterval = 200 * time.Millisecond
-	// maxRememberedPhases bounds the phases of orders that this instance does not know.
-	maxRememberedPhases = 256
+	// maxToldPhases bounds the phases of orders that this instance does not know, and
+	// toldPhaseTime how long they are kept: as long as a view may lack the order.
+	maxToldPhases = 256
+	toldPhaseTime = 10 * time.Second
 	// watchMaxAge is the age of the view of the orders from which an instance reads them
 	// itself although others relay them.
 	watchMaxAge = 2 * time.Second
@@ -63,9 +65,13 @@
 
 	mu    sync.Mutex
 	pools map[string]*poolState
-	// phases are the phases of orders that others told of and that this instance has not
-	// read, and the final ones of orders that are gone.
-	phases map[uint64]Phase
+	// told are the phases of orders that others told of and that this instance has not read.
+	told map[uint64]toldPhase
+}
+
+type toldPhase struct {
+	phase Phase
+	at    time.Duration
 }
 
 // poolState is what the controller knows about one pool.
@@ -73,6 +79,7 @@
 	versions versions
 	delivery *delivery // newest order; nil: none
 	times    map[uint32]*answerTimes
+	routes   map[uint32]string // names, for logs
 
 	// The last division of the pool's targets, which holds for the same list and order.
 	splitOf    []*target.Target
@@ -94,7 +101,7 @@
 	}
 	p := c.pools[name]
 	if p == nil {
-		p = &poolState{versions: newVersions(), times: make(map[uint32]*answerTimes)}
+		p = &poolState{versions: newVersions(), times: make(map[uint32]*answerTimes), routes: make(map[uint32]string)}
 		c.pools[name] = p
 	}
 	return p
@@ -251,8 +258,8 @@
 	}
 	c.Metrics.Add("delivery_orders", 1)
 	c.Log.Info("delivery ordered", "pool", order.Pool, "version", order.Version, "duration", order.Duration, "age", d.age(now), "age_known", d.timeSource != timeUnknown)
-	if phase, known := c.phases[d.id]; known {
-		c.raise(d, phase, "told by another instance")
+	if told := c.told[d.id]; now-told.at <= toldPhaseTime {
+		c.raise(d, told.phase, "told by another instance")
 	}
 }
 
@@ -264,18 +271,17 @@
 	if d.phase != PhaseCompleted {
 		p.versions.block(d.order.Version)
 	}
-	if d.phase.IsFinal() {
-		c.remember(d.id, d.phase)
-	}
 	c.Log.Info("the order of a delivery is gone", "pool", d.order.Pool, "version", d.order.Version, "phase", d.phase)
 }
 
+// remember keeps the phase of an order that is not in the view yet.
 func (c *Controller) remember(id uint64, phase Phase) {
-	if c.phases == nil {
-		c.phases = make(map[uint64]Phase)
+	now := c.Clock.Elapsed()
+	if c.told == nil || len(c.told) >= maxToldPhases {
+		c.told = make(map[uint64]toldPhase)
 	}
-	if phase > c.phases[id] && len(c.phases) < maxRememberedPhases {
-		c.phases[id] = phase
+	if known := c.told[id]; phase >= known.phase || now-known.at > toldPhaseTime {
+		c.told[id] = toldPhase{phase, now}
 	}
 }
 
@@ -292,7 +298,7 @@
 	f := d.finding
 	c.Metrics.Add("delivery_phase_"+phaseMetric(phase), 1)
 	c.Log.Info("delivery goes on", "pool", d.order.Pool, "version", d.order.Version, "phase", phase, "cause", cause, "age", d.age(now), "duration", d.order.Duration,
-		"exposed", d.allowance.exposed, "of", d.allowance.sent, "verdict", f.Verdict, "reason", f.Reason, "route", f.Route, "new", f.New, "old", f.Old, "bound", f.Bound, "threshold", f.Threshold)
+		"exposed", d.allowance.exposed, "of", d.allowance.sent, "verdict", f.Verdict, "reason", f.Reason, "route", c.pool(d.order.Pool).routes[f.Route], "new", f.New, "old", f.Old, "bound", f.Bound, "threshold", f.Threshold)
 }
 
 func phaseMetric(p Phase) string {
@@ -344,7 +350,7 @@
 		return
 	}
 	d.loggedFinding = text
-	c.Log.Info("version judged", "pool", d.order.Pool, "version", d.order.Version, "verdict", f.Verdict, "reason", f.Reason, "route", f.Route,
+	c.Log.Info("version judged", "pool", d.order.Pool, "version", d.order.Version, "verdict", f.Verdict, "reason", f.Reason, "route", c.pool(d.order.Pool).routes[f.Route],
 		"new", f.New, "old", f.Old, "bound", f.Bound, "threshold", f.Threshold, "processes", 1+len(d.rows))
 }
 
--- a/pkg/delivery/plan.go
+++ b/pkg/delivery/plan.go
@@ -14,10 +14,8 @@
 	rampShare = 0.35
 	// writeTime is kept of the lead for the write of the status.
 	writeTime = 700 * time.Millisecond
-	// rankDelay is how long the next instance in the ranking waits for the one before,
-	// and maxRankDelays bounds the sum.
-	rankDelay     = 700 * time.Millisecond
-	maxRankDelays = 4
+	// rankDelay is how long the next instance in the ranking waits for the one before.
+	rankDelay = 700 * time.Millisecond
 	// minNewTargets is the part of the old version's usable targets that the new version
 	// needs for a move: fewer could not take the load.
 	minNewTargets = 1.0 / 3
@@ -67,7 +65,7 @@
 // Decide returns the next step. Rolling back needs nobody else; the other steps are
 // those of the first instance in the ranking, and of the next ones after a delay.
 func Decide(s Situation) Action {
-	delay := time.Duration(min(s.Rank, maxRankDelays)) * rankDelay
+	delay := time.Duration(s.Rank) * rankDelay
 	switch {
 	case s.Phase.IsFinal():
 		return ActionNone
--- a/pkg/delivery/request.go
+++ b/pkg/delivery/request.go
@@ -25,6 +25,7 @@
 type Selection struct {
 	controller *Controller
 	pool       string
+	routeName  string
 	route      uint32
 	key        float64 // place in the hash range
 	// coldAllowance is how much longer an engine takes that has no shared part cached.
@@ -53,7 +54,7 @@
 	if c == nil {
 		return nil
 	}
-	return &Selection{controller: c, pool: r.Pool, route: hash32(r.Route), key: unitHash(r.Key), coldAllowance: r.ColdAllowance, compareTime: !r.IsResumed}
+	return &Selection{controller: c, pool: r.Pool, routeName: r.Route, route: hash32(r.Route), key: unitHash(r.Key), coldAllowance: r.ColdAllowance, compareTime: !r.IsResumed}
 }
 
 // Candidates returns the targets for the next attempt: one of first if any of them can take
@@ -175,6 +176,7 @@
 		s.release()
 	}
 	times := p.timesOf(s.route)
+	p.routes[s.route] = s.routeName
 	if isOld && o == OutcomeAnswered && s.compareTime {
 		times.add(took)
 	}
@@ -184,6 +186,9 @@
 	if s.attempts == 1 {
 		d.allowance.sent++
 	}
+	if !isOld {
+		c.Metrics.Add("delivery_requests_to_new_version", 1)
+	}
 	if o != OutcomeNone {
 		now := c.Clock.Elapsed()
 		if !isOld && d.firstExposedAt == 0 {
--- a/pkg/delivery/status.go
+++ b/pkg/delivery/status.go
@@ -19,6 +19,8 @@
 	storeCallTimeout = 1500 * time.Millisecond
 	// viewDelay is the time after a write in which the view of the orders may not show it.
 	viewDelay = 2 * time.Second
+	// retryPause is the time after a write that failed.
+	retryPause = 400 * time.Millisecond
 	// startReadTime is how long an instance that does not know the age of an order waits for
 	// another one to tell it.
 	startReadTime = time.Second
@@ -30,27 +32,37 @@
 	At      time.Time `json:"at"`
 }
 
+// statusKey identifies a status that was written.
+type statusKey struct {
+	orderID uint64
+	phase   Phase
+}
+
 // statusWrite is a status that is to be written.
 type statusWrite struct {
 	order Order
 	id    uint64
 	phase Phase
-	now   time.Duration
 }
 
 // writeStore writes the statuses that differ from what this instance knows, and the times
 // of orders, until ctx ends.
 func (c *Controller) writeStore(ctx context.Context) {
-	writtenAt := make(map[uint64]time.Duration)
+	notBefore := make(map[statusKey]time.Duration)
 	for clock.Sleep(ctx, clock.Jitter(storeInterval)) {
+		if c.StoreHealth.IsLost() {
+			continue
+		}
 		for _, w := range c.dueWrites() {
-			key := w.id + uint64(w.phase)
-			if at, done := writtenAt[key]; done && w.now-at < viewDelay {
+			key := statusKey{w.id, w.phase}
+			if c.Clock.Elapsed() < notBefore[key] {
 				continue
 			}
+			pause := retryPause
 			if c.writeStatus(ctx, w) {
-				writtenAt[key] = c.Clock.Elapsed()
+				pause = viewDelay
 			}
+			notBefore[key] = c.Clock.Elapsed() + pause
 		}
 		for _, order := range c.ordersWithoutTime() {
 			c.readStart(ctx, order)
@@ -78,8 +90,8 @@
 			phase, since = PhaseCompleted, 0 // Decide has waited for the rank
 		}
 		isWritten := d.status.Version == d.order.Version && d.status.Phase >= phase
-		if !isWritten && now-since >= time.Duration(min(c.Rank(d.order.Pool), maxRankDelays))*rankDelay {
-			writes = append(writes, statusWrite{order: d.order, id: d.id, phase: phase, now: now})
+		if !isWritten && now-since >= time.Duration(c.Rank(d.order.Pool))*rankDelay {
+			writes = append(writes, statusWrite{order: d.order, id: d.id, phase: phase})
 		}
 	}
 	return writes
--- a/pkg/delivery/times.go
+++ b/pkg/delivery/times.go
@@ -14,7 +14,7 @@
 	// The median is that of the last referenceTimes answers, once there are
 	// minReferenceTimes; it is computed again after each medianInterval answers.
 	referenceTimes    = 64
-	minReferenceTimes = 16
+	minReferenceTimes = 8
 	medianInterval    = 8
 )
 
