pkg/delivery: the sum of routes is judged too; a stored end is told until it is in the store

Cause: a version that fails little on each route was found late; an instance that starts while the store is away heard of a roll-back for 20 s only. Change: the sum of all routes as one more route; notices of an end until the store has it.

--- a/pkg/delivery/controller.go
+++ b/pkg/delivery/controller.go
@@ -392,7 +392,7 @@
 	var out [][]byte
 	for _, p := range c.pools {
 		d := p.delivery
-		if d == nil || d.phase.IsFinal() && now-d.finalAt > finalNoticeTime {
+		if d == nil || d.isKnownToHaveEnded(now) {
 			continue
 		}
 		n := notice{OrderID: d.id, Phase: d.phase}
--- a/pkg/delivery/judge.go
+++ b/pkg/delivery/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -23,7 +24,7 @@
 type Finding struct {
 	Verdict  Verdict
 	Reason   string
-	Route    uint32     // zero: all routes
+	Route    uint32     // or allRoutes
 	New, Old proportion // bad answers of both versions
 	// Bound is the bound of the difference of the proportions, and Threshold what it
 	// was compared with.
@@ -138,12 +139,28 @@
 	return f, true
 }
 
+// allRoutes stands for the sum of all routes. The requests of both versions are chosen by
+// hash, so they have the same mix of routes, and the sum shows a trouble of all of them
+// sooner.
+const allRoutes = 0
+
+// withAllRoutes returns the counts by route, with their sum.
+func withAllRoutes(m map[uint32]Counts) map[uint32]Counts {
+	out := maps.Clone(m)
+	var sum Counts
+	for _, c := range m {
+		sum = sum.plus(c)
+	}
+	out[allRoutes] = sum
+	return out
+}
+
 // findBad returns the first route and measure on which the new version is worse.
 func findBad(e Evidence, z float64, minBad uint32) (Finding, bool) {
-	counts := e.newByRoute()
+	counts, oldCounts := withAllRoutes(e.newByRoute()), withAllRoutes(e.Old)
 	for _, route := range sortedRoutes(counts) {
 		for _, m := range measures {
-			p, old := m.of(counts[route]), m.of(e.Old[route])
+			p, old := m.of(counts[route]), m.of(oldCounts[route])
 			if p.k < minBad || old.n < minOldAnswers || minBad == minBadAnswers && p.n < minNewAnswers {
 				continue
 			}
--- a/pkg/delivery/judge_test.go
+++ b/pkg/delivery/judge_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
 const (
@@ -165,3 +168,51 @@
 		})
 	}
 }
+
+// A few failures on each of two routes were too few for each, and the version went on.
+func TestTroubleOfAllRoutesIsAddedUp(t *testing.T) {
+	e := healthyEvidence()
+	for key := range e.New {
+		e.New[key] = counts(15, 2, 0)
+	}
+	f := Judge(e, e, 7)
+	assert.Equal(t, f.Verdict, VerdictBad, "%+v", f)
+	assert.Equal(t, f.Route, uint32(allRoutes))
+}
+
+// answer records one answer of a target in a delivery of v2.
+func answer(d *delivery, x *target.Target, o Outcome, at time.Duration, times *answerTimes, took time.Duration) {
+	d.record(&Selection{route: routeA, compareTime: true, target: x}, o, at, times, took)
+}
+
+// The crash of one target, which breaks all answers there at once, condemned the version.
+func TestCrashIsOneFailure(t *testing.T) {
+	d := newDelivery(Order{Version: "v2"}, 1)
+	x := &target.Target{ID: "a", Version: "v2"}
+	for range 20 {
+		answer(d, x, OutcomeBroken, time.Minute, &answerTimes{}, 0)
+	}
+	assert.Equal(t, d.own.newByRoute()[routeA], Counts{Answers: 1, Failures: 1})
+	answer(d, x, OutcomeBroken, time.Minute+crashInterval, &answerTimes{}, 0)
+	assert.Equal(t, d.own.newByRoute()[routeA].Failures, uint32(2))
+}
+
+// Overload that slowed down both versions made the answers of the new one slow, as its
+// old counterpart was remembered as fast.
+func TestSlowIsComparedWithTheOldVersionNow(t *testing.T) {
+	d, times := newDelivery(Order{Version: "v2"}, 1), &answerTimes{}
+	x := &target.Target{ID: "a", Version: "v2"}
+	const usual, overloaded = 40 * time.Millisecond, 300 * time.Millisecond
+	answer(d, x, OutcomeAnswered, time.Minute, times, usual)
+	assert.Equal(t, d.own.newByRoute()[routeA].Timed, uint32(0), "compared with nothing")
+	for range referenceTimes {
+		times.add(usual)
+	}
+	answer(d, x, OutcomeAnswered, time.Minute, times, overloaded)
+	assert.Equal(t, d.own.newByRoute()[routeA].Slow, uint32(1))
+	for range referenceTimes {
+		times.add(overloaded)
+	}
+	answer(d, x, OutcomeAnswered, time.Minute, times, overloaded)
+	assert.Equal(t, d.own.newByRoute()[routeA], Counts{Answers: 3, Timed: 2, Slow: 1})
+}
--- a/pkg/delivery/notices.go
+++ b/pkg/delivery/notices.go
@@ -10,8 +10,8 @@
 const (
 	// maxNoticeBytes keeps a notice in one packet.
 	maxNoticeBytes = 1100
-	// finalNoticeTime is how long the end of a delivery is told. It reaches all instances
-	// in a few rounds; those without messages read it from the store.
+	// finalNoticeTime is how long the end of a delivery is told at least. It reaches all
+	// instances in a few rounds; those without messages read it from the store.
 	finalNoticeTime = 20 * time.Second
 	// maxCountedTargets bounds the targets that an instance counts apart.
 	maxCountedTargets = 12
--- a/pkg/delivery/state.go
+++ b/pkg/delivery/state.go
@@ -106,6 +106,13 @@
 	return now - d.orderedAt
 }
 
+// isKnownToHaveEnded reports whether the end need not be told any more: it was for a while,
+// and the store has it, also for an instance that starts later.
+func (d *delivery) isKnownToHaveEnded(now time.Duration) bool {
+	isStored := d.status.Version == d.order.Version && d.status.Phase == d.phase
+	return d.phase.IsFinal() && isStored && now-d.finalAt > finalNoticeTime
+}
+
 // hasMoved reports whether this instance must not choose old targets any more.
 func (d *delivery) hasMoved(now time.Duration) bool {
 	return d.phase == PhaseCompleted || d.phase == PhaseMoving && d.missingAt == 0 && now-d.movingAt >= rampTime(d.order.Duration)
