--- a/pkg/delivery/judge.go
+++ b/pkg/delivery/judge.go
@@ -173,8 +173,12 @@
 }
 
 // judgeExcess tells whether the new version has given many more bad answers than the old
-// one would have, on weaker evidence for each route.
+// one would have, on weaker evidence for each route. The worst target is left out if there
+// are several others.
 func judgeExcess(e Evidence) Finding {
+	if worst, targets := e.worstTarget(); targets > 2 {
+		e = e.without(worst)
+	}
 	excess := 0.0
 	var worst Finding
 	for route, c := range e.newByRoute() {
--- a/pkg/delivery/judge_test.go
+++ b/pkg/delivery/judge_test.go
@@ -110,6 +110,17 @@
 	assert.Equal(t, judgeOnce(e), VerdictBad)
 }
 
+// One bad target among several ended the delivery in the move, when its bad answers are
+// many.
+func TestManyBadAnswersOfOneAmongSeveralTargets(t *testing.T) {
+	e := healthyEvidence()
+	e.New[RouteTarget{routeA, target1}] = counts(100, 45, 0)
+	for n := range uint32(6) {
+		e.New[RouteTarget{routeA, 300 + n}] = counts(100, 0, 0)
+	}
+	assert.Equal(t, judgeOnce(e), VerdictGood)
+}
+
 // A version with failures well above those of the old one was delivered, whatever the
 // sample. A version like the old one was condemned by its few failures.
 func TestVerdictFollowsTheDifference(t *testing.T) {
