--- a/pkg/daemon/delivery_test.go
+++ b/pkg/daemon/delivery_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +88,31 @@
 	}
 	assert.Equal(t, x.newRequests(), exposed, "used after the roll-back")
 }
+
+// Without a bound on exposure in the settings nothing may change: orders were read, at the
+// price of calls to the store, or targets of another version were held back.
+func TestNoDeliveryWithoutTheSettings(t *testing.T) {
+	x := startDaemon(t, 1)
+	var calls atomic.Int64
+	x.store.SetFailure(func(r *http.Request) int {
+		if strings.HasPrefix(r.URL.Path, "/objects/"+platform.KindDeliveries) || strings.Contains(r.URL.Path, "deliveries") {
+			calls.Add(1)
+		}
+		return 0
+	})
+	x.store.Put(platform.KindDeliveries, "llm", map[string]any{"service": "llm", "target": "v2", "duration_s": 60})
+	r, err := platformtest.StartTarget("j-0")
+	assert.NilError(t, err)
+	t.Cleanup(r.Stop)
+	r.Model = "m"
+	entry := r.Entry("llm", "a")
+	entry["version"] = "v2"
+	x.store.Put(platform.KindTargets, r.ID, entry)
+	startedAt := time.Now()
+	x.waitFor("the other version is used", func() bool {
+		x.sendStatus("/stream/", "key-1")
+		return len(r.Requests()) > 0
+	})
+	assert.Assert(t, time.Since(startedAt) < 3*time.Second, "held back")
+	assert.Equal(t, calls.Load(), int64(0))
+}
