--- a/pkg/delivery/controller.go
+++ b/pkg/delivery/controller.go
@@ -23,6 +23,13 @@
 	// toldPhaseTime how long they are kept: as long as a view may lack the order.
 	maxToldPhases = 256
 	toldPhaseTime = 10 * time.Second
+	// absentPhaseTime is how long the phase of an order is kept that is missing without
+	// having been deleted: the operator writes it again after the store came back from an
+	// older copy.
+	absentPhaseTime = 5 * time.Minute
+	// minSlackAge is the age of a process from which it uses its part of the slack. By then
+	// it knows the number of instances.
+	minSlackAge = 10 * time.Second
 	// watchMaxAge is the age of the view of the orders from which an instance reads them
 	// itself although others relay them.
 	watchMaxAge = 2 * time.Second
@@ -60,18 +67,20 @@
 	Metrics     *expvar.Map
 	Log         hclog.Logger
 
-	once     sync.Once
-	follower *follow.Follower
+	once      sync.Once
+	follower  *follow.Follower
+	startedAt time.Duration // boot time
 
-	mu    sync.Mutex
-	pools map[string]*poolState
+	mu           sync.Mutex
+	pools        map[string]*poolState
+	maxInstances int // highest number seen
 	// told are the phases of orders that others told of and that this instance has not read.
 	told map[uint64]toldPhase
 }
 
 type toldPhase struct {
 	phase Phase
-	at    time.Duration
+	until time.Duration // boot time
 }
 
 // poolState is what the controller knows about one pool.
@@ -92,7 +101,7 @@
 }
 
 // forgetLists makes the next calls divide the targets anew.
-func (p *poolState) forgetLists() { p.splitOf, p.usableOf = nil, nil }
+func (p *poolState) forgetLists() { p.splitOf, p.parts, p.usableOf = nil, split{}, nil }
 
 // pool returns the state of a pool. The caller holds mu.
 func (c *Controller) pool(name string) *poolState {
@@ -119,6 +128,9 @@
 	if !sameList(all, p.usableOf) || now-p.usableAt >= stepInterval {
 		p.versions.update(all, now)
 		p.usableOf, p.usable, p.usableAt = all, p.versions.usable(all), now
+		if len(p.usable) == 0 {
+			p.usable = all // nothing but versions that were taken out of use is left
+		}
 	}
 	return p.usable
 }
@@ -142,19 +154,22 @@
 // share returns the share of requests that the trial may expose.
 func (c *Controller) share() float64 { return trialPart * c.Limits().Share }
 
-// slack returns the part of the slack of this instance. It is none until the number of
-// instances is known.
-func (c *Controller) slack() float64 {
-	n := c.InstanceCount()
-	if n == 0 {
+// slack returns the part of the slack that this process may use for a delivery. It is none
+// for an order that is older than the process, whose predecessor may have used it, and for
+// a process that may not know the number of instances yet. The number that was highest
+// counts: entries of instances may be missing in the store for a while.
+func (c *Controller) slack(d *delivery) float64 {
+	c.maxInstances = max(c.maxInstances, c.InstanceCount())
+	if c.maxInstances == 0 || !d.observed || c.Clock.Elapsed()-c.startedAt < minSlackAge {
 		return 0
 	}
-	return trialPart * c.Limits().Slack / float64(n)
+	return trialPart * c.Limits().Slack / float64(c.maxInstances)
 }
 
 // Follower returns the follower of the orders, the same one on each call.
 func (c *Controller) Follower() *follow.Follower {
 	c.once.Do(func() {
+		c.startedAt = c.Clock.Elapsed()
 		c.follower = &follow.Follower{
 			Store: c.Store, Kind: c.Kind, Replace: c.replace, Apply: c.apply, FedByPeer: c.FedByPeer, MaxViewAge: watchMaxAge,
 			WatchWait: c.WatchWait, OnChange: c.OnChange, Clock: c.Clock, StoreHealth: c.StoreHealth, Log: c.Log,
@@ -203,8 +218,9 @@
 			continue
 		}
 		for _, p := range c.pools {
-			if p.delivery != nil && p.delivery.order.Pool == e.Object.Name {
-				c.markMissing(p)
+			if d := p.delivery; d != nil && d.order.Pool == e.Object.Name && e.Object.Version >= d.objectVersion {
+				c.end(p)
+				delete(c.told, d.id)
 			}
 		}
 	}
@@ -252,14 +268,19 @@
 	}
 	d := newDelivery(order, xxhash.Sum64String(c.Incarnation))
 	p.delivery = d
+	p.forgetLists()
 	delete(p.versions.blocked, order.Version)
 	if before := c.follower.CompleteUntil(); before > 0 {
-		d.setTime(before, timeObserved)
+		// After an outage the view is older; the order was hardly given while the store
+		// took none.
+		d.setTime(max(before, now-watchMaxAge), timeObserved)
+		d.observed = true
+		d.isInForce = p.versions.isOnlyAccepted(order.Version)
 	}
 	c.Metrics.Add("delivery_orders", 1)
 	c.Log.Info("delivery ordered", "pool", order.Pool, "version", order.Version, "duration", order.Duration, "age", d.age(now), "age_known", d.timeSource != timeUnknown)
-	if told := c.told[d.id]; now-told.at <= toldPhaseTime {
-		c.raise(d, told.phase, "told by another instance")
+	if told := c.told[d.id]; now <= told.until {
+		c.raise(d, told.phase, "known from before or told by another instance")
 	}
 }
 
@@ -275,13 +296,13 @@
 }
 
 // remember keeps the phase of an order that is not in the view yet.
-func (c *Controller) remember(id uint64, phase Phase) {
+func (c *Controller) remember(id uint64, phase Phase, keep time.Duration) {
 	now := c.Clock.Elapsed()
 	if c.told == nil || len(c.told) >= maxToldPhases {
 		c.told = make(map[uint64]toldPhase)
 	}
-	if known := c.told[id]; phase >= known.phase || now-known.at > toldPhaseTime {
-		c.told[id] = toldPhase{phase, now}
+	if known := c.told[id]; phase >= known.phase || now > known.until {
+		c.told[id] = toldPhase{phase, max(now+keep, known.until)}
 	}
 }
 
@@ -291,7 +312,7 @@
 	if !d.raise(phase, now) {
 		return
 	}
-	if p := c.pool(d.order.Pool); phase == PhaseCompleted {
+	if p := c.pool(d.order.Pool); phase == PhaseCompleted && p.delivery == d {
 		p.versions.accept(d.order.Version, p.parts.old)
 		p.forgetLists()
 	}
@@ -316,6 +337,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Elapsed()
+	c.maxInstances = max(c.maxInstances, c.InstanceCount())
 	for name, p := range c.pools {
 		targets := c.Targets(name)
 		d := p.delivery
@@ -325,6 +347,7 @@
 			continue
 		case d.missingAt > 0 && now-d.missingAt >= withdrawalTime:
 			c.end(p)
+			c.remember(d.id, d.phase, absentPhaseTime)
 			continue
 		case d.phase == PhaseCompleted:
 			p.usableTargets(targets, now)
@@ -362,7 +385,7 @@
 	}
 	action := Decide(Situation{
 		Phase: d.phase, Duration: d.order.Duration, Age: d.age(now), Finding: d.finding, Rank: c.Rank(d.order.Pool),
-		OldTargets: countUsable(parts.old), NewTargets: countUsable(parts.new), SawOld: d.sawOld,
+		OldTargets: countUsable(parts.old), NewTargets: countUsable(parts.new), SawOld: d.sawOld, IsInForce: d.isInForce && !d.sawOld,
 		StoreLost: c.StoreHealth.IsLost(), MovingFor: movingFor, AllMoved: d.allMoved(c.processes()),
 	})
 	switch action {
@@ -395,7 +418,7 @@
 		if d == nil || d.isKnownToHaveEnded(now) {
 			continue
 		}
-		n := notice{OrderID: d.id, Phase: d.phase}
+		n := notice{OrderID: d.id, Phase: d.phase, IsInForce: d.isInForce && !d.sawOld}
 		if d.timeSource >= timeTold {
 			n.AgeMS = uint32(max(1, d.age(now).Milliseconds()))
 		}
@@ -405,6 +428,13 @@
 			continue
 		}
 		out = append(out, encoded)
+		if d.phase != PhaseMoving {
+			continue
+		}
+		n.Moves = d.newestMoves()
+		if encoded, err = cbor.Marshal(n); err == nil {
+			out = append(out, encoded)
+		}
 	}
 	return out
 }
@@ -420,15 +450,19 @@
 	defer c.mu.Unlock()
 	d := c.deliveryOf(n.OrderID)
 	if d == nil {
-		c.remember(n.OrderID, n.Phase)
+		c.remember(n.OrderID, n.Phase, toldPhaseTime)
 		return
 	}
 	if n.AgeMS > 0 {
 		d.setTime(c.Clock.Elapsed()-time.Duration(n.AgeMS)*time.Millisecond, timeTold)
 	}
+	d.isInForce = d.isInForce || n.IsInForce && !d.observed
 	for _, r := range n.Rows {
 		d.mergeRow(r)
 	}
+	for _, m := range n.Moves {
+		d.mergeMove(m, c.Clock.Elapsed())
+	}
 	c.raise(d, n.Phase, "told by another instance")
 }
 
--- a/pkg/delivery/notices.go
+++ b/pkg/delivery/notices.go
@@ -14,7 +14,9 @@
 	// instances in a few rounds; those without messages read it from the store.
 	finalNoticeTime = 20 * time.Second
 	// maxCountedTargets bounds the targets that an instance counts apart.
-	maxCountedTargets = 12
+	maxCountedTargets = 8
+	// maxMoves keeps a message about moves in one packet.
+	maxMoves = 70
 	// maxRows bounds the processes whose counts are kept for a delivery.
 	maxRows = 4096
 )
@@ -25,20 +27,30 @@
 	OrderID uint64
 	Phase   Phase
 	AgeMS   uint32 // of the order; zero if the sender does not know it
-	Rows    []row
+	// IsInForce is set if the sender had only the ordered version in use before the order.
+	IsInForce bool
+	Rows      []row
+	Moves     []move
 }
 
-// row is what one process tells about a delivery.
-type row struct {
+// move tells whether a process still uses old targets during a move.
+type move struct {
 	_       struct{} `cbor:",toarray"`
-	Process uint64   // hash of the incarnation
-	Counter uint32   // rises with each change
+	Process uint64
+	Counter uint32 // rises with each change
 	// HasMoved is set once the process chooses no old target any more, and AtOld is the
 	// number of its requests that are still there.
 	HasMoved bool
 	AtOld    uint32
-	Old      []oldCounts
-	New      []newCounts
+}
+
+// row is what one process tells about a delivery.
+type row struct {
+	_       struct{} `cbor:",toarray"`
+	Process uint64   // hash of the incarnation
+	Counter uint32   // rises with each change
+	Old     []oldCounts
+	New     []newCounts
 }
 
 type oldCounts struct {
@@ -83,7 +95,7 @@
 
 // equals reports whether two rows differ in Counter only.
 func (r *row) equals(other *row) bool {
-	return r.HasMoved == other.HasMoved && r.AtOld == other.AtOld && slices.Equal(r.Old, other.Old) && sameNew(r.New, other.New)
+	return slices.Equal(r.Old, other.Old) && sameNew(r.New, other.New)
 }
 
 func sameNew(a, b []newCounts) bool {
--- a/pkg/delivery/plan.go
+++ b/pkg/delivery/plan.go
@@ -44,8 +44,10 @@
 	// Usable targets of both versions. SawOld is set if there were any old ones.
 	OldTargets, NewTargets int
 	SawOld                 bool
-	StoreLost              bool
-	MovingFor              time.Duration // since this instance knows that the move began
+	// IsInForce is set if the ordered version was the only one in use before the order.
+	IsInForce bool
+	StoreLost bool
+	MovingFor time.Duration // since this instance knows that the move began
 	// AllMoved is set if all instances say that they choose no old target and have no
 	// request at one.
 	AllMoved bool
@@ -75,7 +77,7 @@
 		return ActionNone
 	case s.Phase == PhaseMoving:
 		return decideMoving(s, delay)
-	case !s.SawOld && s.Age >= alreadyInForceAge+delay:
+	case s.IsInForce && s.Age >= alreadyInForceAge+delay:
 		return ActionMove
 	case s.SawOld && s.Finding.Verdict == VerdictGood && s.Age >= s.Duration-Lead(s.Duration)+delay && float64(s.NewTargets) >= minNewTargets*float64(s.OldTargets):
 		return ActionMove
@@ -86,7 +88,7 @@
 func decideMoving(s Situation, delay time.Duration) Action {
 	ramp, longest := rampTime(s.Duration), Lead(s.Duration)-writeTime
 	switch {
-	case !s.SawOld:
+	case s.IsInForce:
 		return ActionComplete
 	case s.MovingFor < ramp+delay:
 		return ActionNone
--- a/pkg/delivery/request.go
+++ b/pkg/delivery/request.go
@@ -77,8 +77,8 @@
 	}
 	parts := c.split(p, all, now)
 	switch {
-	case !d.sawOld:
-		return all, nil
+	case d.isInForce && !d.sawOld:
+		return parts.new, nil
 	case d.phase == PhaseRolledBack, d.missingAt > 0:
 		return parts.old, nil
 	case d.hasMoved(now):
@@ -94,7 +94,7 @@
 // trialCandidates selects targets in the trial. Only the first attempt may go to the new
 // version, so that repeats stay within the allowance, and only within it.
 func (s *Selection) trialCandidates(d *delivery, parts split) (first, second []*target.Target) {
-	share, slack := s.controller.share(), s.controller.slack()
+	share, slack := s.controller.share(), s.controller.slack(d)
 	if s.attempts > 1 || len(parts.trial) == 0 || d.allowance.left(share, slack) < 1 {
 		return parts.old, nil
 	}
@@ -140,11 +140,13 @@
 	defer c.mu.Unlock()
 	p := c.pool(s.pool)
 	d := p.delivery
-	if d == nil || !d.sawOld {
+	if d == nil {
 		return true
 	}
 	isNew := t.Version == d.order.Version
 	switch {
+	case d.isInForce && !d.sawOld:
+		return isNew
 	case d.phase == PhaseCompleted:
 		return !p.versions.blocked[t.Version]
 	case d.phase == PhaseRolledBack, d.missingAt > 0:
--- a/pkg/delivery/state.go
+++ b/pkg/delivery/state.go
@@ -1,6 +1,8 @@
 package delivery
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,8 +20,8 @@
 	// crashInterval is the time within which the broken answers of one target count once:
 	// a crash breaks all that run there.
 	crashInterval = time.Second
-	// warmUpTime is the time after the first exposed request in which answers of engines may
-	// take longer because their caches are empty.
+	// warmUpTime is the time after the first exposed request, and after the move began, in
+	// which answers of engines may take longer because their caches are empty.
 	warmUpTime = 6 * time.Second
 )
 
@@ -38,6 +40,9 @@
 	finalAt      time.Duration
 	missingAt    time.Duration // since when the order is missing; zero while it is there
 	sawOld       bool
+	// observed is set if the order was given while this process watched the orders, and
+	// isInForce if its version was the only one in use then.
+	observed, isInForce bool
 
 	objectVersion uint64 // of the order's object
 	status        Status // as read from the store
@@ -48,6 +53,9 @@
 	ownRow         row
 	rows           map[uint64]*row // of other processes
 	others         Evidence        // sum of rows
+	countedTargets map[uint32]bool
+	ownMove        move
+	moves          map[uint64]toldMove // of other processes
 	brokenAt       map[uint32]time.Duration
 	snapshots      []snapshot
 	finding        Finding
@@ -62,7 +70,8 @@
 
 func newDelivery(order Order, process uint64) *delivery {
 	return &delivery{
-		order: order, id: order.ID(), phase: PhaseTrial, own: NewEvidence(), others: NewEvidence(), ownRow: row{Process: process},
+		order: order, id: order.ID(), phase: PhaseTrial, own: NewEvidence(), others: NewEvidence(), ownRow: row{Process: process}, ownMove: move{Process: process},
+		countedTargets: make(map[uint32]bool), moves: make(map[uint64]toldMove),
 		rows: make(map[uint64]*row), brokenAt: make(map[uint32]time.Duration),
 	}
 }
@@ -158,7 +167,7 @@
 		c.Failures = 1
 	}
 	if limit, ok := times.slowFrom(); ok && (o == OutcomeAnswered || o == OutcomeTimedOut) && s.compareTime {
-		if now-d.firstExposedAt < warmUpTime {
+		if now-max(d.firstExposedAt, d.movingAt) < warmUpTime {
 			limit += s.coldAllowance
 		}
 		c.Timed = 1
@@ -171,7 +180,11 @@
 		return
 	}
 	key := RouteTarget{s.route, hash32(s.target.Key())}
-	if _, known := d.own.New[key]; !known && len(d.own.New) >= maxCountedTargets {
+	switch {
+	case d.countedTargets[key.Target]:
+	case len(d.countedTargets) < maxCountedTargets:
+		d.countedTargets[key.Target] = true
+	default:
 		key.Target = OtherTargets
 	}
 	d.own.New[key] = d.own.New[key].plus(c)
@@ -179,17 +192,53 @@
 
 // updateOwnRow brings the own row up to date. targets are those of the pool.
 func (d *delivery) updateOwnRow(targets []*target.Target, now time.Duration) {
-	next := row{Process: d.ownRow.Process, HasMoved: d.hasMoved(now)}
+	d.updateOwnMove(targets, now)
+	next := row{Process: d.ownRow.Process}
+	next.setEvidence(d.own)
+	if next.Counter = d.ownRow.Counter; !next.equals(&d.ownRow) {
+		next.Counter++
+	}
+	d.ownRow = next
+}
+
+// toldMove is a move that another process told, and when it arrived.
+type toldMove struct {
+	move
+	at time.Duration
+}
+
+// updateOwnMove brings the own move up to date.
+func (d *delivery) updateOwnMove(targets []*target.Target, now time.Duration) {
+	next := move{Process: d.ownMove.Process, Counter: d.ownMove.Counter, HasMoved: d.hasMoved(now)}
 	for _, t := range targets {
 		if t.Version != d.order.Version {
 			next.AtOld += uint32(max(0, t.Live.InFlight.Load()))
 		}
 	}
-	next.setEvidence(d.own)
-	if next.Counter = d.ownRow.Counter; !next.equals(&d.ownRow) {
+	if next != d.ownMove {
 		next.Counter++
 	}
-	d.ownRow = next
+	d.ownMove = next
+}
+
+// mergeMove takes over what another process tells about its move if it is newer.
+func (d *delivery) mergeMove(m move, now time.Duration) {
+	known, isKnown := d.moves[m.Process]
+	if m.Process == d.ownMove.Process || !isKnown && len(d.moves) >= maxRows || isKnown && m.Counter <= known.Counter {
+		return
+	}
+	d.moves[m.Process] = toldMove{m, now}
+}
+
+// newestMoves returns the own move and those that arrived last.
+func (d *delivery) newestMoves() []move {
+	told := slices.Collect(maps.Values(d.moves))
+	slices.SortFunc(told, func(a, b toldMove) int { return cmp.Compare(b.at, a.at) })
+	moves := []move{d.ownMove}
+	for _, m := range told[:min(len(told), maxMoves)] {
+		moves = append(moves, m.move)
+	}
+	return moves
 }
 
 // mergeRow takes over the counts of another process if they are newer.
@@ -216,17 +265,16 @@
 	return slices.Insert(rows, 0, &d.ownRow)
 }
 
-// allMoved reports whether all given processes choose no old target and have no request
-// there.
+// allMoved reports whether this process and all given ones choose no old target and have no
+// request there. Without a list of processes it is not known.
 func (d *delivery) allMoved(processes []uint64) bool {
-	for _, p := range processes {
-		r := d.rows[p]
-		if p == d.ownRow.Process {
-			r = &d.ownRow
-		}
-		if r == nil || !r.HasMoved || r.AtOld > 0 {
-			return false
-		}
+	if len(processes) == 0 || !d.ownMove.isDone() {
+		return false
 	}
-	return true
+	return !slices.ContainsFunc(processes, func(p uint64) bool {
+		m, isKnown := d.moves[p]
+		return p != d.ownMove.Process && !(isKnown && m.isDone())
+	})
 }
+
+func (m move) isDone() bool { return m.HasMoved && m.AtOld == 0 }
--- a/pkg/delivery/status.go
+++ b/pkg/delivery/status.go
@@ -30,6 +30,8 @@
 type storedStart struct {
 	OrderID uint64    `json:"order_id"`
 	At      time.Time `json:"at"`
+	// IsInForce is set if only the ordered version was in use before the order.
+	IsInForce bool `json:"in_force,omitempty"`
 }
 
 // statusKey identifies a status that was written.
@@ -165,7 +167,7 @@
 		c.mu.Unlock()
 		return
 	}
-	start := storedStart{OrderID: w.id, At: c.Clock.Now().Add(-d.age(c.Clock.Elapsed()))}
+	start := storedStart{OrderID: w.id, IsInForce: d.isInForce && !d.sawOld, At: c.Clock.Now().Add(-d.age(c.Clock.Elapsed()))}
 	c.mu.Unlock()
 	value, err := json.Marshal(start)
 	if err == nil {
@@ -222,6 +224,7 @@
 	defer c.mu.Unlock()
 	if d := c.deliveryOf(order.ID()); d != nil {
 		d.setTime(c.Clock.Elapsed()-age, timeOfDay)
+		d.isInForce = d.isInForce || start.OrderID == d.id && start.IsInForce
 		c.Log.Info("time of a delivery's order read", "pool", order.Pool, "version", order.Version, "age", age)
 	}
 }
--- a/pkg/delivery/versions.go
+++ b/pkg/delivery/versions.go
@@ -44,10 +44,10 @@
 	for version := range counts {
 		since, isHeld := v.heldSince[version]
 		switch {
-		case v.accepted[version]:
+		case v.accepted[version], v.blocked[version]:
 		case !isHeld:
 			v.heldSince[version] = now
-		case now-since >= holdTime && !v.blocked[version]:
+		case now-since >= holdTime:
 			v.accepted[version] = true
 			delete(v.heldSince, version)
 		}
@@ -64,8 +64,13 @@
 	return best
 }
 
-// usable returns the targets that may be used without an order. If too few are left
-// without those that are held back, it returns these as well.
+// isOnlyAccepted reports whether a version is the only one that is in use.
+func (v *versions) isOnlyAccepted(version string) bool {
+	return len(v.accepted) == 1 && v.accepted[version]
+}
+
+// usable returns the targets that may be used without an order, never blocked ones. If too
+// few are left without those that are held back, it returns these as well.
 func (v *versions) usable(targets []*target.Target) []*target.Target {
 	var out, unblocked []*target.Target
 	for _, t := range targets {
@@ -78,7 +83,7 @@
 		}
 	}
 	switch {
-	case len(unblocked) == 0, len(out) == len(targets):
+	case len(out) == len(targets):
 		return targets
 	case float64(len(out)) < minLeftShare*float64(len(unblocked)):
 		return unblocked
