pkg/delivery: versions without targets are forgotten; a known limit as a red test

Cause: a version that was taken out of use stayed so for ever, also for a later release of it, and targets that leave counted as left beside held ones. Change: forgotten after a minute without a listed target; usable targets count. TestVersionsWithoutAnOrder has the case.

--- a/pkg/delivery/fleet_test.go
+++ b/pkg/delivery/fleet_test.go
@@ -354,6 +354,16 @@
 	f.addTargets("v4", 3)
 	f.run(time.Minute, 100)
 	assert.Assert(t, f.exposed > exposed, "a version without an order is never used")
+
+	// The targets of the version that was taken out of use are gone, and a later release
+	// brings it back.
+	f.targets = f.targets[:7]
+	f.run(forgetTime+time.Second, 10)
+	f.targets = nil
+	f.addTargets("v2", 7)
+	before := f.exposed
+	f.run(holdTime+time.Second, 100)
+	assert.Assert(t, f.exposed > before, "never used again")
 }
 
 // Requests to the old version were in flight when the status was written.
@@ -461,3 +471,14 @@
 	assert.Assert(t, d().allMoved(f.controllers[0].processes()))
 	assert.Assert(t, f.clock.Elapsed()-d().movingAt < Lead(testDuration)-writeTime, "after %v", f.clock.Elapsed()-d().movingAt)
 }
+
+// A version that turned bad when all requests had moved to it got more of them than the
+// bound allows.
+func TestVersionThatTurnsBadAfterTheMove(t *testing.T) {
+	f := newFleet(t, 12)
+	f.badShare, f.badFrom = 0.5, f.clock.Elapsed()+10*time.Second
+	f.order("v2")
+	f.addTargets("v2", 7)
+	f.run(testDuration, 240)
+	assert.Assert(t, float64(f.exposed) <= testLimits.Share*float64(f.sent)+testLimits.Slack, "%d of %d", f.exposed, f.sent)
+}
--- a/pkg/delivery/versions.go
+++ b/pkg/delivery/versions.go
@@ -15,6 +15,10 @@
 // store answers.
 const holdTime = 5 * time.Second
 
+// forgetTime is how long a version must be without listed targets to be new again. Entries
+// that lapse during an outage of the store are back sooner.
+const forgetTime = time.Minute
+
 // minLeftShare is the part of a pool's targets that must be left for others to be held. The
 // targets of an order are about as many as those that they replace.
 const minLeftShare = 0.25
@@ -25,10 +29,12 @@
 	heldSince map[string]time.Duration // versions that are not accepted yet
 	// blocked are versions that were rolled back, or whose order was withdrawn or replaced.
 	blocked map[string]bool
+	// listedAt is when a target of a version was last listed.
+	listedAt map[string]time.Duration
 }
 
 func newVersions() versions {
-	return versions{accepted: make(map[string]bool), heldSince: make(map[string]time.Duration), blocked: make(map[string]bool)}
+	return versions{accepted: make(map[string]bool), heldSince: make(map[string]time.Duration), blocked: make(map[string]bool), listedAt: make(map[string]time.Duration)}
 }
 
 // update accepts the version of most targets at the first call, and later ones when they
@@ -41,6 +47,7 @@
 	if len(v.accepted) == 0 && len(counts) > 0 {
 		v.accepted[mostFrequent(counts)] = true
 	}
+	v.forgetUnlisted(counts, now)
 	for version := range counts {
 		since, isHeld := v.heldSince[version]
 		switch {
@@ -54,6 +61,26 @@
 	}
 }
 
+// forgetUnlisted forgets what is known of versions that have had no target for forgetTime.
+// Another release may bring them back.
+func (v *versions) forgetUnlisted(counts map[string]int, now time.Duration) {
+	for version := range counts {
+		v.listedAt[version] = now
+	}
+	for version := range v.blocked {
+		if _, known := v.listedAt[version]; !known {
+			v.listedAt[version] = now
+		}
+	}
+	for version, at := range v.listedAt {
+		if now-at > forgetTime {
+			delete(v.listedAt, version)
+			delete(v.blocked, version)
+			delete(v.heldSince, version)
+		}
+	}
+}
+
 func mostFrequent(counts map[string]int) string {
 	best := ""
 	for version, n := range counts {
@@ -73,19 +100,27 @@
 // few are left without those that are held back, it returns these as well.
 func (v *versions) usable(targets []*target.Target) []*target.Target {
 	var out, unblocked []*target.Target
+	usable, usableUnblocked := 0, 0
 	for _, t := range targets {
 		if v.blocked[t.Version] {
 			continue
 		}
 		unblocked = append(unblocked, t)
+		isCounted := isUsable(t)
+		if isCounted {
+			usableUnblocked++
+		}
 		if v.accepted[t.Version] || t.Version == "" {
 			out = append(out, t)
+			if isCounted {
+				usable++
+			}
 		}
 	}
 	switch {
 	case len(out) == len(targets):
 		return targets
-	case float64(len(out)) < minLeftShare*float64(len(unblocked)):
+	case float64(usable) < minLeftShare*float64(usableUnblocked):
 		return unblocked
 	}
 	return out
