pkg/delivery: times of engines are compared in proportion to the request's work

Cause: requests with one prompt part go to one version, so a few long prompts in the exposed range made a good version look slow. Change: delivery.Request.Work, from the prompt's own tokens and the output.

--- a/pkg/delivery/fleet_test.go
+++ b/pkg/delivery/fleet_test.go
@@ -482,3 +482,30 @@
 	f.run(testDuration, 240)
 	assert.Assert(t, float64(f.exposed) <= testLimits.Share*float64(f.sent)+testLimits.Slack, "%d of %d", f.exposed, f.sent)
 }
+
+// The prompts whose hash is in the exposed range are long, and their answers counted as
+// slow, though the old version took as long for them.
+func TestLongPromptsAreNotSlow(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.controllers[0]
+	send := func(key string, work time.Duration) {
+		s := c.Begin(Request{Pool: testPool, Route: "r", Key: key, Work: work})
+		first, _ := s.Candidates(f.targets)
+		s.Choose(first[0])
+		s.Finish(OutcomeAnswered, true, 2*work)
+	}
+	f.order("v2")
+	f.addTargets("v2", 7)
+	for n := range 2000 {
+		key := fmt.Sprint(n)
+		work := 40 * time.Millisecond
+		if unitHash(key) < testLimits.Share {
+			work *= 5
+		}
+		send(key, work)
+	}
+	d := c.pool(testPool).delivery
+	counts := d.own.newByRoute()[hash32("r")]
+	assert.Assert(t, counts.Timed > 50)
+	assert.Equal(t, counts.Slow, uint32(0))
+}
--- a/pkg/delivery/request.go
+++ b/pkg/delivery/request.go
@@ -31,6 +31,7 @@
 	// coldAllowance is how much longer an engine takes that has no shared part cached.
 	coldAllowance time.Duration
 	compareTime   bool
+	scale         float64 // of times before they are compared
 
 	attempts int
 	delivery *delivery // of the current attempt
@@ -38,12 +39,19 @@
 	reserved bool // allowance for the current attempt
 }
 
+// comparedWork is the work to whose size the times of requests are scaled.
+const comparedWork = 50 * time.Millisecond
+
 // Request describes a request for a Selection.
 type Request struct {
 	Pool, Route string
 	// Key selects the requests that go to a new version: those with the same key do.
 	Key           string
 	ColdAllowance time.Duration
+	// Work is the time that the request is expected to take beside no other; zero if it is
+	// about the same for all requests of the route. Requests with the same key go to the same
+	// version and may all be long, so times are compared in proportion to it.
+	Work time.Duration
 	// IsResumed is set if the caller has a part of the answer, so that its time tells
 	// nothing.
 	IsResumed bool
@@ -54,7 +62,11 @@
 	if c == nil {
 		return nil
 	}
-	return &Selection{controller: c, pool: r.Pool, routeName: r.Route, route: hash32(r.Route), key: unitHash(r.Key), coldAllowance: r.ColdAllowance, compareTime: !r.IsResumed}
+	scale := 1.0
+	if r.Work > 0 {
+		scale = float64(comparedWork) / float64(r.Work)
+	}
+	return &Selection{scale: scale, controller: c, pool: r.Pool, routeName: r.Route, route: hash32(r.Route), key: unitHash(r.Key), coldAllowance: r.ColdAllowance, compareTime: !r.IsResumed}
 }
 
 // Candidates returns the targets for the next attempt: one of first if any of them can take
@@ -177,6 +189,7 @@
 	} else {
 		s.release()
 	}
+	took = time.Duration(float64(took) * s.scale)
 	times := p.timesOf(s.route)
 	p.routes[s.route] = s.routeName
 	if isOld && o == OutcomeAnswered && s.compareTime {
--- a/pkg/delivery/state.go
+++ b/pkg/delivery/state.go
@@ -153,7 +153,7 @@
 	d.finding = Judge(whole, recent, candidates)
 }
 
-// record adds an answer to the own counts.
+// record adds an answer to the own counts. took is scaled by the request's work.
 func (d *delivery) record(s *Selection, o Outcome, now time.Duration, times *answerTimes, took time.Duration) {
 	c := Counts{Answers: 1}
 	if o == OutcomeBroken {
@@ -168,7 +168,7 @@
 	}
 	if limit, ok := times.slowFrom(); ok && (o == OutcomeAnswered || o == OutcomeTimedOut) && s.compareTime {
 		if now-max(d.firstExposedAt, d.movingAt) < warmUpTime {
-			limit += s.coldAllowance
+			limit += time.Duration(float64(s.coldAllowance) * s.scale)
 		}
 		c.Timed = 1
 		if took > limit {
--- a/pkg/relay/delivery.go
+++ b/pkg/relay/delivery.go
@@ -8,6 +8,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/delivery"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 // deliveryRequest describes a request for the selection of software versions. Requests
@@ -21,9 +22,23 @@
 			out.ColdAllowance += time.Duration(part.Tokens) * f.Placer.Params.PrefillPerToken
 		}
 	}
+	if ex.Pool.Kind == tables.PoolEngine {
+		own := r.PromptTokens
+		for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+			own -= part.Tokens
+		}
+		out.Work = minEngineTime + time.Duration(max(0, own))*f.Placer.Params.PrefillPerToken + time.Duration(r.MaxOutputTokens)*decodeTimePerToken
+	}
 	return out
 }
 
+const (
+	// minEngineTime and decodeTimePerToken are about what an engine with few requests takes
+	// for the first token and for each further one.
+	minEngineTime      = 20 * time.Millisecond
+	decodeTimePerToken = 4 * time.Millisecond
+)
+
 // recordForDelivery records the end of an attempt as evidence about the target's version.
 func (f *ForwardFilter) recordForDelivery(ex *Exchange, last *failure, took time.Duration) {
 	if ex.versions == nil {
