pkg/delivery: a request that waits for a target is no repeat

Cause: each call of Candidates counted as an attempt, and a request that waits for room asks several times. Change: attempts count when a target is chosen.

--- a/pkg/delivery/fleet_test.go
+++ b/pkg/delivery/fleet_test.go
@@ -509,3 +509,20 @@
 	assert.Assert(t, counts.Timed > 50)
 	assert.Equal(t, counts.Slow, uint32(0))
 }
+
+// A request that waited for a target, and so asked for candidates several times, counted as
+// a repeat: it was neither exposed nor counted as one of all requests.
+func TestWaitingRequestIsNoRepeat(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.controllers[0]
+	f.order("v2")
+	s := c.Begin(Request{Pool: testPool, Route: "r", Key: "k"})
+	for range 3 {
+		s.Candidates(f.targets)
+		s.Choose(nil)
+	}
+	s.Candidates(f.targets)
+	s.Choose(f.targets[0])
+	s.Finish(OutcomeAnswered, true, time.Millisecond)
+	assert.Equal(t, c.pool(testPool).delivery.allowance, allowance{sent: 1})
+}
--- a/pkg/delivery/request.go
+++ b/pkg/delivery/request.go
@@ -33,7 +33,7 @@
 	compareTime   bool
 	scale         float64 // of times before they are compared
 
-	attempts int
+	attempts int // that were chosen a target for
 	delivery *delivery // of the current attempt
 	target   *target.Target
 	reserved bool // allowance for the current attempt
@@ -70,7 +70,7 @@
 }
 
 // Candidates returns the targets for the next attempt: one of first if any of them can take
-// it, else one of second.
+// it, else one of second. It may be called again while the request waits for a target.
 func (s *Selection) Candidates(all []*target.Target) (first, second []*target.Target) {
 	if s == nil {
 		return all, nil
@@ -82,7 +82,6 @@
 	p := c.pool(s.pool)
 	d := p.delivery
 	s.delivery, s.target = d, nil
-	s.attempts++
 	now := c.Clock.Elapsed()
 	if d == nil || d.phase == PhaseCompleted {
 		return p.usableTargets(all, now), nil
@@ -95,7 +94,7 @@
 		return parts.old, nil
 	case d.hasMoved(now):
 		return parts.new, nil
-	case d.phase == PhaseMoving && s.attempts == 1 && s.key < movingRange(c.share(), now-d.movingAt, d.order.Duration):
+	case d.phase == PhaseMoving && s.attempts == 0 && s.key < movingRange(c.share(), now-d.movingAt, d.order.Duration):
 		return parts.new, parts.old
 	case d.phase == PhaseMoving:
 		return parts.old, parts.new
@@ -107,7 +106,7 @@
 // version, so that repeats stay within the allowance, and only within it.
 func (s *Selection) trialCandidates(d *delivery, parts split) (first, second []*target.Target) {
 	share, slack := s.controller.share(), s.controller.slack(d)
-	if s.attempts > 1 || len(parts.trial) == 0 || d.allowance.left(share, slack) < 1 {
+	if s.attempts > 0 || len(parts.trial) == 0 || d.allowance.left(share, slack) < 1 {
 		return parts.old, nil
 	}
 	isExposed := s.key < d.allowance.exposedRange(share, slack)
@@ -136,6 +135,9 @@
 	s.controller.mu.Lock()
 	defer s.controller.mu.Unlock()
 	s.target = t
+	if t != nil {
+		s.attempts++
+	}
 	if d := s.delivery; d != nil && (t == nil || t.Version != d.order.Version) {
 		s.release()
 	}
