--- a/pkg/delivery/request.go
+++ b/pkg/delivery/request.go
@@ -33,7 +33,7 @@
 	compareTime   bool
 	scale         float64 // of times before they are compared
 
-	attempts int // that were chosen a target for
+	attempts int       // that were chosen a target for
 	delivery *delivery // of the current attempt
 	target   *target.Target
 	reserved bool // allowance for the current attempt
