platform, objectstore: revisions are composed of the store's era and its number

Cause: the store may return from a copy, and then gives out revisions again. Nothing read Store-Era, so a version or position of the lost time passed as one of the present: a watch returned changes of another history, a conditional write replaced another object. Without the header all is as before.

--- a/pkg/objectstore/objectstore.go
+++ b/pkg/objectstore/objectstore.go
@@ -12,7 +12,7 @@
 // MaxValueBytes is the largest size of an object's value.
 const MaxValueBytes = 1 << 20
 
-// Object is a stored value with its version.
+// Object is a stored value with its version, which is composed as Revision says.
 type Object struct {
 	Kind    string `json:"kind"`
 	Name    string `json:"name"`
@@ -46,7 +46,7 @@
 	// Watch waits for changes of a kind after a revision and returns them with the
 	// revision for the next call. It returns no events if there is no change within
 	// the implementation's wait time, and an error of KindCompacted if the revision
-	// is too old.
+	// is too old or of an earlier era than the store's.
 	Watch(ctx context.Context, kind string, after uint64) ([]Event, uint64, error)
 }
 
@@ -117,6 +117,7 @@
 type Error struct {
 	Kind  ErrorKind
 	Call  string // such as "GET /objects/config/main"
+	Era   uint64 // of the store when it answered; 0 if it did not or states none
 	Cause error
 }
 
