pkg/follow: a view enters a new era of the store by a full list only

Cause: after a restore a view could keep objects that the copy does not have, or skip changes whose revisions it had passed: a configuration that was read alone moved the whole view to its revision, and what instances of an earlier era sent counted as completeness. Change: with revisions ordered by era, changes of an earlier era are ignored and single changes of a newer one only require a list. Instances that others feed wait for their list before they read one. StoreHealth logs and counts eras, and a new one counts as the end of an outage.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -39,6 +40,10 @@
 	// peerCheckInterval is the longest time between checks whether other
 	// instances still send the changes to this one.
 	peerCheckInterval = 300 * time.Millisecond
+	// peerListWait is the mean of the random time for which an instance that others feed
+	// waits for their list of a new era before it reads its own, so that a restore of the
+	// store does not make all instances list at once. A reader sends it within a poll.
+	peerListWait = 800 * time.Millisecond
 )
 
 // Follower keeps a view of the objects of one kind and passes them to
@@ -76,6 +81,10 @@
 	recent      []change
 	recentAfter uint64 // recent holds all changes after this revision
 	syncState   SyncState
+	newestEra   uint64 // of the store, as known from it or from another instance
+	// listNotBefore is when this instance lists the objects of a new era itself if others
+	// feed it.
+	listNotBefore time.Duration
 }
 
 // SyncState tells how current a view is.
@@ -130,8 +139,9 @@
 			continue
 		}
 		if objectstore.IsKind(err, objectstore.KindCompacted) {
-			f.Log.Info("the store no longer has the changes after this revision; listing all objects again", "kind", f.Kind, "revision", f.SyncState().Revision)
+			f.Log.Info("the store no longer has the changes after this revision; listing all objects again", "kind", f.Kind, "revision", objectstore.FormatRevision(f.SyncState().Revision))
 			f.requireList()
+			f.learnEra(objectstore.EraOf(err))
 			continue
 		}
 		// A single failed call does not mean that the store is lost: the next one
@@ -156,11 +166,15 @@
 // timeUntilStoreRead returns how long the view stays recent enough without a
 // call to the store. It is zero or negative if the store must be called now.
 func (f *Follower) timeUntilStoreRead() time.Duration {
-	state := f.SyncState()
-	if f.FedByPeer == nil || !state.IsSynced || !f.FedByPeer() {
+	if f.FedByPeer == nil || !f.FedByPeer() {
 		return 0
 	}
-	return f.MaxViewAge - (f.Clock.Elapsed() - state.AsOf)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.syncState.IsSynced {
+		return f.listNotBefore - f.now()
+	}
+	return f.MaxViewAge - (f.now() - f.syncState.AsOf)
 }
 
 // watchContext returns the context of the next watch. If other instances send the changes,
@@ -205,12 +219,18 @@
 }
 
 // Merge applies changes that another instance sent. Changes without a full list
-// are ignored until this follower has one.
+// are ignored until this follower has one. What is of an earlier era than the newest known
+// one proves nothing, and a view enters a new era by a full list only: single changes leave
+// out what the restore has undone.
 func (f *Follower) Merge(c Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !c.SyncState.IsSynced || objectstore.Era(c.SyncState.Revision) < f.newestEra {
+		return
+	}
+	f.recordEra(objectstore.Era(c.SyncState.Revision))
 	switch {
-	case !c.SyncState.IsSynced:
+	case !c.IsFullList && objectstore.Era(f.syncState.Revision) < f.newestEra:
 		return
 	case c.IsFullList:
 		// After requireList the view still has all changes up to its revision.
@@ -238,6 +258,29 @@
 	f.syncState.IsSynced = false
 }
 
+// learnEra is recordEra for callers that do not hold mu.
+func (f *Follower) learnEra(era uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recordEra(era)
+}
+
+// recordEra records an era of the store. If it is newer than the view, the view needs a
+// list. The caller holds mu.
+func (f *Follower) recordEra(era uint64) {
+	if f.StoreHealth != nil {
+		f.StoreHealth.RecordEra(era)
+	}
+	if era <= f.newestEra {
+		return
+	}
+	f.newestEra = era
+	if f.syncState.Revision > 0 {
+		f.syncState.IsSynced = false
+		f.listNotBefore = f.now() + clock.Jitter(peerListWait)
+	}
+}
+
 func (f *Follower) list(ctx context.Context) error {
 	startedAt, before := f.now(), f.SyncState().Revision
 	objects, revision, err := f.Store.List(ctx, f.Kind)
@@ -246,6 +289,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if objectstore.Era(revision) < f.newestEra {
+		return &objectstore.Error{Kind: objectstore.KindUnavailable, Call: "list " + f.Kind, Era: f.newestEra, Cause: errEarlierEra}
+	}
+	f.recordEra(objectstore.Era(revision))
 	// Another instance may have sent a newer list since the call began. Otherwise the
 	// answer of the store holds, also after it was restored to an earlier revision.
 	if revision >= f.syncState.Revision || f.syncState.Revision == before {
@@ -266,8 +313,11 @@
 		completeUntil += f.WatchWait
 	}
 	f.mu.Lock()
-	f.apply(events, revision)
-	f.recordComplete(completeUntil, "")
+	f.recordEra(objectstore.Era(revision))
+	if objectstore.Era(revision) == objectstore.Era(f.syncState.Revision) {
+		f.apply(events, revision)
+		f.recordComplete(completeUntil, "")
+	}
 	f.mu.Unlock()
 	if len(events) > 0 && f.WatchPause != nil {
 		clock.Sleep(ctx, f.WatchPause())
@@ -285,17 +335,30 @@
 // replace sets the view to a full list that an instance sent or, with an empty address,
 // the store. The caller holds mu.
 func (f *Follower) replace(objects []objectstore.Object, revision uint64, from string) {
-	f.Log.Info("full list of objects", "kind", f.Kind, "objects", len(objects), "revision", revision, "revision_before", f.syncState.Revision, "from", from)
+	before := f.objects
 	f.objects = make(map[string]objectstore.Object, len(objects))
 	for _, o := range objects {
 		f.objects[o.Name] = o
 	}
+	f.Log.Info("full list of objects", "kind", f.Kind, "objects", len(objects), "dropped", countMissing(before, f.objects),
+		"revision", objectstore.FormatRevision(revision), "revision_before", objectstore.FormatRevision(f.syncState.Revision), "from", from)
 	f.recent, f.recentAfter = nil, revision
 	f.syncState.IsSynced, f.syncState.Revision = true, revision
 	f.Replace(objects)
 	f.notifyChanged()
 }
 
+// countMissing returns how many objects are missing in a later view.
+func countMissing(before, now map[string]objectstore.Object) int {
+	missing := 0
+	for name := range before {
+		if _, ok := now[name]; !ok {
+			missing++
+		}
+	}
+	return missing
+}
+
 // apply adds changes up to a revision to the view. Those that the view has passed are left
 // out: a response that was delayed must not bring back an object that was deleted since. The
 // caller holds mu.
@@ -334,11 +397,18 @@
 	}
 }
 
+// errEarlierEra means that the store answered from before a restore that is known already.
+var errEarlierEra = errors.New("the answer is of an earlier era of the store")
+
 // StoreHealth tracks whether this process reaches the object store, by its own
-// calls or through other instances. Its methods may be called concurrently.
+// calls or through other instances, and the era of the store. Its methods may be called
+// concurrently.
 type StoreHealth struct {
 	Clock clock.Clock
 	Log   hclog.Logger
+	// OnNewEra is called when the store is found restored; nil means no call. It must not
+	// block.
+	OnNewEra func()
 
 	mu          sync.Mutex
 	lost        bool
@@ -348,6 +418,7 @@
 	recovered   chan struct{}   // closed when the store is reached again; nil while nobody waits
 	lastFailure time.Duration   // of a call of this process
 	loss        chan struct{}   // wakes Probe; nil while it does not run
+	eras        eraHistory
 }
 
 // lossThreshold is how long calls must fail before the store counts as lost. A
