pkg/control: order lease across a restore of the store

Cause: after a restore the lease record is gone or older. Change: the record states its era. In another era it tells nothing: the next holder waits for the lease, the guard and the effects of orders, and takes the composed version that it replaces as its token. A write answered in another era does not hold the lease. In the first era tokens count from 1 as before. After a restore the first ranks check the record, so that the next rollout does not wait.

--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -3,17 +3,22 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/follow"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 )
 
 // kindLease is the kind of lease objects in the store.
 const kindLease = "lease"
 
+// errLeaseRestored means that the store was restored during a write. The lease is not held.
+var errLeaseRestored = errors.New("the store was restored while the lease was written")
+
 // maxEffectMillis is the longest time that a record may state for the effect of actions.
 // One that states more, or less than zero, was not written by an instance.
 const maxEffectMillis = 60_000
@@ -23,7 +28,10 @@
 	Holder   string `json:"holder"` // incarnation of the holder; empty after a release
 	Instance string `json:"instance"`
 	Fence    uint64 `json:"fence"` // fencing token; rises with each new holder
-	Nonce    string `json:"nonce"` // identifies the writer's own write when its response was lost
+	// Era is the era of the store that the writer knew. In another era the record comes from
+	// a copy of the store, or from a write that took effect late.
+	Era   uint64 `json:"era,omitempty"`
+	Nonce string `json:"nonce"` // identifies the writer's own write when its response was lost
 	// Settled is set after a release if no action of the last holder can still have an
 	// effect.
 	Settled bool `json:"settled,omitempty"`
@@ -49,6 +57,11 @@
 	// EffectTime is how long after the last renewal of a holder its actions may have an
 	// effect. Zero means that the lease does not tell holders that act from idle ones.
 	EffectTime time.Duration
+	// StoreHealth knows the eras of the store; nil if it has none.
+	StoreHealth *follow.StoreHealth
+	// FirstStart is set if the whole system starts for the first time, so that no holder
+	// of an earlier era exists.
+	FirstStart bool
 
 	fence        uint64
 	expires      time.Duration // on Clock; zero while not held
@@ -60,11 +73,19 @@
 	mayAct       bool          // see MayAct
 	afterSettled bool          // see AfterSettled
 	continued    bool          // see Continued
+	missing      missingRecord
 	// mustReadFresh is set after a failed write, which may have named an old
 	// version: a stale read could return that version again.
 	mustReadFresh bool
 }
 
+// missingRecord tells in which era of the store the record was missing, and since when.
+type missingRecord struct {
+	isKnown bool
+	era     uint64
+	since   time.Duration
+}
+
 // Held reports whether this instance holds the lease. Call it right before each
 // action that needs the lease.
 func (l *Lease) Held() bool { return l.expires > 0 && l.Clock.Elapsed() < l.expires }
@@ -117,7 +138,7 @@
 func (l *Lease) reconcile(ctx context.Context, acquireSettled bool) error {
 	if l.Held() && l.version > 0 {
 		err := l.write(ctx, leaseRecord{Fence: l.fence}, l.version, l.tookOver)
-		if !objectstore.IsKind(err, objectstore.KindConflict) {
+		if !objectstore.IsKind(err, objectstore.KindConflict) && !objectstore.IsKind(err, objectstore.KindNotFound) {
 			return err
 		}
 	}
@@ -130,12 +151,7 @@
 	l.mustReadFresh = false
 	object, err := l.Store.Get(read, kindLease, l.Name)
 	if objectstore.IsKind(err, objectstore.KindNotFound) {
-		if !acquireSettled {
-			return nil
-		}
-		l.afterSettled, l.continued = true, false
-		l.effectsEnd, l.idle = 0, false
-		return l.write(ctx, leaseRecord{Fence: 1}, 0, false)
+		return l.reconcileMissing(ctx, objectstore.EraOf(err), acquireSettled)
 	}
 	if err != nil {
 		return err
@@ -147,7 +163,10 @@
 	if object.Version != l.version {
 		l.version, l.seenAt = object.Version, l.Clock.Elapsed()
 	}
-	switch {
+	l.missing = missingRecord{}
+	switch era := objectstore.Era(object.Version); {
+	case record.Era != era && (acquireSettled || record.Holder != "" || !record.Settled):
+		return l.acquireAfterUnknown(ctx, l.seenAt, object.Version, nextFence(record, object.Version))
 	case record.Holder == l.Incarnation:
 		// Another fence is that of a write whose response was lost: it was never held.
 		l.continued = record.Fence == l.fence
@@ -171,13 +190,81 @@
 		l.effectsEnd = l.seenAt + l.EffectTime
 	}
 	l.idle = l.EffectTime > 0 && !l.afterSettled
-	return l.write(ctx, leaseRecord{Fence: record.Fence + 1}, object.Version, !isFree)
+	return l.write(ctx, leaseRecord{Fence: nextFence(record, object.Version)}, object.Version, !isFree)
+}
+
+// nextFence returns the fencing token of the holder that replaces a version of the record.
+// It counts in the first era of the store. Later the record may have gone back, and its token
+// with it: the version then is above all tokens that were given out, since it is above the
+// versions that their holders replaced.
+func nextFence(record leaseRecord, version uint64) uint64 {
+	if objectstore.Era(record.Fence) == 0 && record.Era == objectstore.Era(version) {
+		return record.Fence + 1
+	}
+	return max(record.Fence+1, version)
+}
+
+// reconcileMissing acquires a lease that has no record. In the first era of the store nobody
+// has held it; in a later one a restore may have undone the record.
+func (l *Lease) reconcileMissing(ctx context.Context, era uint64, acquireSettled bool) error {
+	l.expires = 0
+	if !l.missing.isKnown || l.missing.era != era {
+		l.missing = missingRecord{isKnown: true, era: era, since: l.eraSeenAt(era)}
+	}
+	switch {
+	case !acquireSettled:
+		return nil
+	case !l.isFirstEra(era):
+		return l.acquireAfterUnknown(ctx, l.missing.since, 0, objectstore.Revision(era, 0))
+	}
+	l.afterSettled, l.continued = true, false
+	l.effectsEnd, l.idle = 0, false
+	return l.write(ctx, leaseRecord{Fence: 1, Era: era}, 0, false)
+}
+
+// isFirstEra reports whether the lease had no holder in an earlier era.
+func (l *Lease) isFirstEra(era uint64) bool {
+	if era == 0 {
+		return true
+	}
+	if l.StoreHealth == nil || !l.FirstStart {
+		return false
+	}
+	first, ok := l.StoreHealth.FirstEra()
+	return ok && first == era
+}
+
+// eraSeenAt returns when this process learned of an era: now if it did not before. Holders of
+// earlier eras have not renewed the lease since then.
+func (l *Lease) eraSeenAt(era uint64) time.Duration {
+	if l.StoreHealth != nil {
+		if at, ok := l.StoreHealth.EraSeenAt(era); ok {
+			return at
+		}
+	}
+	return l.Clock.Elapsed()
+}
+
+// acquireAfterUnknown acquires the lease if the record tells nothing about the last holder,
+// because the store was restored or a late write has replaced the record. A holder may have
+// renewed the lease until since, and its actions may have an effect.
+func (l *Lease) acquireAfterUnknown(ctx context.Context, since time.Duration, version, fence uint64) error {
+	l.expires = 0
+	if l.Clock.Elapsed()-since <= l.Duration+l.Guard {
+		return nil
+	}
+	l.afterSettled, l.continued = false, false
+	l.effectsEnd, l.idle = since+l.EffectTime, l.EffectTime > 0
+	return l.write(ctx, leaseRecord{Fence: fence, Era: objectstore.Era(fence)}, version, true)
 }
 
 // write stores record with this instance as the holder, on condition that the
 // object still has the given version. Version zero creates the object.
 func (l *Lease) write(ctx context.Context, record leaseRecord, version uint64, takeover bool) error {
 	record.Holder, record.Instance, record.Nonce = l.Incarnation, l.Instance, uuid.NewString()
+	if version > 0 {
+		record.Era = objectstore.Era(version)
+	}
 	sentAt := l.Clock.Elapsed()
 	l.stateEffects(&record, sentAt)
 	value, err := json.Marshal(record)
@@ -197,10 +284,18 @@
 		object, err = l.readBack(ctx, record.Nonce, err)
 	}
 	if err != nil {
-		l.mustReadFresh = true
+		if l.mustReadFresh = true; objectstore.EraOf(err) > record.Era {
+			l.expires = 0 // of an earlier era than the store's
+		}
 		return err
 	}
 	l.version, l.seenAt = object.Version, l.Clock.Elapsed()
+	if objectstore.Era(object.Version) != record.Era {
+		// The write took effect after a restore, maybe on the record of another holder
+		// that got the same version.
+		l.expires, l.mustReadFresh = 0, true
+		return errLeaseRestored
+	}
 	l.fence = record.Fence
 	l.expires = sentAt + l.Duration
 	l.mayAct = !record.Idle
@@ -246,7 +341,7 @@
 	}
 	l.expires = 0
 	l.mustReadFresh = true
-	record := leaseRecord{Fence: l.fence, Settled: settled}
+	record := leaseRecord{Fence: l.fence, Era: objectstore.Era(l.version), Settled: settled}
 	l.stateEffects(&record, l.Clock.Elapsed())
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -224,7 +224,7 @@
 	d.rollout = &rollout.Controller{
 		Lease: &control.Lease{
 			Store: p.Store, Clock: d.clock, Name: "orders", Instance: s.Instance, Incarnation: incarnation,
-			Duration: rollout.LeaseDuration, Guard: leaseGuard,
+			Duration: rollout.LeaseDuration, Guard: leaseGuard, StoreHealth: storeHealth, FirstStart: s.FirstStart,
 		},
 		Clock: d.clock, Source: d.targets, Client: p.OrderClient, Holder: s.Instance, HandoverPause: s.OrderHandoverPause, InstanceCount: d.members.LiveCount, FirstStart: s.FirstStart, Rank: func() int { return d.ranking.rank(ordersDuty) }, Log: log,
 	}
--- a/pkg/follow/era.go
+++ b/pkg/follow/era.go
@@ -1,10 +1,13 @@
 package follow
 
+import "time"
+
 // eraHistory is what a process knows of the eras of the store.
 type eraHistory struct {
 	isKnown       bool
 	first, newest uint64
-	restores      int // rises that this process has seen
+	newestSeenAt  time.Duration // on the clock of StoreHealth
+	restores      int           // rises that this process has seen
 }
 
 // RecordEra records an era of the store that an answer or another instance stated. A rise
@@ -22,14 +25,15 @@
 	before := h.eras.newest
 	switch {
 	case !h.eras.isKnown:
-		h.eras = eraHistory{isKnown: true, first: era, newest: era}
+		h.eras = eraHistory{isKnown: true, first: era, newest: era, newestSeenAt: h.Clock.Elapsed()}
 		return false
 	case era <= before:
 		return false
 	}
 	h.eras.newest = era
 	h.eras.restores++
-	h.recoveredAt = h.Clock.Elapsed()
+	h.eras.newestSeenAt = h.Clock.Elapsed()
+	h.recoveredAt = h.eras.newestSeenAt
 	h.Log.Warn("the store was restored from a copy; what it acknowledged since the copy is lost", "era", era, "before", before)
 	return true
 }
@@ -41,6 +45,13 @@
 	return h.eras.newest, h.eras.isKnown
 }
 
+// EraSeenAt returns when this process first knew that an era had begun, and whether it does.
+func (h *StoreHealth) EraSeenAt(era uint64) (at time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.eras.newestSeenAt, h.eras.isKnown && h.eras.newest == era
+}
+
 // FirstEra returns the era of the store at the start of this process, and whether it is
 // known.
 func (h *StoreHealth) FirstEra() (era uint64, ok bool) {
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -133,7 +133,8 @@
 	outdatedCount int
 	outdatedSince time.Duration // zero while no engine is outdated
 	progressAt    time.Duration // when one engine less was outdated, or outdatedSince
-	lastOutdated  time.Duration // when an engine last was outdated, or the start
+	lastOutdated  time.Duration // when an engine last was outdated, or the start, or a restore of the store was found
+	restores      int           // of the store, as counted at the last check
 	settledFrom   time.Duration // from when no order can still have an effect, while none is sent
 }
 
@@ -256,6 +257,11 @@
 			r.lastOutdated = now - lingerTime
 		}
 	}
+	// After a restore the record of the lease may name a holder of the lost time. If it is
+	// checked now, the next rollout need not wait for that one.
+	if r.Lease.StoreHealth != nil && r.Lease.StoreHealth.Restores() > r.restores {
+		r.lastOutdated, r.restores = now, r.Lease.StoreHealth.Restores()
+	}
 	r.outdatedCount = outdated
 }
 
