pkg/state, pkg/feed: the configuration does not go back with a restored store

Cause: a restored store shows an older configuration under a newer revision, and instances took it: withdrawn keys worked again. A process that started then had nothing else. Change: revisions order configurations within an era, the operators' generation between eras. Proofs between instances carry the generation. A process that starts with a store with eras asks other instances for a newer configuration (store.configuration) before one is in force, for 1.5 s at most; all ask after a restore, and when a reader has a newer one.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -151,6 +151,7 @@
 	targetConns      *targetconn.Pool
 	responseMemory   *memlimit.Budget
 	placer           *placement.Placer
+	restored         chan struct{} // the store was found restored from a copy
 	metrics          *expvar.Map
 	requestLog       *relay.RequestLog
 	storeCalls       relay.LatencyHistograms
@@ -172,7 +173,7 @@
 // settings and must allow concurrent calls.
 func New(settings func() *Settings, p Platform, log hclog.Logger) *Daemon {
 	s := settings()
-	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init(), listen: net.Listen}
+	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init(), listen: net.Listen, restored: make(chan struct{}, 1)}
 	d.startedAt = d.clock.Elapsed()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
@@ -217,6 +218,9 @@
 		FedByPeer: d.feed.FedByPeer, OnStoreChange: d.feed.NotifyChanged, WatchWait: p.WatchWait(p.ConfigurationKind),
 	}
 	d.feed.Proofs = d.configuration
+	d.feed.Configurations = &feed.ConfigurationExchange{Keeper: d.configuration, Client: d.peerEndpoint, Sources: d.ranking.changeSources, Log: log}
+	d.configuration.AwaitsOthers = !s.FirstStart && s.ExchangeListen != ""
+	storeHealth.OnNewEra = d.notifyRestored
 	d.feed.Followers = map[string]*follow.Follower{
 		p.ConfigurationKind: d.configuration.Follower(), p.TargetKind: d.targets.Follower(), p.WeightsKind: d.weights.Follower(),
 	}
@@ -424,7 +428,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.compareConfigurations, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -157,9 +157,19 @@
 	return peer.StoreChanges.Call(ctx, transport, address, body)
 }
 
-// handleChanges registers the handler for requests for changes in the store.
+// FetchConfiguration implements feed.ConfigurationClient.
+func (x *peerEndpoint) FetchConfiguration(ctx context.Context, address string, body peer.ConfigurationBody) (peer.ConfigurationResponse, error) {
+	transport := x.transport.Load()
+	if transport == nil {
+		return peer.ConfigurationResponse{}, errNoAuthority
+	}
+	return peer.NewerConfiguration.Call(ctx, transport, address, body)
+}
+
+// handleChanges registers the handlers for requests for changes in the store.
 func (x *peerEndpoint) handleChanges(f *feed.Feed) {
 	peer.StoreChanges.Handle(x.registry, f.ServeChanges)
+	peer.NewerConfiguration.Handle(x.registry, f.Configurations.Serve)
 }
 
 // dutyRanking ranks the instances for each duty and caches the rankings until the
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -153,7 +153,7 @@
 	for _, o := range objects {
 		var q storedQuarantine
 		if err := json.Unmarshal(o.Value, &q); err != nil {
-			k.log.Warn("a stored quarantine cannot be decoded and is ignored", "name", o.Name, "revision", o.Version, "cause", err)
+			k.log.Warn("a stored quarantine cannot be decoded and is ignored", "name", o.Name, "revision", objectstore.FormatRevision(o.Version), "cause", err)
 			continue
 		}
 		k.addStored(o, q)
--- /dev/null
+++ b/pkg/daemon/restore.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
+)
+
+const (
+	// compareTimeout bounds how long a process that starts waits to ask other instances for
+	// a newer configuration than that of the store. They are usually known and reached
+	// within a few hundred milliseconds.
+	compareTimeout = 1500 * time.Millisecond
+	// compareCheckInterval is the time between checks whether others are known.
+	compareCheckInterval = 20 * time.Millisecond
+	// restoredAskDelay is the mean delay of the request for newer configurations after a
+	// restore of the store, so that not all instances ask at the same moment.
+	restoredAskDelay = 200 * time.Millisecond
+)
+
+// notifyRestored wakes compareConfigurations.
+func (d *Daemon) notifyRestored() {
+	select {
+	case d.restored <- struct{}{}:
+	default:
+	}
+}
+
+// compareConfigurations asks other instances for a newer configuration than that of the store,
+// at the start before one is in force, and after each restore of the store, until ctx ends.
+func (d *Daemon) compareConfigurations(ctx context.Context) {
+	if d.configuration.AwaitsOthers && d.awaitOthers(ctx) {
+		d.feed.Configurations.AskOthers(ctx)
+	}
+	d.configuration.ComparedWithOthers()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.restored:
+		}
+		clock.Sleep(ctx, clock.Jitter(restoredAskDelay))
+		d.feed.Configurations.AskOthers(ctx)
+	}
+}
+
+// awaitOthers waits until other instances are known and can be asked. It returns false if the
+// store has no eras or they are not known in time.
+func (d *Daemon) awaitOthers(ctx context.Context) bool {
+	for d.clock.Elapsed()-d.startedAt < compareTimeout {
+		if era, ok := d.storeHealth.Era(); ok && era == 0 {
+			return false
+		}
+		if d.peerEndpoint.canExchange() && len(d.ranking.changeSources().Addresses) > 0 {
+			return true
+		}
+		if !clock.Sleep(ctx, compareCheckInterval) {
+			return false
+		}
+	}
+	return false
+}
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -52,11 +52,12 @@
 // configuration is. A proof is a read of the store that showed that a revision
 // is the newest.
 type ConfigurationProofs interface {
-	// Proof returns the revision in force and the time since its last proof. ok
-	// is false before the first configuration.
-	Proof() (revision uint64, age time.Duration, ok bool)
-	// Confirm records a proof of a revision. at is its time since boot.
-	Confirm(revision uint64, at time.Duration)
+	// Proof returns the revision and the generation in force and the time since their
+	// last proof. ok is false before the first configuration.
+	Proof() (revision, generation uint64, age time.Duration, ok bool)
+	// Confirm records a proof of a revision with its generation. at is its time since
+	// boot.
+	Confirm(revision, generation uint64, at time.Duration)
 }
 
 // CacheDirectories gives access to the directories of cached prompt parts, one
@@ -90,6 +91,7 @@
 	Followers        map[string]*follow.Follower
 	CacheDirectories CacheDirectories // nil if there are no cache stores
 	Proofs           ConfigurationProofs
+	Configurations   *ConfigurationExchange // nil if the store has no eras
 	StoreHealth      *follow.StoreHealth
 	// Sources returns the instances from which this one gets changes.
 	Sources func() Sources
@@ -272,7 +274,8 @@
 		}
 	}
 	if response.ConfigurationRevision > 0 {
-		f.Proofs.Confirm(response.ConfigurationRevision, requestedAt-fromMillis(response.ConfigurationAgeMillis))
+		f.Configurations.fetchIfNewer(ctx, reader, response)
+		f.Proofs.Confirm(response.ConfigurationRevision, response.ConfigurationGeneration, requestedAt-fromMillis(response.ConfigurationAgeMillis))
 	}
 	f.mergeCacheChanges(response.Caches, requestedAt)
 	f.readerKnown.Store(f.readerKnown.Load() || f.allSynced())
@@ -365,8 +368,8 @@
 		hasChanges = hasChanges || changes.IsFullList || len(changes.Events) > 0
 		response.Kinds[kind] = encodeChanges(changes, now)
 	}
-	if revision, age, ok := f.Proofs.Proof(); ok {
-		response.ConfigurationRevision, response.ConfigurationAgeMillis = revision, ceilMillis(age)
+	if revision, generation, age, ok := f.Proofs.Proof(); ok {
+		response.ConfigurationRevision, response.ConfigurationGeneration, response.ConfigurationAgeMillis = revision, generation, ceilMillis(age)
 	}
 	response.Caches = f.cacheChanges(body.CachePositions)
 	response.StoreUnreachable = f.StoreHealth.IsLost()
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -93,13 +93,13 @@
 	at       time.Duration
 }
 
-func (p *fakeProofs) Proof() (uint64, time.Duration, bool) {
+func (p *fakeProofs) Proof() (revision, generation uint64, age time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.revision, p.clock.Elapsed() - p.at, p.revision > 0
+	return p.revision, p.revision, p.clock.Elapsed() - p.at, p.revision > 0
 }
 
-func (p *fakeProofs) Confirm(revision uint64, at time.Duration) {
+func (p *fakeProofs) Confirm(revision, _ uint64, at time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.revision >= revision {
@@ -351,14 +351,14 @@
 	f.instances[0].proofs.set(7, provedAt)
 	f.instances[1].proofs.set(7, 0)
 	time.Sleep(time.Second)
-	_, age, _ := f.instances[1].proofs.Proof()
+	_, _, age, _ := f.instances[1].proofs.Proof()
 	assert.Assert(t, age < 100*time.Second, "the proof did not reach the second instance")
 	assert.Assert(t, system.Elapsed()-age <= provedAt+time.Millisecond, "the age of the proof is %v, less than the age at the reader, %v", age, system.Elapsed()-provedAt)
 
 	f.instances[0].proofs.set(8, system.Elapsed())
 	f.instances[1].proofs.set(7, 0)
 	time.Sleep(time.Second)
-	_, age, _ = f.instances[1].proofs.Proof()
+	_, _, age, _ = f.instances[1].proofs.Proof()
 	assert.Assert(t, age > time.Second, "the proof of revision 8 was applied to revision 7")
 }
 
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -38,6 +38,9 @@
 	// to be the newest ConfigurationAgeMillis ago; zero without proof.
 	ConfigurationRevision  uint64 `cbor:"configuration_revision"`
 	ConfigurationAgeMillis int64  `cbor:"configuration_age_ms"`
+	// ConfigurationGeneration is its generation, which orders configurations across
+	// restores of the store.
+	ConfigurationGeneration uint64 `cbor:"configuration_generation,omitempty"`
 	// StoreUnreachable reports that the instance does not reach the store now.
 	StoreUnreachable bool `cbor:"store_lost"`
 	// StoreWasUnreachable reports that the instance has seen an outage of the store end
@@ -83,3 +86,20 @@
 // StoreChanges reads the changes of the store from another instance, so that not
 // every instance has to read the store.
 var StoreChanges = &Message[StoreChangesBody, StoreChangesResponse]{Request: "store.changes", Response: "store.changes.answer", Timeout: storeChangesTimeout}
+
+// ConfigurationBody requests the configuration that the peer has in force, if it is newer.
+type ConfigurationBody struct {
+	Generation uint64 `cbor:"generation"` // in force at the sender; zero: none
+}
+
+// ConfigurationResponse holds the configuration in force. It is empty if that is not newer
+// than the one of the sender.
+type ConfigurationResponse struct {
+	Generation uint64 `cbor:"generation"`
+	Revision   uint64 `cbor:"revision"`
+	Value      []byte `cbor:"value"`
+}
+
+// NewerConfiguration reads the configuration that another instance has in force: a store that
+// was restored from a copy may not have it any more.
+var NewerConfiguration = &Message[ConfigurationBody, ConfigurationResponse]{Request: "store.configuration", Response: "store.configuration.answer", Timeout: storeChangesTimeout}
--- a/pkg/relay/requestlog.go
+++ b/pkg/relay/requestlog.go
@@ -10,6 +10,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
+	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/placement"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
@@ -146,7 +147,7 @@
 	if !isOld && t.MissingSince == 0 || last > 0 && now-time.Duration(last) < doubtfulSendInterval || !l.doubtfulSendAt.CompareAndSwap(last, int64(now)) {
 		return
 	}
-	args := []any{"request_id", ex.Metadata.ID, "target", t.ID, "attempt", ex.Attempts, "list_age", list.Age, "list_revision", list.Revision, "list_from", list.From}
+	args := []any{"request_id", ex.Metadata.ID, "target", t.ID, "attempt", ex.Attempts, "list_age", list.Age, "list_revision", objectstore.FormatRevision(list.Revision), "list_from", list.From}
 	if t.MissingSince > 0 {
 		args = append(args, "missing_for", now-t.MissingSince)
 	}
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -60,11 +60,19 @@
 	OnStoreChange func()
 	// WatchWait is how long the store holds a watch without changes.
 	WatchWait time.Duration
+	// AwaitsOthers holds the first configuration back until ComparedWithOthers: a store that
+	// was restored may show an older one than other instances have in force. It has no effect
+	// with a store without eras.
+	AwaitsOthers bool
 
 	once     sync.Once
 	follower *follow.Follower
 	mu       sync.Mutex
 	revision uint64
+	value    []byte // of the configuration in force
+	held     objectstore.Object
+	compared bool // see AwaitsOthers
+	older    olderShown
 	snapshot atomic.Pointer[tables.Snapshot]
 	provenAt atomic.Int64 // boot time at the start of the last read that proved freshness; 0 if none
 }
@@ -83,6 +91,10 @@
 // read.
 func (c *Configuration) Run(ctx context.Context) {
 	for failed := 0; ctx.Err() == nil; {
+		if c.IsHeld() {
+			clock.Sleep(ctx, heldCheckInterval)
+			continue
+		}
 		if left := c.ProofInterval() - c.ProofAge(); c.provenAt.Load() > 0 && left > 0 {
 			clock.Sleep(ctx, min(left, proofCheckInterval))
 			continue
@@ -133,21 +145,21 @@
 	return c.follower
 }
 
-// Proof returns the revision in force, the age of the last proof that it is the
-// newest, and whether there was such a proof.
-func (c *Configuration) Proof() (revision uint64, age time.Duration, ok bool) {
+// Proof returns the revision and the generation in force, the age of the last proof that
+// they are the newest, and whether there was such a proof.
+func (c *Configuration) Proof() (revision, generation uint64, age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision, c.ProofAge(), c.provenAt.Load() > 0
+	return c.revision, c.generation(), c.ProofAge(), c.provenAt.Load() > 0
 }
 
-// Confirm records the proof of another instance: revision was the newest one at
-// the given boot time of this instance. It has no effect if this instance has an
-// older revision in force.
-func (c *Configuration) Confirm(revision uint64, at time.Duration) {
+// Confirm records the proof of another instance: the revision with the generation was the
+// newest one at the given boot time of this instance. It has no effect if this instance has
+// an older configuration in force.
+func (c *Configuration) Confirm(revision, generation uint64, at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.revision >= revision && revision > 0 {
+	if revision > 0 && c.revision > 0 && c.isProvenBy(revision, generation) {
 		c.recordProof(at)
 	}
 }
@@ -185,6 +197,11 @@
 	if !c.applyIfNewer(object) {
 		return false
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if objectstore.Era(object.Version) > objectstore.Era(c.revision) && !c.older.proves(objectstore.Era(object.Version), c.Clock.Elapsed()) {
+		return false
+	}
 	c.recordProof(started)
 	return true
 }
@@ -197,21 +214,27 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if object.Version <= c.revision {
+	isSameEra := objectstore.Era(object.Version) == objectstore.Era(c.revision)
+	if isSameEra && object.Version <= c.revision {
 		return true
 	}
+	if c.mustHold(object) {
+		c.held = object
+		return false
+	}
 	snapshot, err := c.Parse(object.Value)
 	if err != nil {
-		c.Log.Error("configuration cannot be read; the one before stays in force", "revision", object.Version, "cause", err)
+		c.Log.Error("configuration cannot be read; the one before stays in force", "revision", objectstore.FormatRevision(object.Version), "cause", err)
 		return false
 	}
-	before := uint64(0)
-	if old := c.snapshot.Load(); old != nil {
-		before = old.Generation
+	before := c.generation()
+	if c.revision > 0 && !isSameEra && snapshot.Generation <= before {
+		c.compareEras(object, snapshot.Generation)
+		return true
 	}
-	c.revision = object.Version
+	c.revision, c.value, c.older = object.Version, object.Value, olderShown{}
 	c.snapshot.Store(snapshot)
-	c.Log.Info("configuration in force", "version", snapshot.Generation, "before", before, "revision", object.Version,
+	c.Log.Info("configuration in force", "version", snapshot.Generation, "before", before, "revision", objectstore.FormatRevision(object.Version),
 		"routes", len(snapshot.Tables.Routes), "organisations", len(snapshot.Tables.Organisations))
 	if c.OnApplied != nil {
 		c.OnApplied(snapshot)
--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -293,7 +293,7 @@
 		member := Member{}
 		if err := json.Unmarshal(o.Value, &member); err != nil {
 			// The instance still counts: it may run a newer program version.
-			m.Log.Warn("instance entry cannot be decoded; the instance is counted without its addresses", "instance", o.Name, "revision", o.Version, "cause", err)
+			m.Log.Warn("instance entry cannot be decoded; the instance is counted without its addresses", "instance", o.Name, "revision", objectstore.FormatRevision(o.Version), "cause", err)
 		}
 		member.Name = o.Name
 		m.dropInvalidAddresses(&member)
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -194,7 +194,7 @@
 		}
 	}
 	if err != nil {
-		t.Log.Warn("entry of the target list cannot be decoded; its target is not used", "entry", o.Name, "revision", o.Version, "cause", err)
+		t.Log.Warn("entry of the target list cannot be decoded; its target is not used", "entry", o.Name, "revision", objectstore.FormatRevision(o.Version), "cause", err)
 		t.entries[o.Name] = &entry{revision: o.Version}
 		return
 	}
--- a/pkg/state/weights.go
+++ b/pkg/state/weights.go
@@ -72,7 +72,7 @@
 func (w *WeightsWatcher) announce(o objectstore.Object) {
 	model, version, err := w.Parse(o.Value)
 	if err != nil {
-		w.Log.Warn("announcement of weights cannot be decoded and is ignored", "entry", o.Name, "revision", o.Version, "cause", err)
+		w.Log.Warn("announcement of weights cannot be decoded and is ignored", "entry", o.Name, "revision", objectstore.FormatRevision(o.Version), "cause", err)
 		return
 	}
 	before := w.follower.CompleteUntil()
