test/soak: the store is restored from a copy up to three seconds old

The fault takes the store away for up to 0.5 s, restores it, and lets operators and targets write again within 0.5 s, so that a lost revocation is back before its limit. The existing checks are unchanged; a new one finds tokens that two routers ordered under.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -64,6 +64,7 @@
 	logDir       string
 
 	mu          sync.Mutex
+	copies      []platformtest.Copy  // of the store, one for each copyInterval, the newest last
 	lastVersion int                  // of configurations and weights
 	revokedKeys map[string]time.Time // by key: when it was revoked
 	activeKeys  []string
@@ -134,6 +135,7 @@
 func startFleet(t *testing.T, binary string, routers, targets int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, binary: binary, store: platformtest.NewStore(), revokedKeys: make(map[string]time.Time), logDir: logDirectory(t)}
+	f.store.SetEra(1)
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	for i := range targets {
@@ -147,6 +149,7 @@
 		f.writeEntry(e)
 	}
 	f.startHeartbeats()
+	f.startCopies()
 	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": 1})
 	f.addKey()
 	f.addKey()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -230,6 +230,7 @@
 			f.store.SetFailure(func(*http.Request) int { return http.StatusServiceUnavailable })
 			return func() { f.store.SetFailure(nil) }
 		}},
+		{name: "store restored", begin: func(r *rand.Rand) func() { return f.restoreStore(r) }},
 		{name: "store history compacted", begin: func(*rand.Rand) func() { f.store.Compact(); return func() {} }},
 		{name: "key revoked", planned: true, begin: func(*rand.Rand) func() { f.revokeKey(); return func() {} }},
 		{name: "weight version changed", planned: true, begin: func(r *rand.Rand) func() {
@@ -444,6 +445,7 @@
 		c.t.Error("no request was served")
 	}
 	c.checkRateLimit(limitedRuns)
+	c.checkOrderTokens()
 }
 
 // checkLeavingInResponses checks that each router process sent a target that says that
