pkg/state: instances whose entries a restore has undone still count

Cause: the others left such an instance out at once and each took a larger part of the limits; its own entry came back with the second heartbeat after, and entries of instances that had ended looked renewed by their new versions. Change: entries that are missing in a new era count until they would have expired, only a higher number counts as a heartbeat across eras, and a lost own entry is written right after the read.

--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,7 +82,8 @@
 	lastChanges     map[string]lastChange
 	version         uint64 // of the own entry; 0 if it has to be read first
 	heartbeat       uint64
-	lastWriteFailed bool // then the next read is followed by a heartbeat
+	era             uint64 // of the store at the last read
+	lastWriteFailed bool   // then the next read is followed by a heartbeat
 	exchangeAddress atomic.Pointer[string]
 	addressChanged  chan struct{}
 	liveCount       atomic.Int64
@@ -104,6 +106,8 @@
 type lastChange struct {
 	version uint64
 	at      time.Duration
+	member  Member
+	isLost  bool // missing since the store was restored from a copy
 }
 
 // KnownCount returns the number of live instances, or zero before the first list.
@@ -209,12 +213,34 @@
 }
 
 func (m *Members) readEntries(ctx context.Context) {
-	objects, _, err := m.Store.List(objectstore.AllowStale(ctx), kindMembers)
+	objects, revision, err := m.Store.List(objectstore.AllowStale(ctx), kindMembers)
 	if err != nil {
 		m.Log.Debug("instance entries not read; the previous list is used", "cause", err)
 		return
 	}
+	isRestored := m.recordEra(objectstore.Era(revision))
 	m.updateList(objects)
+	isListed := slices.ContainsFunc(objects, func(o objectstore.Object) bool { return o.Name == m.Self.Name })
+	if isRestored && !isListed {
+		m.writeAndLog(ctx)
+	}
+}
+
+// recordEra records the era of the store. It reports whether the store was restored from a
+// copy since the last read; the instances that it does not list then still run.
+func (m *Members) recordEra(era uint64) (isRestored bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isRestored = era > m.era && m.lastChanges != nil
+	if m.era = era; !isRestored {
+		return false
+	}
+	for name, change := range m.lastChanges {
+		change.isLost = true
+		m.lastChanges[name] = change
+	}
+	m.version = 0 // the own entry has to be read first
+	return true
 }
 
 func (m *Members) writeOwnEntry(ctx context.Context) error {
@@ -270,6 +296,15 @@
 	}
 }
 
+// isHeartbeat reports whether an entry was written between two reads of its version. After a
+// restore of the store each entry has another version, also those of instances that have ended.
+func isHeartbeat(version, before uint64) bool {
+	if objectstore.Era(version) == objectstore.Era(before) {
+		return version != before
+	}
+	return objectstore.Number(version) > objectstore.Number(before)
+}
+
 // updateList replaces the list with the entries that have not expired. An entry
 // expires when its version has not changed for memberExpiry on the own clock, so
 // clock skew between instances has no effect.
@@ -284,10 +319,13 @@
 	listed := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		listed[o.Name] = true
-		if known, ok := m.lastChanges[o.Name]; !ok || o.Version != known.version {
-			m.lastChanges[o.Name] = lastChange{o.Version, now}
+		change, isKnown := m.lastChanges[o.Name]
+		if !isKnown || isHeartbeat(o.Version, change.version) {
+			change.at = now
 		}
-		if now-m.lastChanges[o.Name].at >= expiry {
+		change.version = o.Version
+		m.lastChanges[o.Name] = change
+		if now-change.at >= expiry {
 			continue
 		}
 		member := Member{}
@@ -297,10 +335,16 @@
 		}
 		member.Name = o.Name
 		m.dropInvalidAddresses(&member)
+		change.member, change.isLost = member, false
+		m.lastChanges[o.Name] = change
 		members = append(members, member)
 	}
-	for name := range m.lastChanges {
-		if !listed[name] {
+	for name, change := range m.lastChanges {
+		switch {
+		case listed[name]:
+		case change.isLost && now-change.at < expiry && change.member.Name != "":
+			members = append(members, change.member)
+		default:
 			delete(m.lastChanges, name)
 		}
 	}
