pkg/state: targets do not go back with a restored store

Cause: a restored store shows entries again whose targets have gone, and older weights of others; targets that registered in the lost seconds were dropped until they wrote again.

--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -55,6 +55,7 @@
 	// holds also for an entry that returns. Only another incarnation, which has
 	// another key, ends it.
 	left    map[string]time.Duration
+	removed map[string]removedEntry // by ID: entries that were removed a short time ago
 	weights weightsHistory
 	current atomic.Pointer[targetView]
 }
@@ -68,6 +69,7 @@
 	reportedVersion string        // weights that the target reported; "" unless newer than the listed ones
 	expiredVersion  string        // weights that were logged as no longer used
 	lapsedAt        time.Duration // boot time at which it was first missing
+	withheld        *withheldEntry
 }
 
 // targetView is an immutable list of the targets in use.
@@ -198,6 +200,10 @@
 		t.entries[o.Name] = &entry{revision: o.Version}
 		return
 	}
+	if (e == nil || e.withheld != nil) && t.isFromCopy(o, parsed.Key()) {
+		t.withhold(o)
+		return
+	}
 	next := &entry{target: parsed, revision: o.Version}
 	if e != nil && e.target != nil && e.target.Incarnation == parsed.Incarnation {
 		parsed.Live = e.target.Live
@@ -209,6 +215,10 @@
 		if e.reportedVersion != "" && target.IsNewerVersion(e.reportedVersion, parsed.WeightVersion) {
 			next.reportedVersion = e.reportedVersion
 		}
+		// The entry that a restored store shows may be older than the loaded weights.
+		if isOtherEra := objectstore.Era(o.Version) != objectstore.Era(e.revision); isOtherEra && next.reportedVersion == "" && target.IsNewerVersion(e.target.WeightVersion, parsed.WeightVersion) {
+			next.reportedVersion = e.target.WeightVersion
+		}
 		t.logChange(e.target, parsed)
 	} else {
 		parsed.Live = &target.LiveState{}
@@ -234,7 +244,7 @@
 		t.Log.Info("target missing after an outage of the store; kept until its entry had time to return", append([]any{"target", id}, t.StoreHealth.Evidence()...)...)
 		return
 	}
-	delete(t.entries, id)
+	t.remove(id, e)
 	t.Log.Info("target gone", "target", id)
 }
 
@@ -249,13 +259,14 @@
 			t.logExpired(pool, targets)
 		}
 	}
+	t.releaseWithheld()
 	if t.StoreHealth.UnavailableWithin(lapsedGrace) {
 		return
 	}
 	needsPublish := false
 	for id, e := range t.entries {
 		if e.lapsed {
-			delete(t.entries, id)
+			t.remove(id, e)
 			needsPublish = true
 			t.Log.Info("target gone", "target", id, "missing_for", t.Clock.Elapsed()-e.lapsedAt)
 		}
