--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,12 +38,28 @@
 	events  []objectstore.Event
 	changed chan struct{}
 	calls   atomic.Int64
+	lists   atomic.Int64 // of the calls
+	era     uint64
+}
+
+// restore takes the last changes back and begins the next era.
+func (s *fakeStore) restore(lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.events = slices.Clone(s.events[:len(s.events)-lost])
+	for i := range s.events {
+		s.events[i].Revision = objectstore.Revision(s.era, uint64(i+1))
+		s.events[i].Object.Version = s.events[i].Revision
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) put(name, value string, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision := uint64(len(s.events) + 1)
+	revision := objectstore.Revision(s.era, uint64(len(s.events)+1))
 	s.events = append(s.events, objectstore.Event{Object: objectstore.Object{Kind: kind, Name: name, Version: revision, Value: []byte(value)}, Deleted: deleted, Revision: revision})
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -50,6 +67,7 @@
 
 func (s *fakeStore) List(context.Context, string) ([]objectstore.Object, uint64, error) {
 	s.calls.Add(1)
+	s.lists.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects := make(map[string]objectstore.Object)
@@ -63,14 +81,14 @@
 	for _, o := range objects {
 		list = append(list, o)
 	}
-	return list, uint64(len(s.events)), nil
+	return list, objectstore.Revision(s.era, uint64(len(s.events))), nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after uint64) ([]objectstore.Event, uint64, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	changed := s.changed
-	known := uint64(len(s.events))
+	known := objectstore.Revision(s.era, uint64(len(s.events)))
 	s.mu.Unlock()
 	if known <= after {
 		select {
@@ -82,7 +100,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]objectstore.Event(nil), s.events[after:]...), uint64(len(s.events)), nil
+	if objectstore.Era(after) != s.era {
+		return nil, 0, &objectstore.Error{Kind: objectstore.KindCompacted, Era: s.era, Cause: errors.New("restored")}
+	}
+	return append([]objectstore.Event(nil), s.events[objectstore.Number(after):]...), objectstore.Revision(s.era, uint64(len(s.events))), nil
 }
 
 // fakeProofs is the proof of the configuration of one instance.
