test/soak: the drill loses a revocation and named weights

Cause: a copy from a random moment seldom lost anything that matters. Change: the drill copies the store, revokes a key and names weights, restores the copy and writes both again within 1.5 s. A new check: a router process that has refused a revoked key lets no later request with it run.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -47,6 +47,8 @@
 	firstPort     int // of its port range
 	logFile       string
 
+	starts atomic.Int64 // of the process
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{} // closed when the process has exited
@@ -62,9 +64,9 @@
 	// routerStarts counts the router processes.
 	routerStarts atomic.Int64
 	logDir       string
+	restoring    sync.Mutex // held during a restore of the store
 
 	mu          sync.Mutex
-	copies      []platformtest.Copy  // of the store, one for each copyInterval, the newest last
 	lastVersion int                  // of configurations and weights
 	revokedKeys map[string]time.Time // by key: when it was revoked
 	activeKeys  []string
@@ -149,7 +151,6 @@
 		f.writeEntry(e)
 	}
 	f.startHeartbeats()
-	f.startCopies()
 	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": 1})
 	f.addKey()
 	f.addKey()
@@ -202,6 +203,7 @@
 // startRouter starts the process of a router and does not wait until it is ready.
 func (f *fleet) startRouter(x *router) {
 	f.routerStarts.Add(1)
+	x.starts.Add(1)
 	log, err := os.OpenFile(x.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(f.t, err)
 	cmd := exec.Command(f.binary, "edge", "--node-file", x.settingsFile)
@@ -333,6 +335,14 @@
 	f.revokedKeys[old] = time.Now()
 }
 
+// nameWeights names new weights.
+func (f *fleet) nameWeights() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastVersion++
+	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": f.lastVersion})
+}
+
 // revokedAt returns when a key was revoked, and whether it was.
 func (f *fleet) revokedAt(key string) (time.Time, bool) {
 	f.mu.Lock()
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -4,57 +4,36 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 )
 
-// A restore of the store goes back by copyAgeLimit at most and the operators write again
-// within rewriteLimit. With the time for which the store is away, a lost revocation is in
+// A restore undoes what happened since a copy that was made up to copyAgeLimit before the store
+// goes away, and operators and targets write again within rewriteLimit. A lost revocation is in
 // the store again before its limit, whatever the routers do.
 const (
-	copyInterval = 250 * time.Millisecond
-	copyAgeLimit = 3 * time.Second
+	copyAgeLimit = 1500 * time.Millisecond
 	awayLimit    = 500 * time.Millisecond
-	rewriteLimit = 500 * time.Millisecond
+	rewriteLimit = 1500 * time.Millisecond
 )
 
-// startCopies copies the store every copyInterval until the test ends.
-func (f *fleet) startCopies() {
-	done := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(copyInterval):
-			}
-			f.mu.Lock()
-			f.copies = append(f.copies, f.store.Copy())
-			f.copies = f.copies[max(0, len(f.copies)-int(copyAgeLimit/copyInterval)):]
-			f.mu.Unlock()
-		}
-	})
-	f.t.Cleanup(func() { close(done); group.Wait() })
-}
-
-// restoreStore takes the store away and restores it from a copy, after which operators and
-// targets write again what was lost. The result waits for them.
+// restoreStore copies the store, lets operators revoke a key and name weights, takes the store
+// away and restores it from the copy. Operators and targets then write again what was lost. The
+// result waits for them.
 func (f *fleet) restoreStore(r *rand.Rand) (end func()) {
-	away, rewrite := time.Duration(r.Int64N(int64(awayLimit))), time.Duration(r.Int64N(int64(rewriteLimit)))
-	pick := r.Float64()
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
+	age, away, rewrite := upTo(copyAgeLimit), upTo(awayLimit), upTo(rewriteLimit)
 	done := make(chan struct{})
+	f.restoring.Lock() // one drill at a time
 	go func() {
 		defer close(done)
+		defer f.restoring.Unlock()
+		saved := f.store.Copy()
+		f.revokeKey()
+		f.nameWeights()
+		time.Sleep(age)
 		f.store.SetFailure(func(*http.Request) int { return http.StatusServiceUnavailable })
 		time.Sleep(away)
-		f.mu.Lock()
-		if len(f.copies) == 0 {
-			f.copies = append(f.copies, f.store.Copy())
-		}
-		writeAgain := f.store.Restore(f.copies[int(pick*float64(len(f.copies)))])
-		f.copies = nil // copies of the lost time cannot come back
-		f.mu.Unlock()
+		writeAgain := f.store.Restore(saved)
 		f.store.SetFailure(nil)
 		time.Sleep(rewrite)
 		writeAgain()
@@ -62,6 +41,33 @@
 	return func() { <-done }
 }
 
+// checkNoKeyReturns checks that a router process which has refused a revoked key does not let a
+// later request with it run.
+func (c *checker) checkNoKeyReturns(executed map[string]int) {
+	type process struct {
+		router string
+		start  int64
+		key    string
+	}
+	refusedAt := make(map[process]time.Time)
+	for _, s := range c.requests {
+		p := process{s.routerName, s.routerStart, s.key}
+		revokedAt, revoked := c.fleet.revokedAt(s.key)
+		if s.status != http.StatusUnauthorized || !revoked || s.sentAt.Before(revokedAt) {
+			continue // a key is refused too before it is known
+		}
+		if at, ok := refusedAt[p]; !ok || s.answeredAt.Before(at) {
+			refusedAt[p] = s.answeredAt
+		}
+	}
+	for id, s := range c.requests {
+		at, ok := refusedAt[process{s.routerName, s.routerStart, s.key}]
+		if ok && executed[id] > 0 && s.sentAt.After(at) {
+			c.t.Errorf("request %s: ran with a revoked key, %v after router %s refused the key", id, s.sentAt.Sub(at), s.routerName)
+		}
+	}
+}
+
 // checkOrderTokens checks that no two routers ordered under one fencing token: after a
 // restore the lease's record does not have those of the lost time.
 func (c *checker) checkOrderTokens() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -100,10 +100,13 @@
 type sentRequest struct {
 	path, key  string
 	sentAt     time.Time
+	answeredAt time.Time
 	status     int // zero without a complete response
 	body       string
 	routerName string
-	err        error // the connection failed
+	// routerStart counts the processes of the router up to the one that had the request.
+	routerStart int64
+	err         error // the connection failed
 }
 
 // checker records what callers saw and checks it against what targets saw.
@@ -159,8 +162,9 @@
 			reader = bufio.NewReader(conn)
 		}
 		id := fmt.Sprintf("q-%d", c.nextID.Add(1))
-		s := sentRequest{path: paths[r.IntN(len(paths))], key: c.fleet.pickKey(r.IntN(1000)), sentAt: time.Now(), routerName: x.name}
+		s := sentRequest{path: paths[r.IntN(len(paths))], key: c.fleet.pickKey(r.IntN(1000)), sentAt: time.Now(), routerName: x.name, routerStart: x.starts.Load()}
 		reusable := c.sendRequest(conn, reader, id, &s)
+		s.answeredAt = time.Now()
 		c.mu.Lock()
 		c.requests[id] = s
 		c.mu.Unlock()
@@ -233,13 +237,7 @@
 		{name: "store restored", begin: func(r *rand.Rand) func() { return f.restoreStore(r) }},
 		{name: "store history compacted", begin: func(*rand.Rand) func() { f.store.Compact(); return func() {} }},
 		{name: "key revoked", planned: true, begin: func(*rand.Rand) func() { f.revokeKey(); return func() {} }},
-		{name: "weight version changed", planned: true, begin: func(r *rand.Rand) func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.lastVersion++
-			f.store.Put("versions", "m", map[string]any{"model": "m", "version": f.lastVersion})
-			return func() {}
-		}},
+		{name: "weight version changed", planned: true, begin: func(*rand.Rand) func() { f.nameWeights(); return func() {} }},
 		{name: "router paused", begin: func(r *rand.Rand) func() {
 			x := anyRouter(r)
 			x.signal(syscall.SIGSTOP)
@@ -446,6 +444,7 @@
 	}
 	c.checkRateLimit(limitedRuns)
 	c.checkOrderTokens()
+	c.checkNoKeyReturns(runs)
 }
 
 // checkLeavingInResponses checks that each router process sent a target that says that
