pkg/daemon, pkg/state: quarantines and the authority are written again after a restore

Cause: a quarantine or the instances' certificate authority that a restore undoes was gone from the store for good: the quarantine ended with the stop of all instances, and an instance that started created a second authority, which no other accepts. Change: after a restore the instance with the duty stores missing quarantines, the first two ranks write the authority, and an instance that does not start with all others reads three times before it creates one. Result: go test -race ./pkg/state ok; go test -race ./pkg/daemon -run 'Quarantine|Restore|Peers|Two|Instance' ok.

--- a/pkg/daemon/peerendpoint.go
+++ b/pkg/daemon/peerendpoint.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"lacewingwheel.example/lacewingwheel/pkg/certs"
 	"lacewingwheel.example/lacewingwheel/pkg/feed"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
 	"lacewingwheel.example/lacewingwheel/pkg/peer"
@@ -50,6 +51,7 @@
 	listenPacket func(network, address string) (net.PacketConn, error)
 
 	transport atomic.Pointer[peer.Transport]
+	authority atomic.Pointer[certs.InstanceCA]
 }
 
 // errNoAuthority means that requests to other instances are not possible yet,
@@ -67,6 +69,7 @@
 	if err != nil {
 		return // ctx has ended
 	}
+	x.authority.Store(issuer)
 	pair, err := issuer.Issue(s.Instance)
 	var socket net.PacketConn
 	if err == nil {
@@ -97,6 +100,18 @@
 	<-ctx.Done()
 }
 
+// restoreAuthority writes the authority to the store again if a restore has undone it.
+func (x *peerEndpoint) restoreAuthority(ctx context.Context, store objectstore.Store) {
+	issuer := x.authority.Load()
+	if issuer == nil {
+		return
+	}
+	isRestored, err := state.RestoreInstanceCA(ctx, store, issuer)
+	if isRestored || err != nil {
+		x.log.Info("certificate authority written again after a restore of the store", "written", isRestored, "cause", err)
+	}
+}
+
 // canExchange reports whether requests to other instances are possible.
 func (x *peerEndpoint) canExchange() bool { return x.transport.Load() != nil }
 
--- a/pkg/daemon/quarantine.go
+++ b/pkg/daemon/quarantine.go
@@ -130,7 +130,11 @@
 // was lost, and stores new ones, until ctx ends.
 func (k *quarantineKeeper) synchronize(ctx context.Context) {
 	isRead := k.firstStart // nothing is stored at the first start of the whole system
+	restores := k.storeHealth.Restores()
 	for ctx.Err() == nil {
+		if n := k.storeHealth.Restores(); n > restores && k.isFirst(quarantineDuty) && k.storeLost(ctx) {
+			restores = n
+		}
 		if k.storeHealth.IsLost() {
 			isRead = false
 		} else if isRead = isRead || k.read(ctx); isRead {
@@ -161,6 +165,26 @@
 	return true
 }
 
+// storeLost makes the quarantines be stored again that a restore of the store has undone. It
+// reports whether it could read which ones are left.
+func (k *quarantineKeeper) storeLost(ctx context.Context) bool {
+	k.mu.Lock()
+	clear(k.stored)
+	k.mu.Unlock()
+	if !k.read(ctx) {
+		return false
+	}
+	for _, q := range k.detector.Quarantines() {
+		k.mu.Lock()
+		_, isStored := k.stored[q.Fingerprint]
+		k.mu.Unlock()
+		if !isStored {
+			k.enqueue(q)
+		}
+	}
+	return true
+}
+
 func (k *quarantineKeeper) addStored(o objectstore.Object, q storedQuarantine) {
 	f, remaining := poison.Fingerprint(o.Name), q.Until.Sub(k.clock.Now())
 	k.mu.Lock()
--- a/pkg/daemon/quarantinekeeper_test.go
+++ b/pkg/daemon/quarantinekeeper_test.go
@@ -118,3 +118,23 @@
 		assert.Equal(t, len(store.objects) == 1, isFirst)
 	}
 }
+
+// A quarantine that a restore of the store has undone must be in the store again, or it ends
+// with the stop of all instances. One that is still there is not written again.
+func TestQuarantineLostByARestoreIsStoredAgain(t *testing.T) {
+	fake := clock.NewFake(time.Now())
+	fake.Advance(time.Hour)
+	store := &quarantineStore{objects: make(map[string]objectstore.Object)}
+	k := newKeeper(fake, store, true)
+	k.detector.AddQuarantine(quarantineOf(fake, poison.SourceOwn))
+	k.write(t.Context())
+	assert.Assert(t, k.storeLost(t.Context()))
+	assert.Equal(t, len(k.pending), 0)
+
+	clear(store.objects)
+	assert.Assert(t, k.storeLost(t.Context()))
+	fake.Advance(2 * quarantineBackupDelay)
+	k.write(t.Context())
+	assert.Equal(t, len(store.objects), 1)
+	assert.Assert(t, k.refuses())
+}
--- a/pkg/daemon/restore.go
+++ b/pkg/daemon/restore.go
@@ -17,9 +17,13 @@
 	// restoredAskDelay is the mean delay of the request for newer configurations after a
 	// restore of the store, so that not all instances ask at the same moment.
 	restoredAskDelay = 200 * time.Millisecond
+	// authorityDuty is the duty of the instances that write the certificate authority again:
+	// the first authorityWriters.
+	authorityDuty    = "authority"
+	authorityWriters = 2
 )
 
-// notifyRestored wakes compareConfigurations.
+// notifyRestored wakes handleRestores.
 func (d *Daemon) notifyRestored() {
 	select {
 	case d.restored <- struct{}{}:
@@ -27,9 +31,9 @@
 	}
 }
 
-// compareConfigurations asks other instances for a newer configuration than that of the store,
-// at the start before one is in force, and after each restore of the store, until ctx ends.
-func (d *Daemon) compareConfigurations(ctx context.Context) {
+// handleRestores asks other instances for a newer configuration than that of the store, at the
+// start before one is in force, and after each restore of the store, until ctx ends.
+func (d *Daemon) handleRestores(ctx context.Context) {
 	if d.configuration.AwaitsOthers && d.awaitOthers(ctx) {
 		d.feed.Configurations.AskOthers(ctx)
 	}
@@ -41,6 +45,9 @@
 		case <-d.restored:
 		}
 		clock.Sleep(ctx, clock.Jitter(restoredAskDelay))
+		if d.ranking.rank(authorityDuty) < authorityWriters {
+			d.peerEndpoint.restoreAuthority(ctx, d.platformStore)
+		}
 		d.feed.Configurations.AskOthers(ctx)
 	}
 }
--- a/pkg/state/identity.go
+++ b/pkg/state/identity.go
@@ -23,6 +23,10 @@
 	authorityMaxDelay = time.Second
 	// authorityRetryInterval is the time between attempts after a failed one.
 	authorityRetryInterval = time.Second
+	// missingAuthorityReads is the number of reads that find no authority before an instance
+	// that does not start with all others creates one: a restored store may have lost it, and
+	// the instances that use it write it again.
+	missingAuthorityReads = 3
 )
 
 // LoadOrCreateInstanceCA reads the instances' certificate authority from the store
@@ -33,9 +37,13 @@
 	if firstStart {
 		wait = rand.N(authorityMaxDelay)
 	}
+	missing := 0
 	for ; clock.Sleep(ctx, wait); wait = clock.Jitter(authorityRetryInterval) {
 		ca, err := readAuthority(ctx, store)
 		if objectstore.IsKind(err, objectstore.KindNotFound) {
+			if missing++; !firstStart && objectstore.EraOf(err) > 0 && missing < missingAuthorityReads {
+				continue
+			}
 			ca, err = createAuthority(ctx, store)
 		}
 		if objectstore.IsKind(err, objectstore.KindExists) {
@@ -75,3 +83,16 @@
 	_, err = store.Create(ctx, kindAuthority, nameAuthority, value)
 	return ca, err
 }
+
+// RestoreInstanceCA creates the authority in the store again if a restore has undone it.
+func RestoreInstanceCA(ctx context.Context, store objectstore.Store, ca *certs.InstanceCA) (isRestored bool, err error) {
+	value, err := ca.Encode()
+	if err != nil {
+		return false, err
+	}
+	_, err = store.Create(ctx, kindAuthority, nameAuthority, value)
+	if objectstore.IsKind(err, objectstore.KindExists) {
+		return false, nil
+	}
+	return err == nil, err
+}
