pkg/feed: instances ask each other for named weights after a restore

Cause: an instance that had not read a version that a restore undoes begins requests on older weights until the operators name it again. Change: the answer to store.configuration has the newest versions by model.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -218,7 +218,7 @@
 		FedByPeer: d.feed.FedByPeer, OnStoreChange: d.feed.NotifyChanged, WatchWait: p.WatchWait(p.ConfigurationKind),
 	}
 	d.feed.Proofs = d.configuration
-	d.feed.Configurations = &feed.ConfigurationExchange{Keeper: d.configuration, Client: d.peerEndpoint, Sources: d.ranking.changeSources, Log: log}
+	d.feed.Configurations = &feed.ConfigurationExchange{Keeper: d.configuration, Client: d.peerEndpoint, NewestVersions: d.targets.NewestVersions, OnNewestVersions: d.recordNewestVersions, Sources: d.ranking.changeSources, Log: log}
 	d.configuration.AwaitsOthers = !s.FirstStart && s.ExchangeListen != ""
 	storeHealth.OnNewEra = d.notifyRestored
 	d.feed.Followers = map[string]*follow.Follower{
--- a/pkg/daemon/restore.go
+++ b/pkg/daemon/restore.go
@@ -68,3 +68,16 @@
 	}
 	return false
 }
+
+// recordNewestVersions records the weights that another instance knows as the newest. When they
+// superseded those before is not known: at a start that is assumed as for the first list, and
+// later they are taken as named now.
+func (d *Daemon) recordNewestVersions(versions map[string]string) {
+	before, isAssumed := d.clock.Elapsed(), false
+	if d.configuration.Snapshot() == nil {
+		before, isAssumed = before-d.weights.InitialAge, true
+	}
+	for model, version := range versions {
+		d.targets.RecordNewestVersion(model, version, before, isAssumed)
+	}
+}
--- a/pkg/feed/configuration.go
+++ b/pkg/feed/configuration.go
@@ -33,17 +33,21 @@
 	FetchConfiguration(ctx context.Context, address string, body peer.ConfigurationBody) (peer.ConfigurationResponse, error)
 }
 
-// ConfigurationExchange gets newer configurations from other instances, after a restore of
-// the store that may have undone them.
+// ConfigurationExchange gets newer configurations and named weights from other instances,
+// after a restore of the store that may have undone them.
 type ConfigurationExchange struct {
 	Keeper ConfigurationKeeper
 	Client ConfigurationClient
+	// NewestVersions returns the newest named weights by model, and OnNewestVersions is
+	// called with those of another instance.
+	NewestVersions   func() map[string]string
+	OnNewestVersions func(map[string]string)
 	// Sources returns the instances from which this one gets changes.
 	Sources func() Sources
 	Log     hclog.Logger
 }
 
-// AskOthers asks the first instances among the sources for a newer configuration and returns
+// AskOthers asks the first instances among the sources for what is newer and returns
 // when they have answered, or after askTimeout.
 func (x *ConfigurationExchange) AskOthers(ctx context.Context) {
 	var group sync.WaitGroup
@@ -63,10 +67,12 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	response, err := x.Client.FetchConfiguration(ctx, address, peer.ConfigurationBody{Generation: x.generation()})
-	switch {
-	case err != nil:
+	if err != nil {
 		x.Log.Info("instance not asked for a newer configuration", "instance", address, "cause", err)
-	case response.Generation > x.generation():
+		return
+	}
+	x.OnNewestVersions(response.Weights)
+	if response.Generation > x.generation() {
 		x.Log.Info("another instance has a newer configuration than the store", "instance", address, "version", response.Generation, "revision", objectstore.FormatRevision(response.Revision))
 		x.Keeper.MergeNewer(response.Revision, response.Value)
 	}
@@ -88,9 +94,9 @@
 
 // Serve answers the request of another instance.
 func (x *ConfigurationExchange) Serve(_ context.Context, body peer.ConfigurationBody) (peer.ConfigurationResponse, error) {
-	object, generation, ok := x.Keeper.NewerThan(body.Generation)
-	if !ok {
-		return peer.ConfigurationResponse{}, nil
+	response := peer.ConfigurationResponse{Weights: x.NewestVersions()}
+	if object, generation, ok := x.Keeper.NewerThan(body.Generation); ok {
+		response.Generation, response.Revision, response.Value = generation, object.Version, object.Value
 	}
-	return peer.ConfigurationResponse{Generation: generation, Revision: object.Version, Value: object.Value}, nil
+	return response, nil
 }
--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -75,6 +75,12 @@
 	generation uint64
 	revision   uint64
 	asked      int
+	weights    map[string]string
+}
+
+func (x *configurationInstance) exchange() *ConfigurationExchange {
+	return &ConfigurationExchange{Keeper: x, Client: x, Log: discardLog, Sources: func() Sources { return Sources{Addresses: []string{"", "other"}} },
+		NewestVersions: func() map[string]string { return x.weights }, OnNewestVersions: func(weights map[string]string) { x.weights = weights }}
 }
 
 func (x *configurationInstance) NewerThan(generation uint64) (objectstore.Object, uint64, bool) {
@@ -90,18 +96,19 @@
 	if address != "other" {
 		return peer.ConfigurationResponse{}, errors.New("unknown address")
 	}
-	return (&ConfigurationExchange{Keeper: x.other}).Serve(ctx, body)
+	return x.other.exchange().Serve(ctx, body)
 }
 
 // A process that has only the configuration of a restored store must get a newer one from an
 // instance that has it, and must not ask when it has the same.
 func TestNewerConfigurationComesFromAnotherInstance(t *testing.T) {
-	other := &configurationInstance{generation: 8, revision: objectstore.Revision(1, 100)}
+	other := &configurationInstance{generation: 8, revision: objectstore.Revision(1, 100), weights: map[string]string{"m": "2"}}
 	x := &configurationInstance{other: other, generation: 7, revision: objectstore.Revision(2, 95)}
-	exchange := &ConfigurationExchange{Keeper: x, Client: x, Log: discardLog, Sources: func() Sources { return Sources{Addresses: []string{"", "other"}} }}
+	exchange := x.exchange()
 	exchange.AskOthers(t.Context())
 	assert.Equal(t, x.generation, uint64(8))
 	assert.Equal(t, x.revision, other.revision)
+	assert.Equal(t, x.weights["m"], "2")
 
 	x.generation, x.asked = 7, 0
 	response := peer.StoreChangesResponse{ConfigurationRevision: other.revision, ConfigurationGeneration: 8}
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -92,14 +92,16 @@
 	Generation uint64 `cbor:"generation"` // in force at the sender; zero: none
 }
 
-// ConfigurationResponse holds the configuration in force. It is empty if that is not newer
-// than the one of the sender.
+// ConfigurationResponse holds the configuration in force, unless it is not newer than the one
+// of the sender, and the newest weights.
 type ConfigurationResponse struct {
 	Generation uint64 `cbor:"generation"`
 	Revision   uint64 `cbor:"revision"`
 	Value      []byte `cbor:"value"`
+	// Weights has the newest named version by model.
+	Weights map[string]string `cbor:"weights,omitempty"`
 }
 
-// NewerConfiguration reads the configuration that another instance has in force: a store that
-// was restored from a copy may not have it any more.
+// NewerConfiguration reads the configuration that another instance has in force, and the
+// newest weights: a store that was restored from a copy may not have them any more.
 var NewerConfiguration = &Message[ConfigurationBody, ConfigurationResponse]{Request: "store.configuration", Response: "store.configuration.answer", Timeout: storeChangesTimeout}
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -132,6 +132,17 @@
 	return ""
 }
 
+// NewestVersions returns the newest weight versions that were announced, by model.
+func (t *Targets) NewestVersions() map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := make(map[string]string, len(t.weights.models))
+	for model, h := range t.weights.models {
+		versions[model] = h.newest
+	}
+	return versions
+}
+
 // Run watches the list until ctx ends.
 func (t *Targets) Run(ctx context.Context) {
 	t.Follower().Run(ctx)
