pkg/feed, pkg/state: a start does not wait for instances that have ended; rewritten configurations

Cause: one listed instance that has ended delayed each start by 0.7 s; a configuration that the operators wrote again with the same version and another text was not taken. Change: the request returns 0.1 s after the first answer; with the same generation the value of the newer era holds.

--- a/pkg/feed/configuration.go
+++ b/pkg/feed/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +16,9 @@
 	askedInstances = 4
 	// askTimeout bounds one such request, with the handshake.
 	askTimeout = 700 * time.Millisecond
+	// askGrace is how long the others may take after the first answer: one that has ended
+	// must not delay a process that starts.
+	askGrace = 100 * time.Millisecond
 )
 
 // ConfigurationKeeper gives access to the configuration in force.
@@ -47,35 +49,47 @@
 	Log     hclog.Logger
 }
 
-// AskOthers asks the first instances among the sources for what is newer and returns
-// when they have answered, or after askTimeout.
+// AskOthers asks the first instances among the sources for what is newer. It returns when all
+// have answered, askGrace after the first answer, or after askTimeout.
 func (x *ConfigurationExchange) AskOthers(ctx context.Context) {
-	var group sync.WaitGroup
+	answers := make(chan bool, askedInstances)
 	asked := 0
 	for _, address := range x.Sources().Addresses {
 		if address == "" || asked == askedInstances {
 			continue
 		}
 		asked++
-		group.Go(func() { x.ask(ctx, address) })
+		go func() { answers <- x.ask(ctx, address) }()
+	}
+	var graceEnds <-chan time.Time
+	for range asked {
+		select {
+		case answered := <-answers:
+			if answered && graceEnds == nil {
+				graceEnds = time.After(askGrace)
+			}
+		case <-graceEnds:
+			return
+		}
 	}
-	group.Wait()
 }
 
-// ask requests a newer configuration from one instance and puts it in force.
-func (x *ConfigurationExchange) ask(ctx context.Context, address string) {
+// ask requests a newer configuration from one instance and puts it in force. It reports whether
+// the instance has answered.
+func (x *ConfigurationExchange) ask(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	response, err := x.Client.FetchConfiguration(ctx, address, peer.ConfigurationBody{Generation: x.generation()})
 	if err != nil {
 		x.Log.Info("instance not asked for a newer configuration", "instance", address, "cause", err)
-		return
+		return false
 	}
 	x.OnNewestVersions(response.Weights)
 	if response.Generation > x.generation() {
 		x.Log.Info("another instance has a newer configuration than the store", "instance", address, "version", response.Generation, "revision", objectstore.FormatRevision(response.Revision))
 		x.Keeper.MergeNewer(response.Revision, response.Value)
 	}
+	return true
 }
 
 // generation returns the generation in force, or 0.
--- a/pkg/feed/era_test.go
+++ b/pkg/feed/era_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,6 +72,7 @@
 
 // configurationInstance is an instance with a configuration and the client of one other.
 type configurationInstance struct {
+	mu         sync.Mutex
 	other      *configurationInstance
 	generation uint64
 	revision   uint64
@@ -84,10 +86,14 @@
 }
 
 func (x *configurationInstance) NewerThan(generation uint64) (objectstore.Object, uint64, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	return objectstore.Object{Version: x.revision, Value: []byte{byte(x.generation)}}, x.generation, x.generation > generation
 }
 
 func (x *configurationInstance) MergeNewer(revision uint64, value []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.revision, x.generation = revision, uint64(value[0])
 }
 
@@ -99,6 +105,29 @@
 	return x.other.exchange().Serve(ctx, body)
 }
 
+// silentClient answers for one address only.
+type silentClient struct{ *configurationInstance }
+
+func (c silentClient) FetchConfiguration(ctx context.Context, address string, body peer.ConfigurationBody) (peer.ConfigurationResponse, error) {
+	if address == "other" {
+		return c.configurationInstance.FetchConfiguration(ctx, address, body)
+	}
+	<-ctx.Done()
+	return peer.ConfigurationResponse{}, ctx.Err()
+}
+
+// An instance that has ended is still listed for a while. A process that starts must not wait for
+// its answer when others have answered.
+func TestSilentInstanceDoesNotDelayAStart(t *testing.T) {
+	x := &configurationInstance{other: &configurationInstance{generation: 8, revision: objectstore.Revision(1, 100)}, generation: 7}
+	exchange := x.exchange()
+	exchange.Client, exchange.Sources = silentClient{x}, func() Sources { return Sources{Addresses: []string{"gone", "", "other"}} }
+	startedAt := time.Now()
+	exchange.AskOthers(t.Context())
+	assert.Equal(t, x.generation, uint64(8))
+	assert.Assert(t, time.Since(startedAt) < askTimeout)
+}
+
 // A process that has only the configuration of a restored store must get a newer one from an
 // instance that has it, and must not ask when it has the same.
 func TestNewerConfigurationComesFromAnotherInstance(t *testing.T) {
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -228,7 +228,7 @@
 		return false
 	}
 	before := c.generation()
-	if c.revision > 0 && !isSameEra && snapshot.Generation <= before {
+	if c.revision > 0 && !isSameEra && !c.replacesAcrossEras(object, snapshot.Generation) {
 		c.compareEras(object, snapshot.Generation)
 		return true
 	}
--- a/pkg/state/configurationera.go
+++ b/pkg/state/configurationera.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
@@ -58,6 +59,15 @@
 	return true
 }
 
+// replacesAcrossEras reports whether a configuration of another era replaces the one in force.
+// With the same generation, what is in the store now holds. The caller holds mu.
+func (c *Configuration) replacesAcrossEras(object objectstore.Object, generation uint64) bool {
+	if generation != c.generation() {
+		return generation > c.generation()
+	}
+	return object.Version > c.revision && !bytes.Equal(object.Value, c.value)
+}
+
 // compareEras records a configuration of another era that is not newer than the one in force.
 // The caller holds mu.
 func (c *Configuration) compareEras(object objectstore.Object, generation uint64) {
--- a/pkg/state/configurationera_test.go
+++ b/pkg/state/configurationera_test.go
@@ -10,6 +10,7 @@
 
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/objectstore"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 func stored(era, number uint64, generation string) objectstore.Object {
@@ -36,6 +37,14 @@
 	store.object = stored(2, 98, "9")
 	assert.Assert(t, c.ReadWithProof(t.Context()))
 	assert.Equal(t, c.Snapshot().Generation, uint64(9))
+	applied := 0
+	c.OnApplied = func(*tables.Snapshot) { applied++ }
+	store.object = stored(3, 90, "9")
+	assert.Assert(t, c.ReadWithProof(t.Context()))
+	assert.Equal(t, applied, 0)
+	store.object = stored(4, 90, "9 with another text")
+	assert.Assert(t, c.ReadWithProof(t.Context()))
+	assert.Equal(t, applied, 1, "what the operators wrote instead is not in force")
 }
 
 // If the operators never write again, reads of the older configuration must not confirm the
