--- a/pkg/state/members.go
+++ b/pkg/state/members.go
@@ -232,7 +232,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	isRestored = era > m.era && m.lastChanges != nil
-	if m.era = era; !isRestored {
+	if m.era = max(m.era, era); !isRestored {
 		return false
 	}
 	for name, change := range m.lastChanges {
