--- a/pkg/objectstore/revision.go
+++ b/pkg/objectstore/revision.go
@@ -10,9 +10,10 @@
 // restore, and of its own number, so that comparing two of them compares eras first. A
 // store without eras has era 0, and its revisions are its numbers.
 const (
-	// numberBits holds 700 changes a second for 49 years. Composed values of the first
-	// 8,191 eras are exact also for readers of JSON numbers as floating point.
-	numberBits = 40
+	// numberBits holds 700 changes a second for 790 years, and numbers that start at a time
+	// of day in milliseconds. Composed values of the first 511 eras are exact also for
+	// readers of JSON numbers as floating point.
+	numberBits = 44
 	// MaxNumber and MaxEra are the largest parts of a revision.
 	MaxNumber = 1<<numberBits - 1
 	MaxEra    = 1<<(64-numberBits) - 1
