--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -37,12 +38,28 @@
 	events  []objectstore.Event
 	changed chan struct{}
 	calls   atomic.Int64
+	lists   atomic.Int64 // of the calls
+	era     uint64
+}
+
+// restore takes the last changes back and begins the next era.
+func (s *fakeStore) restore(lost int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.events = slices.Clone(s.events[:len(s.events)-lost])
+	for i := range s.events {
+		s.events[i].Revision = objectstore.Revision(s.era, uint64(i+1))
+		s.events[i].Object.Version = s.events[i].Revision
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *fakeStore) put(name, value string, deleted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	revision := uint64(len(s.events) + 1)
+	revision := objectstore.Revision(s.era, uint64(len(s.events)+1))
 	s.events = append(s.events, objectstore.Event{Object: objectstore.Object{Kind: kind, Name: name, Version: revision, Value: []byte(value)}, Deleted: deleted, Revision: revision})
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -50,6 +67,7 @@
 
 func (s *fakeStore) List(context.Context, string) ([]objectstore.Object, uint64, error) {
 	s.calls.Add(1)
+	s.lists.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	objects := make(map[string]objectstore.Object)
@@ -63,14 +81,14 @@
 	for _, o := range objects {
 		list = append(list, o)
 	}
-	return list, uint64(len(s.events)), nil
+	return list, objectstore.Revision(s.era, uint64(len(s.events))), nil
 }
 
 func (s *fakeStore) Watch(ctx context.Context, _ string, after uint64) ([]objectstore.Event, uint64, error) {
 	s.calls.Add(1)
 	s.mu.Lock()
 	changed := s.changed
-	known := uint64(len(s.events))
+	known := objectstore.Revision(s.era, uint64(len(s.events)))
 	s.mu.Unlock()
 	if known <= after {
 		select {
@@ -82,7 +100,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]objectstore.Event(nil), s.events[after:]...), uint64(len(s.events)), nil
+	if objectstore.Era(after) != s.era {
+		return nil, 0, &objectstore.Error{Kind: objectstore.KindCompacted, Era: s.era, Cause: errors.New("restored")}
+	}
+	return append([]objectstore.Event(nil), s.events[objectstore.Number(after):]...), objectstore.Revision(s.era, uint64(len(s.events))), nil
 }
 
 // fakeProofs is the proof of the configuration of one instance.
@@ -93,13 +114,13 @@
 	at       time.Duration
 }
 
-func (p *fakeProofs) Proof() (uint64, time.Duration, bool) {
+func (p *fakeProofs) Proof() (revision, generation uint64, age time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.revision, p.clock.Elapsed() - p.at, p.revision > 0
+	return p.revision, p.revision, p.clock.Elapsed() - p.at, p.revision > 0
 }
 
-func (p *fakeProofs) Confirm(revision uint64, at time.Duration) {
+func (p *fakeProofs) Confirm(revision, _ uint64, at time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.revision >= revision {
@@ -351,14 +372,14 @@
 	f.instances[0].proofs.set(7, provedAt)
 	f.instances[1].proofs.set(7, 0)
 	time.Sleep(time.Second)
-	_, age, _ := f.instances[1].proofs.Proof()
+	_, _, age, _ := f.instances[1].proofs.Proof()
 	assert.Assert(t, age < 100*time.Second, "the proof did not reach the second instance")
 	assert.Assert(t, system.Elapsed()-age <= provedAt+time.Millisecond, "the age of the proof is %v, less than the age at the reader, %v", age, system.Elapsed()-provedAt)
 
 	f.instances[0].proofs.set(8, system.Elapsed())
 	f.instances[1].proofs.set(7, 0)
 	time.Sleep(time.Second)
-	_, age, _ = f.instances[1].proofs.Proof()
+	_, _, age, _ = f.instances[1].proofs.Proof()
 	assert.Assert(t, age > time.Second, "the proof of revision 8 was applied to revision 7")
 }
 
--- a/pkg/peer/messages_store.go
+++ b/pkg/peer/messages_store.go
@@ -38,6 +38,9 @@
 	// to be the newest ConfigurationAgeMillis ago; zero without proof.
 	ConfigurationRevision  uint64 `cbor:"configuration_revision"`
 	ConfigurationAgeMillis int64  `cbor:"configuration_age_ms"`
+	// ConfigurationGeneration is its generation, which orders configurations across
+	// restores of the store.
+	ConfigurationGeneration uint64 `cbor:"configuration_generation,omitempty"`
 	// StoreUnreachable reports that the instance does not reach the store now.
 	StoreUnreachable bool `cbor:"store_lost"`
 	// StoreWasUnreachable reports that the instance has seen an outage of the store end
@@ -85,3 +88,22 @@
 // StoreChanges reads the changes of the store from another instance, so that not
 // every instance has to read the store.
 var StoreChanges = &Message[StoreChangesBody, StoreChangesResponse]{Request: "store.changes", Response: "store.changes.answer", Timeout: storeChangesTimeout}
+
+// ConfigurationBody requests the configuration that the peer has in force, if it is newer.
+type ConfigurationBody struct {
+	Generation uint64 `cbor:"generation"` // in force at the sender; zero: none
+}
+
+// ConfigurationResponse holds the configuration in force, unless it is not newer than the one
+// of the sender, and the newest weights.
+type ConfigurationResponse struct {
+	Generation uint64 `cbor:"generation"`
+	Revision   uint64 `cbor:"revision"`
+	Value      []byte `cbor:"value"`
+	// Weights has the newest named version by model.
+	Weights map[string]string `cbor:"weights,omitempty"`
+}
+
+// NewerConfiguration reads the configuration that another instance has in force, and the
+// newest weights: a store that was restored from a copy may not have them any more.
+var NewerConfiguration = &Message[ConfigurationBody, ConfigurationResponse]{Request: "store.configuration", Response: "store.configuration.answer", Timeout: storeChangesTimeout}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -47,6 +47,8 @@
 	firstPort     int // of its port range
 	logFile       string
 
+	starts atomic.Int64 // of the process
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{} // closed when the process has exited
@@ -62,6 +64,7 @@
 	// routerStarts counts the router processes.
 	routerStarts atomic.Int64
 	logDir       string
+	restoring    sync.Mutex // held during a restore of the store
 
 	mu          sync.Mutex
 	lastVersion int                  // of configurations and weights
@@ -134,6 +137,7 @@
 func startFleet(t *testing.T, binary string, routers, targets int) *fleet {
 	t.Helper()
 	f := &fleet{t: t, binary: binary, store: platformtest.NewStore(), revokedKeys: make(map[string]time.Time), logDir: logDirectory(t)}
+	f.store.SetEra(1)
 	server := httptest.NewServer(f.store)
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	for i := range targets {
@@ -199,6 +203,7 @@
 // startRouter starts the process of a router and does not wait until it is ready.
 func (f *fleet) startRouter(x *router) {
 	f.routerStarts.Add(1)
+	x.starts.Add(1)
 	log, err := os.OpenFile(x.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(f.t, err)
 	cmd := exec.Command(f.binary, "edge", "--node-file", x.settingsFile)
@@ -330,6 +335,14 @@
 	f.revokedKeys[old] = time.Now()
 }
 
+// nameWeights names new weights.
+func (f *fleet) nameWeights() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastVersion++
+	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": f.lastVersion})
+}
+
 // revokedAt returns when a key was revoked, and whether it was.
 func (f *fleet) revokedAt(key string) (time.Time, bool) {
 	f.mu.Lock()
