pkg/state: targets that write again, and earlier incarnations, after a restore

Cause: entries were compared by their numbers across eras: a target that the copy did not have was withheld when it wrote again with a lower number, until its number passed the lost one. The entry of an earlier incarnation in the copy replaced the later one. Change: what was removed is remembered with the era in which it was missing, by incarnation; only an entry of a later era is from the copy. Replaced incarnations are remembered too. Result: go test -race ./pkg/state ok; the two new tests fail without the two changes.

--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -55,7 +55,7 @@
 	// holds also for an entry that returns. Only another incarnation, which has
 	// another key, ends it.
 	left    map[string]time.Duration
-	removed map[string]removedEntry // by ID: entries that were removed a short time ago
+	removed map[string]removedEntry // by key: targets whose entries were removed a short time ago
 	weights weightsHistory
 	current atomic.Pointer[targetView]
 }
@@ -211,8 +211,13 @@
 		t.entries[o.Name] = &entry{revision: o.Version}
 		return
 	}
-	if (e == nil || e.withheld != nil) && t.isFromCopy(o, parsed.Key()) {
-		t.withhold(o)
+	isOtherEra := e == nil || objectstore.Era(o.Version) != objectstore.Era(e.revision)
+	if isOtherEra && t.isFromCopy(o, parsed.Key()) {
+		if e == nil || e.target == nil {
+			t.withhold(o, parsed.Key())
+		} else {
+			e.revision = o.Version // a later incarnation has replaced it
+		}
 		return
 	}
 	next := &entry{target: parsed, revision: o.Version}
@@ -227,11 +232,14 @@
 			next.reportedVersion = e.reportedVersion
 		}
 		// The entry that a restored store shows may be older than the loaded weights.
-		if isOtherEra := objectstore.Era(o.Version) != objectstore.Era(e.revision); isOtherEra && next.reportedVersion == "" && target.IsNewerVersion(e.target.WeightVersion, parsed.WeightVersion) {
+		if isOtherEra && next.reportedVersion == "" && target.IsNewerVersion(e.target.WeightVersion, parsed.WeightVersion) {
 			next.reportedVersion = e.target.WeightVersion
 		}
 		t.logChange(e.target, parsed)
 	} else {
+		if e != nil && e.target != nil {
+			t.rememberRemoved(e.target.Key())
+		}
 		parsed.Live = &target.LiveState{}
 		t.Log.Info("target listed", "target", o.Name, "incarnation", parsed.Incarnation, "address", parsed.Address,
 			"pool", parsed.Pool, "zone", parsed.Zone, "leaving", parsed.Leaving, "weights", parsed.WeightVersion)
--- a/pkg/state/targetsera_test.go
+++ b/pkg/state/targetsera_test.go
@@ -44,6 +44,31 @@
 	assert.Assert(t, targetsByID(x)["b"] != nil, "an entry that outlasts its heartbeats is not used")
 }
 
+// An entry that the copy does not have is written again with a number that the lost time has
+// used. Its target serves, also if that took longer than missing entries are kept.
+func TestTargetLostByARestoreIsUsedWhenItWritesAgain(t *testing.T) {
+	c := clock.NewFake(time.Now())
+	x := newRestoredTargets(c, []objectstore.Object{inEra(1, object("a", 118, "1 1 0"))})
+	x.replace(nil)
+	c.Advance(lapsedGrace + time.Millisecond)
+	x.ReconcileExpired()
+	assert.Equal(t, len(targetsByID(x)), 0)
+	x.apply([]objectstore.Event{{Object: inEra(2, object("a", 100, "1 1 0"))}})
+	assert.Equal(t, len(targetsByID(x)), 1)
+}
+
+// A restarted target does not become its earlier incarnation again because the copy has the
+// entry of that one: marks of leaving and loads are kept by incarnation.
+func TestEarlierIncarnationDoesNotReturnWithARestore(t *testing.T) {
+	r := inEra(1, object("r", 100, "2 1 0"))
+	x := newRestoredTargets(clock.NewFake(time.Now()), []objectstore.Object{inEra(1, object("r", 50, "1 1 0"))}, objectstore.Event{Object: r})
+	live := targetsByID(x)["r"].Live
+	x.replace([]objectstore.Object{inEra(2, object("r", 50, "1 1 0"))})
+	assert.Equal(t, targetsByID(x)["r"].Incarnation, "2")
+	x.apply([]objectstore.Event{{Object: inEra(2, object("r", 60, "2 1 0"))}})
+	assert.Equal(t, targetsByID(x)["r"].Live, live)
+}
+
 // A target that left does not take new requests because the copy has its entry from before.
 // Neither do its weights go back: requests that name the older ones would be refused.
 func TestTargetDoesNotGoBackWithARestore(t *testing.T) {
