pkg/control: tokens bear the era from the first one on, if the store states one

Change: in any era above 0 the first token is the era's own, and later ones are versions. Without eras tokens count from 1 as before.

--- a/pkg/control/lease.go
+++ b/pkg/control/lease.go
@@ -193,17 +193,20 @@
 	return l.write(ctx, leaseRecord{Fence: nextFence(record, object.Version)}, object.Version, !isFree)
 }
 
-// nextFence returns the fencing token of the holder that replaces a version of the record.
-// It counts in the first era of the store. Later the record may have gone back, and its token
+// nextFence returns the fencing token of the holder that replaces a version of the record. It
+// counts if the store states no eras. Otherwise the record may have gone back, and its token
 // with it: the version then is above all tokens that were given out, since it is above the
 // versions that their holders replaced.
 func nextFence(record leaseRecord, version uint64) uint64 {
-	if objectstore.Era(record.Fence) == 0 && record.Era == objectstore.Era(version) {
+	if objectstore.Era(version) == 0 {
 		return record.Fence + 1
 	}
 	return max(record.Fence+1, version)
 }
 
+// firstFence returns the fencing token of the holder that creates the record in an era.
+func firstFence(era uint64) uint64 { return max(1, objectstore.Revision(era, 0)) }
+
 // reconcileMissing acquires a lease that has no record. In the first era of the store nobody
 // has held it; in a later one a restore may have undone the record.
 func (l *Lease) reconcileMissing(ctx context.Context, era uint64, acquireSettled bool) error {
@@ -215,11 +218,11 @@
 	case !acquireSettled:
 		return nil
 	case !l.isFirstEra(era):
-		return l.acquireAfterUnknown(ctx, l.missing.since, 0, objectstore.Revision(era, 0))
+		return l.acquireAfterUnknown(ctx, l.missing.since, 0, firstFence(era))
 	}
 	l.afterSettled, l.continued = true, false
 	l.effectsEnd, l.idle = 0, false
-	return l.write(ctx, leaseRecord{Fence: 1, Era: era}, 0, false)
+	return l.write(ctx, leaseRecord{Fence: firstFence(era), Era: era}, 0, false)
 }
 
 // isFirstEra reports whether the lease had no holder in an earlier era.
