--- a/pkg/control/leaseera_test.go
+++ b/pkg/control/leaseera_test.go
@@ -221,7 +221,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		x := newLeaseTest(t, 3, rapid.Bool().Draw(r, "first start"))
 		var copies []platformtest.Copy
-		index := rapid.IntRange(0, 2)
+		index, restarts := rapid.IntRange(0, 2), 0
 		r.Repeat(map[string]func(*rapid.T){
 			"round": func(r *rapid.T) { assert.NilError(r, x.round(t.Context(), x.holders[index.Draw(r, "holder")])) },
 			"act":   func(r *rapid.T) { assert.NilError(r, x.act(x.holders[index.Draw(r, "holder")])) },
@@ -241,6 +241,16 @@
 					_ = h.Release(t.Context())
 				}
 			},
+			"learn": func(r *rapid.T) { x.holders[index.Draw(r, "holder")].StoreHealth.RecordEra(x.standin.Era()) },
+			"restart": func(r *rapid.T) {
+				i := index.Draw(r, "holder")
+				restarts++
+				next := x.add(fmt.Sprintf("i-%d-%d", i, restarts), false)
+				if rapid.Bool().Draw(r, "knows the era") {
+					next.StoreHealth.RecordEra(x.standin.Era())
+				}
+				x.holders[i], x.holders = next, x.holders[:len(x.holders)-1]
+			},
 			"lose":  func(r *rapid.T) { x.holders[index.Draw(r, "holder")].store.loseNext = true },
 			"delay": func(r *rapid.T) { x.holders[index.Draw(r, "holder")].store.delayNext = true },
 			"arrive": func(r *rapid.T) {
--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -23,7 +23,7 @@
 	upTo := func(limit time.Duration) time.Duration { return time.Duration(r.Int64N(int64(limit))) }
 	age, away, rewrite := upTo(copyAgeLimit), upTo(awayLimit), upTo(rewriteLimit)
 	done := make(chan struct{})
-	f.restoring.Lock() // one drill at a time
+	f.restoring.Lock() // one restore at a time
 	go func() {
 		defer close(done)
 		defer f.restoring.Unlock()
