pkg/follow: a new era ends the watch that waits

Cause: a reader that learned of a restore by its read of the configuration went on to wait for changes of the lost history for up to ten seconds, and had no list for the others meanwhile. Change: learning of an era ends the watch, and a watch of an earlier era does not begin. Result: go test -race ./pkg/follow ./pkg/feed ok; the new test fails without the change.

--- a/pkg/follow/era_test.go
+++ b/pkg/follow/era_test.go
@@ -247,6 +247,35 @@
 	assert.Equal(t, v.SyncState().AsOf, time.Second)
 }
 
+// waitingStore is a store whose watches wait for ever.
+type waitingStore struct{ objectstore.Store }
+
+func (waitingStore) Watch(ctx context.Context, _ string, _ uint64) ([]objectstore.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A reader learns of a restore by another call while a watch waits, for ten seconds at most. Until
+// the watch ended it had no list of the new era for the others.
+func TestNewEraEndsTheWatch(t *testing.T) {
+	v := newEraView(waitingStore{})
+	v.Merge(Changes{IsFullList: true, SyncState: SyncState{IsSynced: true, Revision: objectstore.Revision(1, 5)}})
+	position := v.SyncState().Revision
+	ended := make(chan error, 2)
+	go func() { ended <- v.watch(t.Context(), position) }()
+	time.Sleep(20 * time.Millisecond)
+	v.learnEra(2)
+	go func() { ended <- v.watch(t.Context(), position) }()
+	for range 2 {
+		select {
+		case err := <-ended:
+			assert.Assert(t, err != nil)
+		case <-time.After(5 * time.Second):
+			t.Fatal("the watch goes on")
+		}
+	}
+}
+
 // An instance that does not know of the restore proves nothing about the present: with its
 // time of completeness, a view would count as complete that nobody reads.
 func TestEarlierEraProvesNoCompleteness(t *testing.T) {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -85,6 +85,7 @@
 	// listNotBefore is when this instance lists the objects of a new era itself if others
 	// feed it.
 	listNotBefore time.Duration
+	endWatch      context.CancelFunc // ends the watch that waits; nil before the first
 }
 
 // SyncState tells how current a view is.
@@ -278,6 +279,9 @@
 	if f.syncState.Revision > 0 {
 		f.syncState.IsSynced = false
 		f.listNotBefore = f.now() + clock.Jitter(peerListWait)
+		if f.endWatch != nil {
+			f.endWatch() // it may wait for long, for changes of another history
+		}
 	}
 }
 
@@ -303,6 +307,13 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	if f.endWatch = cancel; objectstore.Era(after) < f.newestEra {
+		cancel()
+	}
+	f.mu.Unlock()
 	startedAt := f.now()
 	events, revision, err := f.Store.Watch(ctx, f.Kind, after)
 	if err != nil {
