pkg/relay: the stored start of a prompt is fetched

The cache store had that part, but a fetch was asked for only if it had all shared parts of the prompt, and the second engine in hash order seldom had it. Change: an engine that is not known to get more from the prompt's home fetches what the store has, from 600 tokens on. Choice.SourceIsHome tells the two cases apart. Load: a restart or new weights under steady traffic with shared prompts.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -173,6 +173,7 @@
 type Choice struct {
 	Target         *target.Target
 	CacheSource    *target.Target // another target that the missing cached parts can be fetched from; nil if none
+	SourceIsHome   bool           // CacheSource is expected to have all shared parts, as the home of the prompt
 	UncachedTokens int            // prompt tokens that the target is expected to prefill
 	Cost           time.Duration  // expected delay, plus other costs expressed as time
 	Delay          time.Duration  // expected time until the first event
@@ -308,6 +309,7 @@
 		home, source := g.first, g.second
 		if h := homes.home; h.WeightVersion == t.WeightVersion && h != home {
 			source = h // has the parts cached until it loads other weights
+			choice.SourceIsHome = true
 		}
 		choice.IsHome = t == home
 		switch {
@@ -319,7 +321,7 @@
 			choice.CacheSource = source
 			choice.UncachedTokens -= shared
 		default:
-			choice.CacheSource = home
+			choice.CacheSource, choice.SourceIsHome = home, true
 			choice.UncachedTokens -= shared
 			fetched = shared - cached
 		}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -159,9 +159,7 @@
 }
 
 // setCacheTransfer tells the target from where to fetch cached parts of the
-// prompt and whether to save them in the cache store. Parts are only saved if
-// the store lacks shared ones, because the last part, which is not shared, is
-// saved with them and takes space.
+// prompt and whether to save them in the cache store.
 func (f *ForwardFilter) setCacheTransfer(ex *Exchange, choice placement.Choice, options *ForwardOptions) {
 	if len(ex.Metadata.PromptParts) < 2 {
 		return
@@ -179,22 +177,43 @@
 		return
 	}
 	keys := make([]cachedir.Key, len(shared))
-	tokens := 0
 	for n, part := range shared {
 		keys[n] = cachedir.Key{Salt: options.CacheSalt, Part: part.ID}
-		tokens += part.Tokens
 	}
-	switch kept := directory.CachedPrefixLen(keys); {
-	case kept == len(keys):
-		if choice.IsHome || choice.CacheSource == nil {
-			options.FetchCacheFrom = store
-		}
-	case tokens >= minSavedTokens:
+	fetch, save := useStore(shared, directory.CachedPrefixLen(keys), choice)
+	if fetch {
+		options.FetchCacheFrom = store
+	}
+	if save {
 		options.SaveCacheTo = store
 		directory.MarkSaving(keys)
 	}
 }
 
+// useStore decides whether a target fetches shared parts of a prompt from the cache
+// store, instead of the source of the choice, and whether it saves them there. stored
+// is the number of leading shared parts that the store has.
+//
+// Load: after a restart or new weights every engine lacks the parts that many prompts
+// begin with, and the store has them but not yet the rest of each prompt. Parts are
+// only saved if the store lacks shared ones, because the last part, which is not
+// shared, is saved with them and takes space.
+func useStore(shared []placement.Part, stored int, choice placement.Choice) (fetch, save bool) {
+	if stored == len(shared) {
+		return choice.IsHome || choice.CacheSource == nil, false
+	}
+	fetch = countTokens(shared[:stored]) >= minSavedTokens && !choice.SourceIsHome
+	return fetch, countTokens(shared) >= minSavedTokens
+}
+
+func countTokens(parts []placement.Part) int {
+	sum := 0
+	for _, part := range parts {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 // minSavedTokens is the number of tokens in the shared parts below which they
 // are not saved: computing them again is faster than fetching them.
 const minSavedTokens = 600
