pkg/placement: the expected time until the first event is part of a choice

Choice.Delay holds what is time: prefill, requests at the target, transfers, the way to another zone. Choice.Cost adds the rest as before; choices do not change. Admission compares Delay with the callers' objectives. The usable candidates and their states are listed once for each choice, so that the second look-up falls away. Test: TestDelayIsTheTimeUntilTheFirstEvent.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -130,6 +130,7 @@
 
 	mu      sync.Mutex
 	scratch affinityTargets                    // reused by each Pick
+	usable  []candidate                        // reused by each Pick
 	states  map[*target.LiveState]*targetState // by target and incarnation
 	parts   []uint64                           // hashes of the prompt's parts; reused by each call
 }
@@ -175,9 +176,11 @@
 	CacheSource    *target.Target // another target that the missing cached parts can be fetched from; nil if none
 	SourceIsHome   bool           // CacheSource is expected to have all shared parts, as the home of the prompt
 	UncachedTokens int            // prompt tokens that the target is expected to prefill
-	Cost           time.Duration  // expected delay, plus other costs expressed as time
-	Delay          time.Duration  // expected time until the first event
-	IsHome         bool           // Target is the first of its weight version in the order of the prompt's hash
+	Cost           time.Duration  // Delay, plus other costs expressed as time
+	// Delay is the expected time until the first event. Admission compares it with the
+	// objective of the caller.
+	Delay  time.Duration
+	IsHome bool // Target is the first of its weight version in the order of the prompt's hash
 }
 
 // affinityTargets are the targets that are expected to have a prompt's shared
@@ -193,6 +196,13 @@
 	groups   []versionGroup
 }
 
+// candidate is a target that a request may be sent to.
+type candidate struct {
+	target *target.Target
+	state  *targetState
+	hash   uint64 // of the prompt and the target; the highest one is first in order
+}
+
 // versionGroup is the first and second choice among the candidates with the
 // same weights. Only these can share cached parts.
 type versionGroup struct {
@@ -209,21 +219,23 @@
 	defer p.mu.Unlock()
 	affinity := xxhash.Sum64String(affinityKey(r))
 	p.hashParts(r)
-	homes := p.findHomes(candidates, affinity, r.NewestVersion, now)
+	p.listUsable(candidates, affinity)
+	homes := p.findHomes(affinity, r.NewestVersion, now)
 	best := Choice{Cost: math.MaxInt64}
 	// The second pass admits targets with an open circuit or a recent refusal, and
 	// those that another instance says are leaving.
 	for pass := 0; pass < 2 && best.Target == nil; pass++ {
-		for _, t := range candidates {
-			if t.Leaving || excluded != nil && excluded(t) {
+		for i := range p.usable {
+			c := &p.usable[i]
+			t, s := c.target, c.state
+			if excluded != nil && excluded(t) {
 				continue
 			}
-			s := p.stateOf(t)
 			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil) || t.Live.HasLeavingHint()) {
 				continue
 			}
 			choice := p.evaluate(t, s, homes, r, now)
-			choice.Cost += time.Duration(float64(maxTieBreak) * (1 - toUnit(mix(affinity, s.idHash))))
+			choice.Cost += time.Duration(float64(maxTieBreak) * (1 - toUnit(c.hash)))
 			if choice.Cost < best.Cost {
 				best = choice
 			}
@@ -232,6 +244,18 @@
 	return best
 }
 
+// listUsable sets p.usable to the candidates that do not leave.
+func (p *Placer) listUsable(candidates []*target.Target, affinity uint64) {
+	p.usable = p.usable[:0]
+	for _, t := range candidates {
+		if t.Leaving {
+			continue
+		}
+		s := p.stateOf(t)
+		p.usable = append(p.usable, candidate{target: t, state: s, hash: mix(affinity, s.idHash)})
+	}
+}
+
 // migrationLead is how much faster prompts migrate to new weights than targets
 // load them. Targets are less than half utilised, so those with new weights can
 // take twice their share while they prefill each prompt for the first time.
@@ -244,15 +268,12 @@
 // During a rollout of new weights prompts migrate one by one, in the order of a
 // hash that is the same on all instances. If all migrated at once, the first
 // targets with new weights would have to prefill all of them and be overloaded.
-func (p *Placer) findHomes(candidates []*target.Target, affinity uint64, newest string, now time.Time) *affinityTargets {
+func (p *Placer) findHomes(affinity uint64, newest string, now time.Time) *affinityTargets {
 	found := &p.scratch
 	*found = affinityTargets{groups: found.groups[:0]}
 	engines, ready := 0, 0
-	for _, t := range candidates {
-		s := p.stateOf(t)
-		if t.Leaving {
-			continue
-		}
+	for i := range p.usable {
+		t, s, h := p.usable[i].target, p.usable[i].state, p.usable[i].hash
 		engines++
 		if t.WeightVersion == newest {
 			ready++
@@ -260,7 +281,6 @@
 		if now.Before(s.openUntil) || t.Live.HasLeavingHint() {
 			continue
 		}
-		h := mix(affinity, s.idHash)
 		if found.home == nil || h > found.homeHash {
 			found.home, found.homeHash = t, h
 		}
@@ -326,9 +346,13 @@
 			fetched = shared - cached
 		}
 	}
-	choice.Cost = p.cost(t, s, r, choice.UncachedTokens, now)
+	others, waiting := p.othersAt(t, s, now)
+	choice.Delay = p.delay(t, s, choice.UncachedTokens, others, waiting)
+	choice.Cost = choice.Delay + p.otherCosts(t, s, r, others, now)
 	if fetched > 0 {
-		choice.Cost += p.Params.FetchCost + time.Duration(fetched)*p.Params.FetchPerToken
+		transfer := p.Params.FetchCost + time.Duration(fetched)*p.Params.FetchPerToken
+		choice.Delay += transfer
+		choice.Cost += transfer
 	}
 	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion && !homes.keepHome {
 		choice.Cost += p.Params.OldWeightsCost
@@ -358,36 +382,56 @@
 	return shared, cached
 }
 
-// cost returns the expected delay of a request with the given number of
-// uncached tokens, plus the costs of zones, loading and recent failures.
-func (p *Placer) cost(t *target.Target, s *targetState, r *Request, uncached int, now time.Time) time.Duration {
+// othersAt returns the requests of other instances at a target by its newest load
+// report, and how many of them wait in its queue.
+func (p *Placer) othersAt(t *target.Target, s *targetState, now time.Time) (others, waiting int64) {
+	load, at := t.NewestLoad()
+	if now.Sub(at) >= p.Params.MaxLoadAge {
+		return 0, 0
+	}
+	if at != s.reportedAt {
+		s.reportedAt, s.inFlightAtReport = at, t.Live.InFlight.Load()
+	}
+	others = max(0, int64(load.Running+load.Waiting)-s.inFlightAtReport)
+	return others, min(others, int64(load.Waiting))
+}
+
+// delay returns the expected time until the first event of a request with the given
+// number of uncached tokens, without a transfer of cached parts. others and waiting are from
+// othersAt.
+func (p *Placer) delay(t *target.Target, s *targetState, uncached int, others, waiting int64) time.Duration {
 	params := &p.Params
 	running := t.Live.InFlight.Load()
-	others, waiting := int64(0), int64(0)
-	if load, at := t.NewestLoad(); now.Sub(at) < params.MaxLoadAge {
-		if at != s.reportedAt {
-			s.reportedAt, s.inFlightAtReport = at, running
-		}
-		others = max(0, int64(load.Running+load.Waiting)-s.inFlightAtReport)
-		waiting = min(others, int64(load.Waiting))
-	}
 	busy := running + others
-	var cost time.Duration
+	var delay time.Duration
 	if t.IsEngine {
-		cost += time.Duration(float64(uncached)+s.pendingPrefill) * params.PrefillPerToken
-		cost += time.Duration(running)*params.RunningRequestCost + time.Duration(others)*params.RemoteRequestCost + time.Duration(waiting)*params.WaitingRequestCost
-		cost += p.memoryCost(t, r, others)
+		delay += time.Duration(float64(uncached)+s.pendingPrefill) * params.PrefillPerToken
+		delay += time.Duration(running)*params.RunningRequestCost + time.Duration(others)*params.RemoteRequestCost + time.Duration(waiting)*params.WaitingRequestCost
 	} else {
-		cost += time.Duration(busy) * params.ServiceTime / time.Duration(max(1, t.Slots))
+		delay += time.Duration(busy) * params.ServiceTime / time.Duration(max(1, t.Slots))
 	}
 	if over := busy + 1 - int64(t.Slots); t.Slots > 0 && over > 0 {
-		cost += time.Duration(over) * params.ServiceTime
+		delay += time.Duration(over) * params.ServiceTime
+	}
+	if t.Zone != p.Zone {
+		delay += params.ZoneCost
+	}
+	return delay
+}
+
+// otherCosts returns the costs of memory, traffic between zones, loads and recent
+// failures, expressed as time.
+func (p *Placer) otherCosts(t *target.Target, s *targetState, r *Request, others int64, now time.Time) time.Duration {
+	params := &p.Params
+	var cost time.Duration
+	if t.IsEngine {
+		cost += p.memoryCost(t, r, others)
 	}
 	if t.AboutToLoad {
 		cost += params.AboutToLoadCost
 	}
 	if t.Zone != p.Zone {
-		cost += params.ZoneCost + time.Duration(r.BodyBytes)*params.ZoneCostPerByte
+		cost += time.Duration(r.BodyBytes) * params.ZoneCostPerByte
 	}
 	return cost + time.Duration(s.recentFailures(params, now)*float64(params.FailureCost))
 }
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -236,7 +236,7 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{18, 90, 620} {
+	for _, n := range []int{18, 90, 240, 620} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			all := engines(n)
 			p := New(DefaultParams(), "zone-0")
@@ -247,3 +247,22 @@
 		})
 	}
 }
+
+// The delay that admission compares with a caller's objective must hold what waits at
+// the target, and no costs that are not time.
+func TestDelayIsTheTimeUntilTheFirstEvent(t *testing.T) {
+	now := time.Now()
+	p := New(DefaultParams(), "zone-0")
+	only := engines(1)
+	r := sharedPromptRequest(1, 0)
+	idle := p.Pick(only, r, nil, now)
+	assert.Equal(t, idle.Delay, 2900*p.Params.PrefillPerToken)
+	p.RecordFailure(only[0], now)
+	only[0].WeightVersion = "0"
+	only[0].AboutToLoad = true
+	costly := p.Pick(only, r, nil, now)
+	assert.Equal(t, costly.Delay, time.Duration(9200)*p.Params.PrefillPerToken, "costs that are not time count as delay")
+	only[0].Live.RecordLoad(target.Load{Running: 2, Waiting: 3}, now)
+	queued := p.Pick(only, r, nil, now)
+	assert.Equal(t, queued.Delay-costly.Delay, 5*p.Params.RemoteRequestCost+3*p.Params.WaitingRequestCost)
+}
