pkg/placement, pkg/target, pkg/gossip, pkg/relay: paces and learned speeds of targets

Cause: engines of one pool differ in speed and share their machines, but all counted as alike, with the prefill time of another kind of engine (11 us a token). Slow engines got as many prompts as fast ones, and the callers there waited longest: most events that came too late were those of a third of the engines. Change, only for pools whose targets state a pace: the mean of the stated paces and the speed, learned from the median time between events, scale the expected delay; slow targets are home of fewer prompts (weighted rendezvous hashing); the prefill time is learned from the time to the first event, with the constant as prior; a prompt does not leave its home for less than the time to compute its parts. Instances pass paces and step times on in datagram versions of their own, which earlier instances ignore. Loads: engines of different speeds; engines that share their machines with other work. Tests: pace_test.go (fewer homes on slow targets, agreement despite different samples, no herding with equal reports, learned prefill time, pools without pace unaffected), steptime_test.go in target, gossip and relay.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -246,6 +246,7 @@
 	d.gossip = &gossip.Gossip{
 		ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, OnLeaving: d.targets.RecordLeavingHint,
 		Supersessions: d.targets.Supersessions, AsksSupersessions: d.targets.HasSuperseded, OnSupersession: d.targets.RecordSupersession, Clock: d.clock,
+		StepTimes: d.targets.StepTimes, OnStepTime: d.targets.RecordStepTime,
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -52,6 +52,27 @@
 	Down    bool // the target could not be reached
 }
 
+// pacedVersion is the version of datagrams with the reports of targets that state their
+// pace. Instances that do not know it ignore them.
+const pacedVersion = 6
+
+// pacedReport is the load of one target that states its pace.
+type pacedReport struct {
+	_           struct{} `cbor:",toarray"`
+	Target      uint64   // hash of the target's key
+	Running     uint32
+	Waiting     uint32
+	AgeMS       uint32
+	PacePercent uint32
+}
+
+// pacedDatagram carries the reports of targets that state their pace.
+type pacedDatagram struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Reports []pacedReport
+}
+
 // datagram is the message that one instance sends to another.
 type datagram struct {
 	_       struct{} `cbor:",toarray"`
@@ -95,6 +116,10 @@
 	Supersessions     func(maxAge time.Duration) []Supersession
 	AsksSupersessions func() bool
 	OnSupersession    func(Supersession)
+	// StepTimes returns the newest sample of the step time of each target, and OnStepTime
+	// is called for each one from another instance. Both may be nil.
+	StepTimes  func() []StepTime
+	OnStepTime func(StepTime)
 	// Clock must be set if AsksSupersessions or Supersessions is.
 	Clock clock.Clock
 	// Notices returns further messages to send each round, about 1,100 bytes each
@@ -107,6 +132,7 @@
 	mu      sync.Mutex
 	reports map[uint64]timedReport
 	leaving map[uint64]time.Time // since when targets are known to leave
+	stepsAt time.Time            // of the last round with step times
 }
 
 // HashTarget returns the identifier of a target in reports. key is the key of
@@ -161,8 +187,8 @@
 	}
 }
 
-// freshReports returns the newest reports, at most maxReports, and deletes
-// those older than maxAge.
+// freshReports returns the newest reports of targets that state no pace, at most
+// maxReports, and deletes those older than maxAge.
 func (g *Gossip) freshReports(now time.Time) []report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,6 +199,9 @@
 			delete(g.reports, id)
 			continue
 		}
+		if k.load.PacePercent > 0 {
+			continue
+		}
 		reports = append(reports, report{
 			Target: id, Running: uint32(k.load.Running), Waiting: uint32(k.load.Waiting),
 			AgeMS: uint32(age.Milliseconds()), Down: k.down,
@@ -182,6 +211,26 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
+// freshPacedReports returns the newest reports of targets that state their pace, at most
+// maxReports.
+func (g *Gossip) freshPacedReports(now time.Time) []pacedReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var reports []pacedReport
+	for id, k := range g.reports {
+		age := now.Sub(k.observedAt)
+		if age > maxAge || k.load.PacePercent <= 0 {
+			continue
+		}
+		reports = append(reports, pacedReport{
+			Target: id, Running: uint32(k.load.Running), Waiting: uint32(k.load.Waiting),
+			AgeMS: uint32(age.Milliseconds()), PacePercent: uint32(k.load.PacePercent),
+		})
+	}
+	slices.SortFunc(reports, func(a, b pacedReport) int { return int(a.AgeMS) - int(b.AgeMS) })
+	return reports[:min(len(reports), maxReports)]
+}
+
 // datagrams returns the encoded datagrams of a round.
 func (g *Gossip) datagrams(now time.Time) [][]byte {
 	var payloads [][]byte
@@ -196,6 +245,12 @@
 	if reports := g.freshReports(now); len(reports) > 0 {
 		add(datagram{Version: version, Reports: reports})
 	}
+	if reports := g.freshPacedReports(now); len(reports) > 0 {
+		add(pacedDatagram{Version: pacedVersion, Reports: reports})
+	}
+	if steps := g.dueStepTimes(now); len(steps) > 0 {
+		add(stepDatagram{Version: stepVersion, Steps: steps})
+	}
 	if records := g.leavingRecords(now); len(records) > 0 {
 		add(leavingDatagram{Version: leavingVersion, Targets: records})
 	}
@@ -275,6 +330,16 @@
 		}
 	case supersessionQueryVersion, supersessionReplyVersion:
 		g.handleSupersessions(payload, answer)
+	case pacedVersion:
+		var d pacedDatagram
+		if cbor.Unmarshal(payload, &d) == nil {
+			g.handlePaced(d, now)
+		}
+	case stepVersion:
+		var d stepDatagram
+		if cbor.Unmarshal(payload, &d) == nil {
+			g.handleStepTimes(d, now)
+		}
 	case leavingVersion:
 		var d leavingDatagram
 		if cbor.Unmarshal(payload, &d) == nil {
@@ -286,13 +351,24 @@
 // handleReports records load reports and passes the newer ones to OnReport.
 func (g *Gossip) handleReports(d datagram, now time.Time) {
 	for _, r := range d.Reports {
-		age := time.Duration(r.AgeMS) * time.Millisecond
-		if age > maxAge {
-			continue
-		}
-		k := timedReport{load: target.Load{Running: int(r.Running), Waiting: int(r.Waiting)}, observedAt: now.Add(-age), down: r.Down}
-		if g.recordIfNewer(r.Target, k) {
-			g.OnReport(r.Target, k.load, k.observedAt, k.down)
-		}
+		g.handleReport(r.Target, target.Load{Running: int(r.Running), Waiting: int(r.Waiting)}, r.AgeMS, r.Down, now)
+	}
+}
+
+// handlePaced does the same for reports of targets that state their pace.
+func (g *Gossip) handlePaced(d pacedDatagram, now time.Time) {
+	for _, r := range d.Reports {
+		g.handleReport(r.Target, target.Load{Running: int(r.Running), Waiting: int(r.Waiting), PacePercent: int(r.PacePercent)}, r.AgeMS, false, now)
+	}
+}
+
+func (g *Gossip) handleReport(id uint64, load target.Load, ageMS uint32, down bool, now time.Time) {
+	age := time.Duration(ageMS) * time.Millisecond
+	if age > maxAge {
+		return
+	}
+	k := timedReport{load: load, observedAt: now.Add(-age), down: down}
+	if g.recordIfNewer(id, k) {
+		g.OnReport(id, k.load, k.observedAt, k.down)
 	}
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -129,6 +129,7 @@
 	Zone   string // of this instance
 
 	mu      sync.Mutex
+	pools   map[string]*poolState              // by name
 	scratch affinityTargets                    // reused by each Pick
 	usable  []candidate                        // reused by each Pick
 	states  map[*target.LiveState]*targetState // by target and incarnation
@@ -150,18 +151,19 @@
 	pendingPrefill   float64       // uncached tokens of own requests without a first event
 	inFlightAtReport int64         // own requests in flight at the newest load report
 	reportedAt       time.Time     // of the newest load report
+	slowness         float64       // step time relative to that of the pool's targets; 1 if unknown
 }
 
 // New returns a placer for an instance in the given zone.
 func New(params Params, zone string) *Placer {
-	return &Placer{Params: params, Zone: zone, states: make(map[*target.LiveState]*targetState)}
+	return &Placer{Params: params, Zone: zone, states: make(map[*target.LiveState]*targetState), pools: make(map[string]*poolState)}
 }
 
 // stateOf returns the state of a target's incarnation and creates it if needed.
 func (p *Placer) stateOf(t *target.Target) *targetState {
 	s := p.states[t.Live]
 	if s == nil {
-		s = &targetState{key: t.Key(), idHash: xxhash.Sum64String(t.ID), cached: make(map[uint64]time.Time)}
+		s = &targetState{key: t.Key(), idHash: xxhash.Sum64String(t.ID), cached: make(map[uint64]time.Time), slowness: 1}
 		p.states[t.Live] = s
 	}
 	if s.version != t.WeightVersion {
@@ -219,7 +221,8 @@
 	defer p.mu.Unlock()
 	affinity := xxhash.Sum64String(affinityKey(r))
 	p.hashParts(r)
-	p.listUsable(candidates, affinity)
+	pool := p.poolOf(candidates, now)
+	p.listUsable(candidates, affinity, pool)
 	homes := p.findHomes(affinity, r.NewestVersion, now)
 	best := Choice{Cost: math.MaxInt64}
 	// The second pass admits targets with an open circuit or a recent refusal, and
@@ -234,7 +237,7 @@
 			if pass == 0 && (now.Before(s.openUntil) || now.Before(s.busyUntil) || t.Live.HasLeavingHint()) {
 				continue
 			}
-			choice := p.evaluate(t, s, homes, r, now)
+			choice := p.evaluate(t, s, homes, r, pool, now)
 			choice.Cost += time.Duration(float64(maxTieBreak) * (1 - toUnit(c.hash)))
 			if choice.Cost < best.Cost {
 				best = choice
@@ -245,14 +248,18 @@
 }
 
 // listUsable sets p.usable to the candidates that do not leave.
-func (p *Placer) listUsable(candidates []*target.Target, affinity uint64) {
+func (p *Placer) listUsable(candidates []*target.Target, affinity uint64, pool *poolState) {
 	p.usable = p.usable[:0]
 	for _, t := range candidates {
 		if t.Leaving {
 			continue
 		}
 		s := p.stateOf(t)
-		p.usable = append(p.usable, candidate{target: t, state: s, hash: mix(affinity, s.idHash)})
+		hash := mix(affinity, s.idHash)
+		if pool.statesPace {
+			hash = weightedHash(hash, s.homeWeight())
+		}
+		p.usable = append(p.usable, candidate{target: t, state: s, hash: hash})
 	}
 }
 
@@ -321,7 +328,7 @@
 }
 
 // evaluate estimates the cost of a request on a target.
-func (p *Placer) evaluate(t *target.Target, s *targetState, homes *affinityTargets, r *Request, now time.Time) Choice {
+func (p *Placer) evaluate(t *target.Target, s *targetState, homes *affinityTargets, r *Request, pool *poolState, now time.Time) Choice {
 	choice := Choice{Target: t, UncachedTokens: r.PromptTokens}
 	fetched := 0
 	if g := groupOf(homes.groups, t); t.IsEngine && g != nil && len(r.Parts) > 1 {
@@ -347,10 +354,14 @@
 		}
 	}
 	others, waiting := p.othersAt(t, s, now)
-	choice.Delay = p.delay(t, s, choice.UncachedTokens, others, waiting)
+	if pool.statesPace {
+		choice.Delay = p.pacedDelay(t, s, pool, choice.UncachedTokens, others, waiting, now)
+	} else {
+		choice.Delay = p.delay(t, s, choice.UncachedTokens, others, waiting)
+	}
 	choice.Cost = choice.Delay + p.otherCosts(t, s, r, others, now)
 	if fetched > 0 {
-		transfer := p.Params.FetchCost + time.Duration(fetched)*p.Params.FetchPerToken
+		transfer := p.Params.FetchCost + time.Duration(fetched)*p.fetchPerToken(pool)
 		choice.Delay += transfer
 		choice.Cost += transfer
 	}
@@ -413,10 +424,14 @@
 	if over := busy + 1 - int64(t.Slots); t.Slots > 0 && over > 0 {
 		delay += time.Duration(over) * params.ServiceTime
 	}
-	if t.Zone != p.Zone {
-		delay += params.ZoneCost
+	return delay + p.zoneDelay(t)
+}
+
+func (p *Placer) zoneDelay(t *target.Target) time.Duration {
+	if t.Zone == p.Zone {
+		return 0
 	}
-	return delay
+	return p.Params.ZoneCost
 }
 
 // otherCosts returns the costs of memory, traffic between zones, loads and recent
@@ -554,6 +569,9 @@
 			delete(p.states, live)
 		}
 	}
+	if len(p.states) == 0 {
+		clear(p.pools)
+	}
 }
 
 // affinityKey returns the ID of the last shared part of the prompt, or
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -55,6 +55,9 @@
 	}
 	onFirstEvent := func() {
 		weights.stop()
+		if !started {
+			f.Placer.RecordPrefill(t, choice.UncachedTokens, time.Since(now), time.Now())
+		}
 		if !started && t.WeightsUsableUntil > 0 {
 			f.RequestLog.RecordSupersededStart(ex, t, sentAt, f.Clock.Elapsed())
 		}
--- a/pkg/relay/events.go
+++ b/pkg/relay/events.go
@@ -38,6 +38,8 @@
 	}
 	buffer := &eventBuffer{memory: f.Memory.For(ex.Target.Key())}
 	defer buffer.memory.Release()
+	steps := newStepSampler(ex.Target)
+	defer func() { ex.Target.Live.RecordStepTime(steps.stepTime(), time.Now()) }()
 	last := time.Now()
 	eventsBefore := ex.EventCount
 	for {
@@ -55,6 +57,7 @@
 					ex.LongestEventGap = max(ex.LongestEventGap, now.Sub(last))
 				}
 				last = now
+				steps.recordEvents(events, now)
 			}
 			if writeErr := f.sendEvents(ex, response, events); writeErr != nil {
 				return &failure{requestSent: true, mayHaveRun: true, reason: "the caller does not read", cause: writeErr}
--- a/pkg/state/targets.go
+++ b/pkg/state/targets.go
@@ -322,6 +322,29 @@
 	t.Log.Info("another instance says that a target leaves; it is avoided", "target", known.ID, "incarnation", known.Incarnation, "said_by", "instance")
 }
 
+// StepTimes returns the newest sample of the step time of each target.
+func (t *Targets) StepTimes() []gossip.StepTime {
+	v := t.current.Load()
+	if v == nil {
+		return nil
+	}
+	var out []gossip.StepTime
+	for hash, x := range v.hashes {
+		if step, at := x.Live.NewestStepTime(); step > 0 {
+			out = append(out, gossip.StepTime{Target: hash, Step: step, At: at})
+		}
+	}
+	return out
+}
+
+// RecordStepTime records a sample of the step time of a target that another instance
+// measured.
+func (t *Targets) RecordStepTime(s gossip.StepTime) {
+	if known := t.ByHash(s.Target); known != nil {
+		known.Live.RecordStepTime(s.Step, s.At)
+	}
+}
+
 // MarkReplaced records that another target answers at the address of this one. This
 // one is then not used until its entry changes the address or the incarnation.
 func (t *Targets) MarkReplaced(known *target.Target) {
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,7 @@
 	lastSeen           atomic.Int64 // time of the last data from the target, in Unix nanoseconds
 	pausedUntil        atomic.Int64 // boot time in nanoseconds until which the target wants no work; zero: never asked
 	leavingHint        atomic.Bool
+	steps              stepTimes
 }
 
 // MarkSeen records that data from the target arrived at the given time.
@@ -99,6 +101,41 @@
 type reportedLoad struct {
 	load     Load
 	observed time.Time
+	pace     float64 // mean of the stated paces; zero if none was stated
+}
+
+const (
+	// paceMeanTime is the time after which an earlier pace counts for 1/e in the mean.
+	// The stated pace changes faster than reports reach all instances: if they followed
+	// each one, all would send to the same targets.
+	paceMeanTime = time.Second
+	// paceLifetime is the time after the last report in which the deviation from the
+	// usual pace falls to 1/e.
+	paceLifetime = 2 * time.Second
+)
+
+// meanPace returns the mean pace after a report.
+func meanPace(before *reportedLoad, load Load, observed time.Time) float64 {
+	pace := float64(load.PacePercent) / 100
+	switch {
+	case before == nil || before.pace == 0:
+		return pace
+	case pace == 0:
+		return before.pace
+	}
+	gap := float64(observed.Sub(before.observed)) / float64(paceMeanTime)
+	return pace + (before.pace-pace)*math.Exp(-gap)
+}
+
+// Pace returns how long work takes at the target, relative to its usual time. It is 1
+// if the target does not say or has not said so lately.
+func (l *LiveState) Pace(now time.Time) float64 {
+	newest := l.reported.Load()
+	if newest == nil || newest.pace == 0 {
+		return 1
+	}
+	age := max(0, float64(now.Sub(newest.observed))/float64(paceLifetime))
+	return 1 + (newest.pace-1)*math.Exp(-age)
 }
 
 // RecordLoad records a load report of the target. Reports older than the newest
@@ -111,6 +148,7 @@
 		if newest != nil && newest.observed.After(observed) {
 			return
 		}
+		next.pace = meanPace(newest, load, observed)
 		if l.reported.CompareAndSwap(newest, next) {
 			return
 		}
