pkg/relay: the cache store is asked for shared parts before the directory knows of them

Cause: the directory of the store learns of saved parts some hundred milliseconds later. After new weights, the requests of that time computed the first part of all prompts again. Change: an engine that saves shared parts also fetches what the store has by then. A fetch without result takes about a millisecond. Load: a restart or new weights under steady traffic with shared prompts.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -195,18 +195,19 @@
 
 // useStore decides whether a target fetches shared parts of a prompt from the cache
 // store, instead of the source of the choice, and whether it saves them there. stored
-// is the number of leading shared parts that the store has.
+// is the number of leading shared parts that the store is known to have.
 //
 // Load: after a restart or new weights every engine lacks the parts that many prompts
-// begin with, and the store has them but not yet the rest of each prompt. Parts are
-// only saved if the store lacks shared ones, because the last part, which is not
-// shared, is saved with them and takes space.
+// begin with. The store has them soon, but not yet the rest of each prompt, and the
+// directory learns of them later than the next requests come. A fetch without result
+// takes about a millisecond. Parts are only saved if the store lacks shared ones,
+// because the last part, which is not shared, is saved with them and takes space.
 func useStore(shared []placement.Part, stored int, choice placement.Choice) (fetch, save bool) {
 	if stored == len(shared) {
 		return choice.IsHome || choice.CacheSource == nil, false
 	}
-	fetch = countTokens(shared[:stored]) >= minSavedTokens && !choice.SourceIsHome
-	return fetch, countTokens(shared) >= minSavedTokens
+	save = countTokens(shared) >= minSavedTokens
+	return save && !choice.SourceIsHome, save
 }
 
 func countTokens(parts []placement.Part) int {
