pkg/placement, pkg/daemon: learned speeds and moved homes in log and metrics

Operators see in the gauge target_speeds, and every ten seconds in a line, what was learned of each pool with uneven targets, and how often the home of a prompt changed.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -425,7 +425,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness, d.logSpeeds,
 	} {
 		group.Go(func() { run(background) })
 	}
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -1,9 +1,13 @@
 package daemon
 
 import (
+	"context"
 	"expvar"
 	"fmt"
 	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/clock"
 )
 
 // publishMetrics adds the metrics to the daemon's map.
@@ -15,6 +19,7 @@
 	d.metrics.Set("first_event", &d.requestLog.FirstEventLatency)
 	d.metrics.Set("whole_answer", &d.requestLog.TotalLatency)
 	d.metrics.Set("store_call", &d.storeCalls)
+	set("target_speeds", func() any { return d.placer.Speeds() })
 	set("response_memory_bytes", func() any { return d.responseMemory.Used() })
 	set("connections_opened", func() any { return d.targetConns.OpenedConns.Load() })
 	set("connections_reused", func() any { return d.targetConns.ReusedConns.Load() })
@@ -40,3 +45,26 @@
 		d.log.Warn("metrics are not served", "address", address, "cause", server.Serve(listener))
 	}()
 }
+
+// speedLogInterval is the time between two lines about the learned speeds of targets.
+const speedLogInterval = 10 * time.Second
+
+// logSpeeds logs the slowest and the fastest target of each pool with uneven targets
+// until ctx ends.
+func (d *Daemon) logSpeeds(ctx context.Context) {
+	for clock.Sleep(ctx, speedLogInterval) {
+		for pool, learned := range d.placer.Speeds() {
+			slowest, fastest := "", ""
+			for id, slowness := range learned.Slowness {
+				if slowest == "" || slowness > learned.Slowness[slowest] {
+					slowest = id
+				}
+				if fastest == "" || slowness < learned.Slowness[fastest] {
+					fastest = id
+				}
+			}
+			d.log.Info("learned speeds of targets", "pool", pool, "targets", len(learned.Slowness), "prefill_per_token", learned.Prefill, "home_moves", learned.HomeMoves,
+				"slowest", slowest, "slowest_takes", learned.Slowness[slowest], "fastest", fastest, "fastest_takes", learned.Slowness[fastest])
+		}
+	}
+}
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -40,7 +40,52 @@
 	refreshedAt time.Time
 	prefill     time.Duration // per uncached token
 	samples     []time.Duration
-	next        int // of samples, to be replaced
+	next        int               // of samples, to be replaced
+	homes       map[uint64]uint64 // hash of the ID of the home by hash of the prompt
+	homeMoves   int64
+}
+
+// maxTrackedHomes bounds the prompts of a pool whose home is remembered.
+const maxTrackedHomes = 4096
+
+// recordHome counts prompts whose home has changed since their last request.
+func (s *poolState) recordHome(affinity uint64, home *targetState) {
+	before, known := s.homes[affinity]
+	if known && before == home.idHash {
+		return
+	}
+	if known {
+		s.homeMoves++
+	}
+	if s.homes == nil || len(s.homes) >= maxTrackedHomes {
+		s.homes = make(map[uint64]uint64)
+	}
+	s.homes[affinity] = home.idHash
+}
+
+// PoolSpeeds is what a placer has learned about a pool whose targets state their pace.
+type PoolSpeeds struct {
+	Prefill   time.Duration      `json:"prefill_ns_per_token"`
+	HomeMoves int64              `json:"home_moves"`
+	Slowness  map[string]float64 `json:"slowness"` // of each target; 1 is usual
+}
+
+// Speeds returns what was learned, by pool.
+func (p *Placer) Speeds() map[string]PoolSpeeds {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make(map[string]PoolSpeeds)
+	for name, pool := range p.pools {
+		if pool.statesPace {
+			all[name] = PoolSpeeds{Prefill: pool.prefill, HomeMoves: pool.homeMoves, Slowness: make(map[string]float64)}
+		}
+	}
+	for _, s := range p.states {
+		if speeds, ok := all[s.pool]; ok {
+			speeds.Slowness[s.id] = s.slowness
+		}
+	}
+	return all
 }
 
 // poolOf returns the state of the pool of the candidates, which are all of one pool.
@@ -84,13 +129,12 @@
 		}
 		known := samples / (samples + priorStepSamples)
 		ratio := math.Pow(float64(step)/typical, known)
-		p.stateOf(t).slowness = min(max(ratio, minSlowness), maxSlowness)
+		s := p.stateOf(t)
+		s.slowness = min(max(ratio, minSlowness), maxSlowness)
+		s.homeWeight = 1 / s.slowness
 	}
 }
 
-// homeWeight returns the weight of a target in the choice of prompts' homes.
-func (s *targetState) homeWeight() float64 { return 1 / s.slowness }
-
 // weightedHash changes a hash so that, of several targets, each has the highest one with
 // a probability in proportion to its weight (weighted rendezvous hashing).
 func weightedHash(hash uint64, weight float64) uint64 {
--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -128,3 +128,12 @@
 		assert.Equal(t, a.Cost, b.Cost)
 	}
 }
+
+func BenchmarkPickUneven(b *testing.B) {
+	all, _ := unevenEngines(240, time.Now())
+	p := New(DefaultParams(), "zone-0")
+	r := sharedPromptRequest(1, 1)
+	for b.Loop() {
+		p.Pick(all, r, nil, time.Now())
+	}
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -139,6 +139,7 @@
 // targetState is what a placer tracks about one incarnation of a target.
 type targetState struct {
 	key              string // Target.Key
+	id, pool         string // of the target
 	idHash           uint64
 	version          string // weight version that versionHash was computed from
 	versionHash      uint64
@@ -152,6 +153,7 @@
 	inFlightAtReport int64         // own requests in flight at the newest load report
 	reportedAt       time.Time     // of the newest load report
 	slowness         float64       // step time relative to that of the pool's targets; 1 if unknown
+	homeWeight       float64       // in the choice of prompts' homes
 }
 
 // New returns a placer for an instance in the given zone.
@@ -163,7 +165,7 @@
 func (p *Placer) stateOf(t *target.Target) *targetState {
 	s := p.states[t.Live]
 	if s == nil {
-		s = &targetState{key: t.Key(), idHash: xxhash.Sum64String(t.ID), cached: make(map[uint64]time.Time), slowness: 1}
+		s = &targetState{key: t.Key(), idHash: xxhash.Sum64String(t.ID), cached: make(map[uint64]time.Time), slowness: 1, homeWeight: 1, id: t.ID, pool: t.Pool}
 		p.states[t.Live] = s
 	}
 	if s.version != t.WeightVersion {
@@ -224,6 +226,9 @@
 	pool := p.poolOf(candidates, now)
 	p.listUsable(candidates, affinity, pool)
 	homes := p.findHomes(affinity, r.NewestVersion, now)
+	if pool.statesPace && homes.home != nil && len(r.Parts) > 1 {
+		pool.recordHome(affinity, p.stateOf(homes.home))
+	}
 	best := Choice{Cost: math.MaxInt64}
 	// The second pass admits targets with an open circuit or a recent refusal, and
 	// those that another instance says are leaving.
@@ -257,7 +262,7 @@
 		s := p.stateOf(t)
 		hash := mix(affinity, s.idHash)
 		if pool.statesPace {
-			hash = weightedHash(hash, s.homeWeight())
+			hash = weightedHash(hash, s.homeWeight)
 		}
 		p.usable = append(p.usable, candidate{target: t, state: s, hash: hash})
 	}
