--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
@@ -27,7 +29,7 @@
 	// prefillSamples are kept for each pool; prefillQuantile of them is taken, because
 	// most causes of error make samples longer: a queue, parts that are not cached.
 	prefillSamples  = 32
-	prefillQuantile = 0.3
+	prefillQuantile = 0.15
 	// priorPrefillSamples is the number of samples for which the prior stands.
 	priorPrefillSamples = 2
 	// maxPrefillFactor bounds the learned prefill time, relative to the prior.
@@ -48,6 +50,39 @@
 // maxTrackedHomes bounds the prompts of a pool whose home is remembered.
 const maxTrackedHomes = 4096
 
+// spread sets the order in which a prompt with few shared tokens goes to other targets
+// than its home: one of its own, among targets whose cost differs by less than that of
+// one request which the load reports do not show yet. Its parts are computed as quickly
+// as they are fetched, and without that many instances with the same reports would send
+// their requests to the same target. It returns the largest cost added for the order.
+func (p *Placer) spread(pool *poolState, r *Request) time.Duration {
+	if !pool.statesPace || sharedTokens(r) >= minAffinityTokens {
+		return maxTieBreak
+	}
+	seed := xxhash.Sum64String(r.SpreadKey)
+	for i := range p.usable {
+		p.usable[i].order = mix(seed, p.usable[i].state.idHash)
+	}
+	return max(maxTieBreak, time.Duration(pool.scale(&p.Params)*float64(p.Params.RemoteRequestCost)))
+}
+
+// minAffinityTokens is the number of shared tokens from which requests for a prompt that
+// leave its home go to the same next targets.
+const minAffinityTokens = 600
+
+func sharedTokens(r *Request) int {
+	sum := 0
+	for i := 0; i < len(r.Parts)-1; i++ {
+		sum += r.Parts[i].Tokens
+	}
+	return sum
+}
+
+// scale returns how much longer prefill takes than the parameters say.
+func (s *poolState) scale(params *Params) float64 {
+	return float64(s.prefill) / float64(params.PrefillPerToken)
+}
+
 // recordHome counts prompts whose home has changed since their last request.
 func (s *poolState) recordHome(affinity uint64, home *targetState) {
 	before, known := s.homes[affinity]
@@ -160,7 +195,7 @@
 		return time.Duration(slow*float64(work)) + p.zoneDelay(t)
 	}
 	// The costs of requests of others contain a part of their prefill.
-	scale := float64(pool.prefill) / float64(params.PrefillPerToken)
+	scale := pool.scale(params)
 	work := (float64(uncached) + s.pendingPrefill) * float64(pool.prefill)
 	work += float64(own) * float64(params.RunningRequestCost)
 	work += scale * float64(others) * float64(params.RemoteRequestCost)
--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -90,6 +90,27 @@
 	assert.Assert(t, len(chosen) >= 9, "only %d of 12 targets are used", len(chosen))
 }
 
+// Many instances with the same reports sent short prompts, whose homes were busy, to the
+// same idle target.
+func TestShortPromptsSpillToDifferentTargets(t *testing.T) {
+	now := time.Now()
+	all, _ := unevenEngines(30, now)
+	request := func(i int) *Request {
+		return &Request{Parts: []Part{{"root", 120}, {"subject", 80}, {fmt.Sprint(i), 600}}, PromptTokens: 800, SpreadKey: fmt.Sprint(i)}
+	}
+	home := New(DefaultParams(), "zone-0").Pick(all, request(0), nil, now).Target
+	home.Live.RecordLoad(target.Load{Running: 12, Waiting: 6, PacePercent: 100}, now)
+	chosen := make(map[string]int)
+	const requests = 300
+	for i := range requests {
+		chosen[New(DefaultParams(), "zone-0").Pick(all, request(i), nil, now).Target.ID]++
+	}
+	for id, n := range chosen {
+		assert.Assert(t, n <= requests/5, "%s got %d of %d", id, n, requests)
+	}
+	assert.Assert(t, len(chosen) >= 8, "%d of 30 targets are used", len(chosen))
+}
+
 // The prefill time was a constant of another kind of engine, so queues looked three times
 // as short as they were.
 func TestPrefillTimeIsLearned(t *testing.T) {
