--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -158,3 +158,69 @@
 		p.Pick(all, r, nil, time.Now())
 	}
 }
+
+// A prompt that got a quarter of the traffic overloaded its home, and a cold one was computed
+// on several targets. Eight instances with reports that are 400 ms old replay ten seconds:
+// 16 requests a second for one prompt, and two a second for each of four cold ones.
+func TestHotPromptGetsHomesByItsLoad(t *testing.T) {
+	const reportAge, perToken = 400 * time.Millisecond, 32 * time.Microsecond
+	start := time.Now()
+	all, speeds := unevenEngines(12, start)
+	placers := make([]*Placer, 8)
+	for i := range placers {
+		placers[i] = New(DefaultParams(), "zone-0")
+	}
+	type run struct {
+		target    *target.Target
+		sent, end time.Time
+	}
+	var running []run
+	freeAt := make(map[string]time.Time)
+	used := make(map[int]map[string]int)
+	late := 0
+	for at, i := start, 0; at.Before(start.Add(10 * time.Second)); at, i = at.Add(time.Second/24), i+1 {
+		queued := make(map[string]int)
+		kept := running[:0]
+		for _, r := range running {
+			if r.end.After(at.Add(-reportAge)) && r.sent.Before(at.Add(-reportAge)) {
+				queued[r.target.ID]++
+			}
+			if r.end.After(at.Add(-reportAge)) {
+				kept = append(kept, r)
+			}
+		}
+		running = kept
+		for _, x := range all {
+			x.Live.RecordLoad(target.Load{Waiting: queued[x.ID], PacePercent: 100}, at.Add(-reportAge))
+		}
+		prompt := 0
+		if i%3 == 2 {
+			prompt = 1 + i/3%4
+		}
+		r := sharedPromptRequest(prompt, i)
+		p := placers[i%len(placers)]
+		choice := p.Pick(all, r, nil, at)
+		id := choice.Target.ID
+		if used[prompt] == nil {
+			used[prompt] = make(map[string]int)
+		}
+		used[prompt][id]++
+		work := time.Duration(float64(2900*perToken) / speeds[id])
+		begin := at
+		if freeAt[id].After(begin) {
+			begin = freeAt[id]
+		}
+		freeAt[id] = begin.Add(work)
+		if begin.Sub(at)+work > time.Second {
+			late++
+		}
+		p.RecordSent(choice.Target, r, choice.UncachedTokens, at)
+		p.RecordFirstEvent(choice.Target, choice.UncachedTokens)
+		running = append(running, run{choice.Target, at, freeAt[id]})
+	}
+	assert.Equal(t, late, 0, "requests with a first event after a second; targets by prompt: %v", used)
+	assert.Assert(t, len(used[0]) >= 2, "the hot prompt is on %d targets", len(used[0]))
+	for prompt := 1; prompt <= 4; prompt++ {
+		assert.Assert(t, len(used[prompt]) <= 2, "cold prompt %d is on %d targets: %v", prompt, len(used[prompt]), used[prompt])
+	}
+}
