pkg/placement: the prefill time of another kind of engine is learned

Change: the prefill time is learned for all engines, and used where it is twice that of the parameters or more. Pools within a factor of two are served as before. A prompt leaves its home for 1.5 times the time to compute its parts, since other requests wait for that too. Earlier deployments were not measured.

--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -5,14 +5,13 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
 // Pools whose targets state a pace have targets of uneven speed. For these, what
 // DefaultParams takes as given is learned: the prefill time of the pool, and the speed
-// of each target. Other pools are not affected.
+// of each target. The prefill time is also learned for other pools, but used only if
+// their engines are clearly of another kind.
 
 const (
 	// poolRefreshInterval is the time between two comparisons of the targets of a pool.
@@ -30,6 +29,11 @@
 	// most causes of error make samples longer: a queue, parts that are not cached.
 	prefillSamples  = 32
 	prefillQuantile = 0.15
+	// otherKindFactor is how many times as long as the prior the learned prefill time must
+	// be to be used where targets state no pace, and minOtherKindSamples from how many
+	// samples. Queues make samples longer by less.
+	otherKindFactor     = 2
+	minOtherKindSamples = 8
 	// priorPrefillSamples is the number of samples for which the prior stands.
 	priorPrefillSamples = 2
 	// maxPrefillFactor bounds the learned prefill time, relative to the prior.
@@ -50,32 +54,9 @@
 // maxTrackedHomes bounds the prompts of a pool whose home is remembered.
 const maxTrackedHomes = 4096
 
-// spread sets the order in which a prompt with few shared tokens goes to other targets
-// than its home: one of its own, among targets whose cost differs by less than that of
-// one request which the load reports do not show yet. Its parts are computed as quickly
-// as they are fetched, and without that many instances with the same reports would send
-// their requests to the same target. It returns the largest cost added for the order.
-func (p *Placer) spread(pool *poolState, r *Request) time.Duration {
-	if !pool.statesPace || sharedTokens(r) >= minAffinityTokens {
-		return maxTieBreak
-	}
-	seed := xxhash.Sum64String(r.SpreadKey)
-	for i := range p.usable {
-		p.usable[i].order = mix(seed, p.usable[i].state.idHash)
-	}
-	return max(maxTieBreak, time.Duration(pool.scale(&p.Params)*float64(p.Params.RemoteRequestCost)))
-}
-
-// minAffinityTokens is the number of shared tokens from which requests for a prompt that
-// leave its home go to the same next targets.
-const minAffinityTokens = 600
-
-func sharedTokens(r *Request) int {
-	sum := 0
-	for i := 0; i < len(r.Parts)-1; i++ {
-		sum += r.Parts[i].Tokens
-	}
-	return sum
+// isLearned reports whether what was learned takes the place of the parameters.
+func (s *poolState) isLearned(params *Params) bool {
+	return s.statesPace || len(s.samples) >= minOtherKindSamples && s.scale(params) >= otherKindFactor
 }
 
 // scale returns how much longer prefill takes than the parameters say.
@@ -98,7 +79,7 @@
 	s.homes[affinity] = home.idHash
 }
 
-// PoolSpeeds is what a placer has learned about a pool whose targets state their pace.
+// PoolSpeeds is what a placer has learned about a pool and uses.
 type PoolSpeeds struct {
 	Prefill   time.Duration      `json:"prefill_ns_per_token"`
 	HomeMoves int64              `json:"home_moves"`
@@ -111,7 +92,7 @@
 	defer p.mu.Unlock()
 	all := make(map[string]PoolSpeeds)
 	for name, pool := range p.pools {
-		if pool.statesPace {
+		if pool.isLearned(&p.Params) {
 			all[name] = PoolSpeeds{Prefill: pool.prefill, HomeMoves: pool.homeMoves, Slowness: make(map[string]float64)}
 		}
 	}
@@ -179,11 +160,11 @@
 	return uint64(math.Pow(toUnit(hash), 1/weight)*(1<<53)) << 11
 }
 
-// pacedDelay is delay for targets of uneven speed: what they do takes as much longer as
-// they are slower, and the work of others is valued by the pool's prefill time.
+// learnedDelay is delay by what was learned: what a target does takes as much longer as it
+// is slower, and the work of others is valued by the pool's prefill time.
 //
 // Load: engines of different speeds that share their machines with other work.
-func (p *Placer) pacedDelay(t *target.Target, s *targetState, pool *poolState, uncached int, others, waiting int64, now time.Time) time.Duration {
+func (p *Placer) learnedDelay(t *target.Target, s *targetState, pool *poolState, uncached int, others, waiting int64, now time.Time) time.Duration {
 	params := &p.Params
 	own := t.Live.InFlight.Load()
 	busy := own + others
@@ -206,14 +187,18 @@
 	return time.Duration(slow*work) + p.zoneDelay(t)
 }
 
+// recomputeFactor is the cost of computing parts again, in their prefill time: the other
+// requests at the target wait for it too.
+const recomputeFactor = 1.5
+
 // fetchPerToken returns the cost of fetching a cached token from another target. It is
 // no less than that of computing it: the home of a prompt has the parts only if earlier
 // requests went there, and a prompt that leaves its home makes that less likely.
 func (p *Placer) fetchPerToken(pool *poolState) time.Duration {
-	if !pool.statesPace {
+	if !pool.isLearned(&p.Params) {
 		return p.Params.FetchPerToken
 	}
-	return max(p.Params.FetchPerToken, pool.prefill)
+	return max(p.Params.FetchPerToken, time.Duration(recomputeFactor*float64(pool.prefill)))
 }
 
 // RecordPrefill records the time from the send of a request to its first event, after
@@ -225,7 +210,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pool := p.pools[t.Pool]
-	if pool == nil || !pool.statesPace {
+	if pool == nil {
 		return
 	}
 	perToken := float64(took) / float64(uncached) / (p.stateOf(t).slowness * t.Live.Pace(now))
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -204,8 +204,7 @@
 type candidate struct {
 	target *target.Target
 	state  *targetState
-	hash   uint64 // of the prompt and the target; the one with the highest is the home
-	order  uint64 // the highest one is first among targets of equal cost
+	hash   uint64 // of the prompt and the target; the highest one is first in order
 }
 
 // versionGroup is the first and second choice among the candidates with the
@@ -230,7 +229,6 @@
 	if pool.statesPace && homes.home != nil && len(r.Parts) > 1 {
 		pool.recordHome(affinity, p.stateOf(homes.home))
 	}
-	tieBreak := p.spread(pool, r)
 	best := Choice{Cost: math.MaxInt64}
 	// The second pass admits targets with an open circuit or a recent refusal, and
 	// those that another instance says are leaving.
@@ -245,7 +243,7 @@
 				continue
 			}
 			choice := p.evaluate(t, s, homes, r, pool, now)
-			choice.Cost += time.Duration(float64(tieBreak) * (1 - toUnit(c.order)))
+			choice.Cost += time.Duration(float64(maxTieBreak) * (1 - toUnit(c.hash)))
 			if choice.Cost < best.Cost {
 				best = choice
 			}
@@ -266,7 +264,7 @@
 		if pool.statesPace {
 			hash = weightedHash(hash, s.homeWeight)
 		}
-		p.usable = append(p.usable, candidate{target: t, state: s, hash: hash, order: hash})
+		p.usable = append(p.usable, candidate{target: t, state: s, hash: hash})
 	}
 }
 
@@ -361,8 +359,8 @@
 		}
 	}
 	others, waiting := p.othersAt(t, s, now)
-	if pool.statesPace {
-		choice.Delay = p.pacedDelay(t, s, pool, choice.UncachedTokens, others, waiting, now)
+	if pool.isLearned(&p.Params) {
+		choice.Delay = p.learnedDelay(t, s, pool, choice.UncachedTokens, others, waiting, now)
 	} else {
 		choice.Delay = p.delay(t, s, choice.UncachedTokens, others, waiting)
 	}
