pkg/placement: the delay away from the home holds no prices

Cause: the cost of a fetch, which contains the price of a transfer and of computing the parts for others, counted as expected time until the first event. Admission compares that time with the callers' objectives. Change: the delay holds the time to compute half of the parts; choices do not change. Test: TestDelayAwayFromHomeHasNoPrices.

--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -59,6 +59,14 @@
 	return s.statesPace || len(s.samples) >= minOtherKindSamples && s.scale(params) >= otherKindFactor
 }
 
+// prefillTime returns the prefill time of a token, as learned if that is used.
+func (s *poolState) prefillTime(params *Params) time.Duration {
+	if s.isLearned(params) {
+		return s.prefill
+	}
+	return params.PrefillPerToken
+}
+
 // scale returns how much longer prefill takes than the parameters say.
 func (s *poolState) scale(params *Params) float64 {
 	return float64(s.prefill) / float64(params.PrefillPerToken)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -366,9 +366,8 @@
 	}
 	choice.Cost = choice.Delay + p.otherCosts(t, s, r, others, now)
 	if fetched > 0 {
-		transfer := p.Params.FetchCost + time.Duration(fetched)*p.fetchPerToken(pool)
-		choice.Delay += transfer
-		choice.Cost += transfer
+		choice.Delay += p.Params.FetchCost + time.Duration(missedFetchShare*float64(fetched)*float64(pool.prefillTime(&p.Params)))
+		choice.Cost += p.Params.FetchCost + time.Duration(fetched)*p.fetchPerToken(pool)
 	}
 	if r.NewestVersion != "" && t.WeightVersion != r.NewestVersion && !homes.keepHome {
 		choice.Cost += p.Params.OldWeightsCost
@@ -376,6 +375,10 @@
 	return choice
 }
 
+// missedFetchShare is the share of the parts fetched from a home that it is expected to
+// lack, so that they are computed after all.
+const missedFetchShare = 0.5
+
 // maxTieBreak is the largest cost that is added by hash order, so that a prompt
 // that spills from its home goes to the same next target on all instances.
 const maxTieBreak = 8 * time.Millisecond
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -266,3 +266,16 @@
 	queued := p.Pick(only, r, nil, now)
 	assert.Equal(t, queued.Delay-costly.Delay, 5*p.Params.RemoteRequestCost+3*p.Params.WaitingRequestCost)
 }
+
+// The price of a transfer counted as delay, so that admission refused requests which
+// another target than the home serves in time.
+func TestDelayAwayFromHomeHasNoPrices(t *testing.T) {
+	now := time.Now()
+	p, two, r := New(DefaultParams(), "zone-0"), engines(2), sharedPromptRequest(1, 0)
+	two[1].Zone = two[0].Zone
+	home := p.Pick(two, r, nil, now)
+	away := p.Pick(two, r, func(t *target.Target) bool { return t == home.Target }, now)
+	recomputed := 6300 * p.Params.PrefillPerToken
+	assert.Assert(t, away.Delay > home.Delay && away.Delay < home.Delay+recomputed, "%v away, %v at home", away.Delay, home.Delay)
+	assert.Assert(t, away.Cost > home.Cost+recomputed)
+}
