pkg/placement: learned figures are used only for pools whose targets state a pace

Cause: the time to the first event has a part that does not depend on the prompt. It counted as prefill, so that engines of the usual kind could be taken for slow ones, and pools that state no pace were placed differently. Change: the prefill time is learned and used only where targets state a pace. Test: TestPoolsWithoutPaceAreUnaffected has a fixed time and a cold cache, and fails before.

--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -10,8 +10,7 @@
 
 // Pools whose targets state a pace have targets of uneven speed. For these, what
 // DefaultParams takes as given is learned: the prefill time of the pool, and the speed
-// of each target. The prefill time is also learned for other pools, but used only if
-// their engines are clearly of another kind.
+// of each target. Other pools are not affected.
 
 const (
 	// poolRefreshInterval is the time between two comparisons of the targets of a pool.
@@ -29,11 +28,6 @@
 	// most causes of error make samples longer: a queue, parts that are not cached.
 	prefillSamples  = 32
 	prefillQuantile = 0.15
-	// otherKindFactor is how many times as long as the prior the learned prefill time must
-	// be to be used where targets state no pace, and minOtherKindSamples from how many
-	// samples. Queues make samples longer by less.
-	otherKindFactor     = 2
-	minOtherKindSamples = 8
 	// priorPrefillSamples is the number of samples for which the prior stands.
 	priorPrefillSamples = 2
 	// maxPrefillFactor bounds the learned prefill time, relative to the prior.
@@ -54,14 +48,9 @@
 // maxTrackedHomes bounds the prompts of a pool whose home is remembered.
 const maxTrackedHomes = 4096
 
-// isLearned reports whether what was learned takes the place of the parameters.
-func (s *poolState) isLearned(params *Params) bool {
-	return s.statesPace || len(s.samples) >= minOtherKindSamples && s.scale(params) >= otherKindFactor
-}
-
 // prefillTime returns the prefill time of a token, as learned if that is used.
 func (s *poolState) prefillTime(params *Params) time.Duration {
-	if s.isLearned(params) {
+	if s.statesPace {
 		return s.prefill
 	}
 	return params.PrefillPerToken
@@ -100,7 +89,7 @@
 	defer p.mu.Unlock()
 	all := make(map[string]PoolSpeeds)
 	for name, pool := range p.pools {
-		if pool.isLearned(&p.Params) {
+		if pool.statesPace {
 			all[name] = PoolSpeeds{Prefill: pool.prefill, HomeMoves: pool.homeMoves, Slowness: make(map[string]float64)}
 		}
 	}
@@ -203,7 +192,7 @@
 // no less than that of computing it: the home of a prompt has the parts only if earlier
 // requests went there, and a prompt that leaves its home makes that less likely.
 func (p *Placer) fetchPerToken(pool *poolState) time.Duration {
-	if !pool.isLearned(&p.Params) {
+	if !pool.statesPace {
 		return p.Params.FetchPerToken
 	}
 	return max(p.Params.FetchPerToken, time.Duration(recomputeFactor*float64(pool.prefill)))
@@ -218,7 +207,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pool := p.pools[t.Pool]
-	if pool == nil {
+	if pool == nil || !pool.statesPace {
 		return
 	}
 	perToken := float64(took) / float64(uncached) / (p.stateOf(t).slowness * t.Live.Pace(now))
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -359,7 +359,7 @@
 		}
 	}
 	others, waiting := p.othersAt(t, s, now)
-	if pool.isLearned(&p.Params) {
+	if pool.statesPace {
 		choice.Delay = p.learnedDelay(t, s, pool, choice.UncachedTokens, others, waiting, now)
 	} else {
 		choice.Delay = p.delay(t, s, choice.UncachedTokens, others, waiting)
