pkg/relay: a home keeps the second engine as source while the store is not known to have anything

Cause: a home that lacks its parts asked the store also if the directory had none of them, instead of the engine that had served the prompt meanwhile, for instance after the home had restarted; and it asked a store that is down more often than needed. Change: the store takes the place of another engine only if it is known to have the start.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -198,16 +198,17 @@
 // is the number of leading shared parts that the store is known to have.
 //
 // Load: after a restart or new weights every engine lacks the parts that many prompts
-// begin with. The store has them soon, but not yet the rest of each prompt, and the
-// directory learns of them later than the next requests come. A fetch without result
-// takes about a millisecond. Parts are only saved if the store lacks shared ones,
-// because the last part, which is not shared, is saved with them and takes space.
+// begin with, and the store has them but not yet the rest of each prompt. The source of
+// the choice is kept if it is the home, or if the store is not known to have anything.
+// Parts are only saved if the store lacks shared ones, because the last part, which is
+// not shared, is saved with them and takes space.
 func useStore(shared []placement.Part, stored int, choice placement.Choice) (fetch, save bool) {
 	if stored == len(shared) {
 		return choice.IsHome || choice.CacheSource == nil, false
 	}
 	save = countTokens(shared) >= minSavedTokens
-	return save && !choice.SourceIsHome, save
+	fetch = save && !choice.SourceIsHome && (stored > 0 || choice.CacheSource == nil)
+	return fetch, save
 }
 
 func countTokens(parts []placement.Part) int {
