pkg/target: a stated pace is bounded, recovers without further ones, and no single one is followed

Cause: a pace was kept for ever when later reports stated none; the first report, and one after a pause, were followed whole, so that all instances could turn to one target; a target that stated one percent got all requests. Change: the time of the last stated pace is kept apart, a report counts for 0.3 at most, the rest counts as usual, and a pace is taken as 0.25 to 10. Tests: TestPaceRecoversAndNoSingleReportIsFollowed, TestStatedPaceIsBounded.

--- a/pkg/target/steptime_test.go
+++ b/pkg/target/steptime_test.go
@@ -39,3 +39,37 @@
 	}
 	assert.Assert(t, l.Pace(now) > 2.3, "a lasting pace is not followed: %v", l.Pace(now))
 }
+
+// A target kept its last pace for ever if later reports stated none, and a single report
+// after a pause was followed whole.
+func TestPaceRecoversAndNoSingleReportIsFollowed(t *testing.T) {
+	l, now := &LiveState{}, time.Now()
+	l.RecordLoad(Load{PacePercent: 300}, now)
+	assert.Assert(t, l.Pace(now) <= 1.6, "the first report is followed: %v", l.Pace(now))
+	for i := range 20 {
+		now = now.Add(5 * time.Second)
+		l.RecordLoad(Load{PacePercent: []int{300, 100}[i%2]}, now)
+		assert.Assert(t, l.Pace(now) <= 1.7, "a sparse report is followed: %v", l.Pace(now))
+	}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		l.RecordLoad(Load{PacePercent: 300}, now)
+	}
+	for range 50 {
+		now = now.Add(200 * time.Millisecond)
+		l.RecordLoad(Load{Running: 1}, now)
+	}
+	assert.Assert(t, l.Pace(now) < 1.05, "the pace does not recover: %v", l.Pace(now))
+}
+
+// A target that stated a pace of one percent got all requests.
+func TestStatedPaceIsBounded(t *testing.T) {
+	for _, percent := range []int{1, 10_000_000} {
+		l, now := &LiveState{}, time.Now()
+		for range 100 {
+			now = now.Add(100 * time.Millisecond)
+			l.RecordLoad(Load{PacePercent: percent}, now)
+		}
+		assert.Assert(t, l.Pace(now) >= minPace && l.Pace(now) <= maxPace, "%v", l.Pace(now))
+	}
+}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -101,43 +101,55 @@
 type reportedLoad struct {
 	load     Load
 	observed time.Time
-	pace     float64 // mean of the stated paces; zero if none was stated
+	pace     float64   // mean of the stated paces; zero if none was stated
+	paceAt   time.Time // of the newest report that stated one
 }
 
 const (
 	// paceMeanTime is the time after which an earlier pace counts for 1/e in the mean.
 	// The stated pace changes faster than reports reach all instances: if they followed
-	// each one, all would send to the same targets.
-	paceMeanTime = time.Second
+	// each one, all would send to the same targets. For the same reason a single report
+	// counts for maxPaceWeight at most, however old the one before is.
+	paceMeanTime  = time.Second
+	maxPaceWeight = 0.3
 	// paceLifetime is the time after the last report in which the deviation from the
 	// usual pace falls to 1/e.
 	paceLifetime = 2 * time.Second
+	// minPace and maxPace bound a stated pace, so that no target gets all of the work or
+	// none for what it says.
+	minPace, maxPace = 0.25, 10
 )
 
-// meanPace returns the mean pace after a report.
-func meanPace(before *reportedLoad, load Load, observed time.Time) float64 {
-	pace := float64(load.PacePercent) / 100
-	switch {
-	case before == nil || before.pace == 0:
-		return pace
-	case pace == 0:
-		return before.pace
+// setPace sets the mean pace after the report before, which may be nil.
+func (r *reportedLoad) setPace(before *reportedLoad) {
+	if before != nil {
+		r.pace, r.paceAt = before.pace, before.paceAt
 	}
-	gap := float64(observed.Sub(before.observed)) / float64(paceMeanTime)
-	return pace + (before.pace-pace)*math.Exp(-gap)
+	if r.load.PacePercent <= 0 {
+		return
+	}
+	stated := min(max(float64(r.load.PacePercent)/100, minPace), maxPace)
+	earlier := 0.0 // weight of the mean before; what neither it nor this report has counts as usual
+	if !r.paceAt.IsZero() {
+		earlier = math.Exp(-float64(r.observed.Sub(r.paceAt)) / float64(paceMeanTime))
+	}
+	weight := min(1-earlier, maxPaceWeight)
+	r.pace, r.paceAt = 1+earlier*(r.pace-1)+weight*(stated-1), r.observed
 }
 
-// Pace returns how long work takes at the target, relative to its usual time. It is 1
-// if the target does not say or has not said so lately.
-func (l *LiveState) Pace(now time.Time) float64 {
-	newest := l.reported.Load()
-	if newest == nil || newest.pace == 0 {
+// paceNow returns the mean pace, which returns to the usual one when no report states it.
+func (r *reportedLoad) paceNow(now time.Time) float64 {
+	if r == nil || r.pace == 0 {
 		return 1
 	}
-	age := max(0, float64(now.Sub(newest.observed))/float64(paceLifetime))
-	return 1 + (newest.pace-1)*math.Exp(-age)
+	age := max(0, float64(now.Sub(r.paceAt))/float64(paceLifetime))
+	return 1 + (r.pace-1)*math.Exp(-age)
 }
 
+// Pace returns how long work takes at the target, relative to its usual time. It is 1
+// if the target does not say or has not said so lately.
+func (l *LiveState) Pace(now time.Time) float64 { return l.reported.Load().paceNow(now) }
+
 // RecordLoad records a load report of the target. Reports older than the newest
 // recorded one are dropped.
 func (l *LiveState) RecordLoad(load Load, observed time.Time) {
@@ -148,7 +160,7 @@
 		if newest != nil && newest.observed.After(observed) {
 			return
 		}
-		next.pace = meanPace(newest, load, observed)
+		next.setPace(newest)
 		if l.reported.CompareAndSwap(newest, next) {
 			return
 		}
