pkg/target: old step times lose their weight when a new one comes

Cause: the weight fell with age only until the next sample, which brought all of it back. Ten samples of 90 ms and, ten minutes later, one of 30 ms gave 80.6 ms. Test: TestOldStepTimesLoseTheirWeight.

--- a/pkg/target/steptime.go
+++ b/pkg/target/steptime.go
@@ -43,8 +43,8 @@
 	if at.Sub(s.at) < sameSampleSpan {
 		return
 	}
+	s.count = min(s.weight(at)+1, maxStepSamples)
 	s.newest, s.at = step, at
-	s.count = min(s.count+1, maxStepSamples)
 	s.logMean += (math.Log(step.Seconds()) - s.logMean) / s.count
 }
 
@@ -57,8 +57,13 @@
 	if s.count == 0 {
 		return 0, 0
 	}
+	return time.Duration(math.Exp(s.logMean) * float64(time.Second)), s.weight(now)
+}
+
+// weight returns the weight of the mean in samples. The caller holds mu.
+func (s *stepTimes) weight(now time.Time) float64 {
 	age := max(0, now.Sub(s.at))
-	return time.Duration(math.Exp(s.logMean) * float64(time.Second)), s.count * math.Exp(-float64(age)/float64(stepTimeLifetime))
+	return s.count * math.Exp(-float64(age)/float64(stepTimeLifetime))
 }
 
 // NewestStepTime returns the newest sample and its time, which is zero if there is none.
--- a/pkg/target/steptime_test.go
+++ b/pkg/target/steptime_test.go
@@ -73,3 +73,15 @@
 		assert.Assert(t, l.Pace(now) >= minPace && l.Pace(now) <= maxPace, "%v", l.Pace(now))
 	}
 }
+
+// Ten samples of a time long ago outweighed the first new one.
+func TestOldStepTimesLoseTheirWeight(t *testing.T) {
+	l, now := &LiveState{}, time.Now()
+	for i := range 10 {
+		l.RecordStepTime(90*time.Millisecond, now.Add(time.Duration(i)*time.Second))
+	}
+	now = now.Add(10 * time.Minute)
+	l.RecordStepTime(30*time.Millisecond, now)
+	mean, samples := l.StepTime(now)
+	assert.Assert(t, mean < 31*time.Millisecond && samples < 1.1, "%v with weight %v", mean, samples)
+}
