pkg/placement, pkg/target, pkg/gossip: findings of the review

- The highest hash could become the lowest one by an overflow (TestWeightedHashKeepsTheOrder fails before).
- Step times of next to no weight no longer count for the middle of the pool, pools without targets are forgotten, and a datagram of paced reports stays within one packet.

--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -56,6 +56,9 @@
 // pace. Instances that do not know it ignore them.
 const pacedVersion = 6
 
+// maxPacedReports keeps a datagram of these, which are longer, within one packet.
+const maxPacedReports = 60
+
 // pacedReport is the load of one target that states its pace.
 type pacedReport struct {
 	_           struct{} `cbor:",toarray"`
@@ -212,7 +215,7 @@
 }
 
 // freshPacedReports returns the newest reports of targets that state their pace, at most
-// maxReports.
+// maxPacedReports.
 func (g *Gossip) freshPacedReports(now time.Time) []pacedReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -228,7 +231,7 @@
 		})
 	}
 	slices.SortFunc(reports, func(a, b pacedReport) int { return int(a.AgeMS) - int(b.AgeMS) })
-	return reports[:min(len(reports), maxReports)]
+	return reports[:min(len(reports), maxPacedReports)]
 }
 
 // datagrams returns the encoded datagrams of a round.
--- a/pkg/gossip/steptimes.go
+++ b/pkg/gossip/steptimes.go
@@ -12,8 +12,8 @@
 	// stepInterval is the time between two rounds with step times. They change more
 	// slowly than the load.
 	stepInterval = time.Second
-	// maxStepAge is the age above which a sample is neither sent nor accepted. With the
-	// fan-out it reaches a hundred instances in that time.
+	// maxStepAge is the age above which a sample is neither sent nor accepted. It leaves
+	// time for four rounds.
 	maxStepAge = 4 * time.Second
 	// maxSteps keeps a datagram within one packet.
 	maxSteps = 64
--- a/pkg/placement/pace.go
+++ b/pkg/placement/pace.go
@@ -18,6 +18,8 @@
 	// priorStepSamples is the number of samples of the step time for which the prior, that
 	// a target is as fast as the others, stands.
 	priorStepSamples = 2
+	// minStepWeight is the least weight, in samples, of a step time to compare others with.
+	minStepWeight = 0.1
 	// minSlowness and maxSlowness bound the learned slowness of a target, so that each
 	// gets a part of the work and is measured again.
 	minSlowness, maxSlowness = 0.5, 2.5
@@ -126,7 +128,7 @@
 		if load, _ := t.NewestLoad(); load.PacePercent > 0 {
 			pool.statesPace = true
 		}
-		if step, _ := t.Live.StepTime(now); step > 0 {
+		if step, samples := t.Live.StepTime(now); samples >= minStepWeight {
 			steps = append(steps, float64(step))
 		}
 	}
@@ -149,12 +151,12 @@
 }
 
 // weightedHash changes a hash so that, of several targets, each has the highest one with
-// a probability in proportion to its weight (weighted rendezvous hashing).
+// a probability in proportion to its weight (weighted rendezvous hashing). It is called
+// for each candidate of each request: a logarithm costs less than a power.
 func weightedHash(hash uint64, weight float64) uint64 {
-	if weight == 1 {
-		return hash
-	}
-	return uint64(math.Pow(toUnit(hash), 1/weight)*(1<<53)) << 11
+	const unit = 1 << 53
+	score := -math.Log(toUnit(hash)+1.0/unit) / weight // the lowest one wins
+	return uint64(min(unit-1, unit/(1+max(0, score)))) << 11
 }
 
 // learnedDelay is delay by what was learned: what a target does takes as much longer as it
--- a/pkg/placement/pace_test.go
+++ b/pkg/placement/pace_test.go
@@ -204,3 +204,13 @@
 		assert.Assert(t, len(used[prompt]) <= 2, "cold prompt %d is on %d targets: %v", prompt, len(used[prompt]), used[prompt])
 	}
 }
+
+// The highest hash became the lowest one by an overflow.
+func TestWeightedHashKeepsTheOrder(t *testing.T) {
+	hashes := []uint64{0, 1 << 20, 1 << 40, 1 << 62, math.MaxUint64 - 1<<12, math.MaxUint64}
+	for _, weight := range []float64{0.4, 0.999, 2} {
+		for i := 1; i < len(hashes); i++ {
+			assert.Assert(t, weightedHash(hashes[i], weight) >= weightedHash(hashes[i-1], weight), "%d, weight %v", i, weight)
+		}
+	}
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -577,9 +578,11 @@
 			delete(p.states, live)
 		}
 	}
-	if len(p.states) == 0 {
-		clear(p.pools)
+	used := make(map[string]bool)
+	for _, s := range p.states {
+		used[s.pool] = true
 	}
+	maps.DeleteFunc(p.pools, func(pool string, _ *poolState) bool { return !used[pool] })
 }
 
 // affinityKey returns the ID of the last shared part of the prompt, or
--- a/pkg/target/steptime.go
+++ b/pkg/target/steptime.go
@@ -12,9 +12,10 @@
 	// maxStepSamples bounds the weight of earlier samples, so that the mean follows a
 	// target that has changed.
 	maxStepSamples = 10
-	// sameSampleSpan is the difference in time up to which two samples are the same one,
-	// heard from several instances.
-	sameSampleSpan = 50 * time.Millisecond
+	// sameSampleSpan is the difference in time up to which two samples count as the same
+	// one, heard from several instances: each that passes it on makes it look later by the
+	// time of its way.
+	sameSampleSpan = 300 * time.Millisecond
 	// stepTimeLifetime is the time after which what is known counts for 1/e, so that a
 	// target that was slow is tried again.
 	stepTimeLifetime = 30 * time.Second
