callerconn: a complete head can no longer give way

Cause: net/http reads the byte behind a complete request before it calls the handler. While that read waited for memory, the handler left the receipt of the head among those that can give way, and the end of the receipt closed the connection under the running request. A head that had been chosen just before it was complete ran although its connection was closed. Change: the handler takes the receipt off the connection also while a read grows it; the read then returns the memory. A request whose head had to give way is aborted before it runs. Result: TestRunningRequestDoesNotGiveWay and TestRequestWhoseHeadGaveWayDoesNotRun fail before and pass after.

--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -54,7 +54,8 @@
 	mu       sync.Mutex
 	inHead   bool     // what is read belongs to a head
 	head     *receipt // of the head that is read; nil before its first byte
-	growing  bool     // Read reserves memory for head and releases it if the connection is closed meanwhile
+	growing  bool     // Read reserves memory for a head and releases it if that is no longer head
+	aborted  bool     // no further request may run
 	isClosed bool
 }
 
@@ -160,8 +161,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.growing = false
-	if c.isClosed {
-		c.dropHead()
+	if c.head != head {
+		head.reservation.Release()
 	}
 	return err
 }
@@ -189,22 +190,21 @@
 }
 
 // releaseHead ends the reading of a head. inHead is whether the next bytes belong to another.
-func (c *Conn) releaseHead(inHead bool) {
+// It reports whether the request may run; a head that had to give way has closed the connection.
+func (c *Conn) releaseHead(inHead bool) (mayRun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = inHead
-	if !c.growing {
-		c.dropHead()
-	}
-}
-
-// dropHead releases the memory of the head that is read. The caller holds mu.
-func (c *Conn) dropHead() {
 	if c.head != nil {
-		c.limiter.finish(c.head)
-		c.head.reservation.Release()
+		if c.limiter.finish(c.head) {
+			c.aborted = true
+		}
+		if !c.growing {
+			c.head.reservation.Release()
+		}
 		c.head = nil
 	}
+	return !c.aborted
 }
 
 // setState records what the connection is used for.
@@ -300,7 +300,9 @@
 		head := &receipt{cause: causeHead, reservation: l.budget.For(causeHead)} // complete
 		defer func() { head.reservation.Release() }()
 		if c := fromContext(r.Context()); c != nil {
-			c.releaseHead(false)
+			if !c.releaseHead(false) {
+				panic(http.ErrAbortHandler) // no answer can be sent
+			}
 			if r.Body == nil || r.Body == http.NoBody {
 				c.setState(stateRunning)
 			}
