callerconn: a request that runs is never answered with the refusal of a head

Cause: the byte behind a complete request, which net/http reads before it calls the handler, was taken for a head. Without memory for it the connection got a 503, which promises that the request has not run, and the request ran. Change: the read gives the refusal up if the handler was called meanwhile; after a refusal the handler aborts the request.

--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -146,7 +146,8 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrOutOfMemory}
 }
 
-// reserveHead reserves memory for bytes of a head. It does nothing for other bytes.
+// reserveHead reserves memory for bytes of a head. It does nothing for other bytes. After an
+// error no request of the connection runs.
 func (c *Conn) reserveHead(data []byte) error {
 	head := c.startGrowing()
 	if head == nil {
@@ -161,9 +162,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.growing = false
-	if c.head != head {
+	if c.head != head { // its request runs, or the connection is closed
 		head.reservation.Release()
+		return nil
 	}
+	c.aborted = c.aborted || err != nil
 	return err
 }
 
@@ -190,7 +193,8 @@
 }
 
 // releaseHead ends the reading of a head. inHead is whether the next bytes belong to another.
-// It reports whether the request may run; a head that had to give way has closed the connection.
+// It reports whether the request may run: not after a refusal, and not if the head had to give way,
+// which has closed the connection.
 func (c *Conn) releaseHead(inHead bool) (mayRun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/callerconn/conn_test.go
+++ b/pkg/callerconn/conn_test.go
@@ -127,3 +127,33 @@
 	assert.Assert(t, f.serve())
 	assert.Assert(t, !f.ran)
 }
+
+// A byte behind a complete request was taken for a head. If there was no memory for it, the
+// connection got the answer that the request had not run, although it ran.
+func TestRunningRequestIsNotRefused(t *testing.T) {
+	f := newHeadFixture(t)
+	release := f.fill()
+	read := f.startRead(t)
+	f.awaitGrowing()
+	release()
+	assert.Assert(t, !f.serve())
+	assert.Assert(t, f.ran)
+	defer f.fill()()
+	f.unblock()
+	assert.NilError(t, <-read)
+}
+
+// A request whose connection got the answer that it had not run must not run.
+func TestRefusedRequestDoesNotRun(t *testing.T) {
+	f := newHeadFixture(t)
+	defer f.fill()()
+	f.unblock()
+	read := f.startRead(t)
+	answer := make([]byte, len(refusal))
+	_, err := io.ReadFull(f.peer, answer)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer), refusal)
+	assert.ErrorIs(t, <-read, ErrOutOfMemory)
+	assert.Assert(t, f.serve())
+	assert.Assert(t, !f.ran)
+}
