callerconn: a new connection closes one other at most

Cause: admit closed connections until the new one found room. Where memory was short a waiting request could take what each released, so that one new connection closed all idle ones. Change: after one the new connection is refused. Result: TestNewConnectionClosesOneAtMost fails before (all 3 closed) and passes after. Run: go test -race -count=1 ./pkg/callerconn, passed.

--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -89,19 +89,21 @@
 }
 
 // admit returns a connection, or nil if there is no room for it. It closes another connection
-// to make room.
+// to make room, and only one: what it releases may be taken by a request that waits for memory.
 func (l *Limiter) admit(raw net.Conn, encrypted bool) *Conn {
 	c := &Conn{Conn: raw, limiter: l, encrypted: encrypted, inHead: true, memory: l.budget.For(causeConnection), since: time.Now()}
-	for !l.add(c) {
-		yielding := l.connToClose()
-		if yielding == nil {
-			l.recordEvent(l.refused, causeConnection, "connection refused; no room is left for connections")
-			return nil
-		}
+	if l.add(c) {
+		return c
+	}
+	if yielding := l.connToClose(); yielding != nil {
 		l.recordEvent(l.ended, causeConnection, "connection closed to make room for another")
 		_ = yielding.Close()
+		if l.add(c) {
+			return c
+		}
 	}
-	return c
+	l.recordEvent(l.refused, causeConnection, "connection refused; no room is left for connections")
+	return nil
 }
 
 // add counts a connection and reports whether there is room for it.
--- a/pkg/callerconn/conn_test.go
+++ b/pkg/callerconn/conn_test.go
@@ -157,3 +157,19 @@
 	assert.Assert(t, f.serve())
 	assert.Assert(t, !f.ran)
 }
+
+// One new connection closed all idle ones where the room of each was taken at once by a request
+// that waited for memory.
+func TestNewConnectionClosesOneAtMost(t *testing.T) {
+	l := New(Limits{Memory: testMemory}, hclog.NewNullLogger(), func(string, expvar.Var) {})
+	for range 3 {
+		server, client := net.Pipe()
+		defer client.Close()
+		l.admit(server, false).since = time.Now().Add(-time.Hour)
+	}
+	l.maxConns = 0 // no room, whatever is closed
+	server, client := net.Pipe()
+	defer client.Close()
+	assert.Assert(t, l.admit(server, false) == nil)
+	assert.Equal(t, l.connCount(), 2)
+}
