--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -123,10 +123,11 @@
 func (l *Limiter) connToClose() *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	var chosen *Conn
 	for c := range l.conns {
 		switch {
-		case c.state == stateRunning || time.Since(c.since) < minStall:
+		case c.state == stateRunning || now.Sub(c.since) < minStall:
 		case chosen == nil || c.state < chosen.state || c.state == chosen.state && c.since.Before(chosen.since):
 			chosen = c
 		}
