callerconn: a connection does not give way while any of its requests runs

Cause: a connection had one state. An open body on a second stream of an HTTP/2 connection (serve) marked it as receiving, so that it could be closed for another under a request that ran. Change: the connection counts the complete requests that run. Result: TestRunningRequestKeepsItsHTTP2Connection fails before (unexpected EOF, two of two runs) and passes after. Run: go test -race -count=2 ./pkg/callerconn and go test -race -run 'Body|Stall|Memory' ./pkg/relay, passed.

--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -17,11 +17,12 @@
 // ErrBodyTooLarge means that a body is larger than the limit.
 var ErrBodyTooLarge = errors.New("the body is larger than the limit")
 
-// Body is the body of a request. Its memory is held until Release.
+// Body is the body of a request. Its memory is held, and the connection stays open, until Release.
 type Body struct {
 	Bytes   []byte
 	limiter *Limiter
 	receipt *receipt
+	conn    *Conn // whose request runs until Release; nil if it is not known
 }
 
 // ReadBody reads the body of a request. The buffer grows as bytes arrive: a length that a
@@ -53,7 +54,8 @@
 		return nil, err
 	}
 	if conn != nil {
-		conn.setState(stateRunning)
+		conn.startRunning()
+		b.conn = conn
 	}
 	return b, nil
 }
@@ -111,4 +113,8 @@
 	if b.receipt != nil {
 		b.receipt.reservation.Release()
 	}
+	if b.conn != nil {
+		b.conn.endRunning()
+		b.conn = nil
+	}
 }
--- a/pkg/callerconn/callerconn_test.go
+++ b/pkg/callerconn/callerconn_test.go
@@ -194,3 +194,35 @@
 		s.awaitUsed(t, 0, 0)
 	}
 }
+
+// An open body on an HTTP/2 connection made it give way although another of its requests ran.
+func TestRunningRequestKeepsItsHTTP2Connection(t *testing.T) {
+	s := newTestServer(t, Limits{Memory: testMemory, Descriptors: 16}, true) // 4 connections
+	client := s.Client()
+	result := make(chan error, 1)
+	go func() {
+		response, err := client.Post(s.URL+"/slow", "", strings.NewReader("x"))
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		result <- err
+	}()
+	s.awaitUsed(t, connBytes+headBaseBytes, testMemory)
+	open, pipe := io.Pipe()
+	defer pipe.Close()
+	go func() { _, _ = client.Post(s.URL+"/", "", open) }()
+	_, err := pipe.Write(make([]byte, 2*progressBytes))
+	assert.NilError(t, err)
+	time.Sleep(2 * minStall)
+	for range 6 {
+		s.open(t, "")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.limiter.refused[causeConnection].Value()+s.limiter.ended[causeConnection].Value() < 3 {
+			return poll.Continue("the connections are not all accepted")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	close(s.release)
+	assert.NilError(t, <-result)
+}
--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -39,7 +39,6 @@
 const (
 	stateReceiving connState = iota // awaits its first request, or receives one
 	stateIdle                       // awaits a further request
-	stateRunning                    // its request is complete and runs
 )
 
 // Conn is a connection of a caller. It reserves memory for the heads that are read from it.
@@ -50,6 +49,7 @@
 	memory    memlimit.Reservation // of the connection itself
 	state     connState            // guarded by limiter.mu
 	since     time.Time            // of the state or the last progress; guarded by limiter.mu
+	running   int                  // complete requests that run, several with HTTP/2; guarded by limiter.mu
 
 	mu       sync.Mutex
 	inHead   bool     // what is read belongs to a head
@@ -127,7 +127,7 @@
 	var chosen *Conn
 	for c := range l.conns {
 		switch {
-		case c.state == stateRunning || now.Sub(c.since) < minStall:
+		case c.running > 0 || now.Sub(c.since) < minStall:
 		case chosen == nil || c.state < chosen.state || c.state == chosen.state && c.since.Before(chosen.since):
 			chosen = c
 		}
@@ -221,6 +221,21 @@
 	c.state, c.since = state, time.Now()
 }
 
+// startRunning counts a complete request. The connection does not give way before its end.
+func (c *Conn) startRunning() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.running++
+}
+
+// endRunning ends a request of startRunning.
+func (c *Conn) endRunning() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.running--
+	c.since = time.Now()
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -311,7 +326,8 @@
 				panic(http.ErrAbortHandler) // no answer can be sent
 			}
 			if r.Body == nil || r.Body == http.NoBody {
-				c.setState(stateRunning)
+				c.startRunning()
+				defer c.endRunning()
 			}
 		}
 		if l.grow(head, headCost(r)) != nil {
