callerconn: a body up to 64 KB is a small reservation

Cause: while it grew, a body of 55 KB held a buffer of 16 KB beside that of 55 KB, more than a small reservation has, and was refused although the budget keeps a quarter for small ones. Change: a stated length up to 64 KB is reserved at once. A body without a length still holds two buffers above 16 KB. Result: TestSmallBodiesFindRoomBesideLargeOnes fails before (503) and passes after. Run: go test -race -count=1 ./pkg/callerconn, passed.

--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 )
 
 const (
@@ -26,7 +28,7 @@
 }
 
 // ReadBody reads the body of a request. The buffer grows as bytes arrive: a length that a
-// caller states takes no memory. copies is the number of copies of the whole body for which
+// caller states takes no memory beyond a small reservation. copies is the number of copies of the whole body for which
 // memory is held. Errors are ErrBodyTooLarge, ErrOutOfMemory, ErrStalled and those of the reader. After an
 // error the memory is released.
 func (l *Limiter) ReadBody(w http.ResponseWriter, r *http.Request, limit, copies int64) (*Body, error) {
@@ -74,7 +76,7 @@
 			return nil
 		}
 		if len(b.Bytes) == cap(b.Bytes) {
-			if err := b.enlarge(largest); err != nil {
+			if err := b.enlarge(length, largest); err != nil {
 				return err
 			}
 		}
@@ -92,10 +94,14 @@
 	}
 }
 
-// enlarge replaces the buffer by a larger one.
-func (b *Body) enlarge(largest int64) error {
+// enlarge replaces the buffer by a larger one. A stated length that is small is reserved at once:
+// two buffers beside each other would not be small.
+func (b *Body) enlarge(length, largest int64) error {
 	before := int64(cap(b.Bytes))
 	size := min(max(initialBodyBytes, bodyGrowth*before), largest)
+	if before == 0 && length <= memlimit.SmallBytes {
+		size = max(size, length)
+	}
 	if b.limiter != nil {
 		if err := b.limiter.grow(b.receipt, size); err != nil {
 			return err
