callerconn: the largest body is served without a stated length too

Cause: a body without a length gets a buffer of a byte over the limit, by a last step from 16 MB. Two buffers, and the buffer with the copy for decoding, exceeded half of the budget of a process with 192 MB, while the same body with a length was served. Change: the last step is merged with the one before, and the copies are reserved less what the buffer holds beyond the body. Result: TestLargestBodyIsServedWithoutLength fails before and passes after. Run: go test -race -count=1 ./pkg/callerconn, passed.

--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -49,7 +49,7 @@
 		err = ErrStalled
 	}
 	if l != nil && err == nil {
-		err = l.grow(b.receipt, (copies-1)*int64(len(b.Bytes)))
+		err = l.grow(b.receipt, copies*int64(len(b.Bytes))-int64(cap(b.Bytes)))
 	}
 	if err != nil {
 		b.Release()
@@ -102,6 +102,9 @@
 	if before == 0 && length <= memlimit.SmallBytes {
 		size = max(size, length)
 	}
+	if size+initialBodyBytes > largest {
+		size = largest // no further step for the byte that is over the limit
+	}
 	if b.limiter != nil {
 		if err := b.limiter.grow(b.receipt, size); err != nil {
 			return err
--- a/pkg/callerconn/body_test.go
+++ b/pkg/callerconn/body_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"expvar"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 )
 
@@ -20,3 +23,20 @@
 		assert.Equal(t, status(t, bufio.NewReader(conn)), http.StatusOK)
 	}
 }
+
+// The largest legal body was refused if its length was not stated, because the buffer is a byte
+// larger than the body then. With a copy of it, or with the buffer before it, that is more than one
+// request can hold.
+func TestLargestBodyIsServedWithoutLength(t *testing.T) {
+	// reservationPart is the part of the budget that one request can hold.
+	const largest, copies, reservationPart = 16 << 20, 2, 2
+	l := New(Limits{Memory: budgetDivisor * reservationPart * copies * largest}, hclog.NewNullLogger(), func(string, expvar.Var) {})
+	for _, length := range []int64{largest, -1} {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", largest)))
+		r.ContentLength = length
+		body, err := l.ReadBody(httptest.NewRecorder(), r, largest, copies)
+		assert.NilError(t, err)
+		body.Release()
+		assert.Equal(t, l.budget.Used(), int64(0))
+	}
+}
