--- a/test/crowd/router_test.go
+++ b/test/crowd/router_test.go
@@ -33,8 +33,8 @@
 	descriptors int
 }
 
-// The limits of machines of operators lie between 112 and 536 MB. fewDescriptors leaves
-// room for what a process opens without callers.
+// The limits of machines of operators lie between 88 and 536 MB; that of edge here is not the
+// lowest. fewDescriptors leaves room for what a process opens without callers.
 var (
 	edgeLimits  = limits{memory: 112 << 20, descriptors: 4100}
 	serveLimits = limits{memory: 192 << 20, descriptors: 4100}
