gateway: the result of writing a request is that of the last attempt

Cause: http.Transport may repeat a request without a body on a new connection; the watch kept the error of the first attempt, so that an answer that ends with its connection counted as cut off. Result: TestWriteWatchKeepsTheResultOfTheLastAttempt fails before and passes after. Runs: go test -race -run 'WriteWatch|Upload|EarlyAnswer|Memory' ./pkg/gateway, beside other load (27 on 7 cores): four on this code, of which the first failed once in TestFaultyTargetDoesNotFillTheMemory (the heap grew by 96 MB, bound 96 MB) and three passed; three without the change passed ('Upload|EarlyAnswer|Memory'). The failure is not traced.

--- a/pkg/gateway/writewatch.go
+++ b/pkg/gateway/writewatch.go
@@ -28,6 +28,10 @@
 				conn = &watchedConn{Conn: info.Conn}
 			}
 			w.conn.Store(conn)
+			select {
+			case <-w.result: // of an attempt that http.Transport repeats on this connection
+			default:
+			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			select {
