pkg/state: reads of an older configuration prove the one in force without a time limit

Cause: after a restore, reads that show an older configuration proved the newer one in force for 30 s only; if the operators do not write again, every instance with keys would then be not ready for good. Such a read shows that the store has nothing newer, however long ago it was restored. Change: no limit; the warning and the gauge stay.

--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -72,7 +72,9 @@
 	value    []byte // of the configuration in force
 	held     objectstore.Object
 	compared bool // see AwaitsOthers
-	older    olderShown
+	// olderEra is the era in which the store showed an older configuration than the one in
+	// force; 0 if it does not.
+	olderEra uint64
 	snapshot atomic.Pointer[tables.Snapshot]
 	provenAt atomic.Int64 // boot time at the start of the last read that proved freshness; 0 if none
 }
@@ -199,8 +201,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if objectstore.Era(object.Version) > objectstore.Era(c.revision) && !c.older.proves(objectstore.Era(object.Version), c.Clock.Elapsed()) {
-		return false
+	if era := objectstore.Era(object.Version); era > objectstore.Era(c.revision) {
+		c.olderEra = era // it proves the one in force: a newer one would be in the store
 	}
 	c.recordProof(started)
 	return true
@@ -232,7 +234,7 @@
 		c.compareEras(object, snapshot.Generation)
 		return true
 	}
-	c.revision, c.value, c.older = object.Version, object.Value, olderShown{}
+	c.revision, c.value, c.olderEra = object.Version, object.Value, 0
 	c.snapshot.Store(snapshot)
 	c.Log.Info("configuration in force", "version", snapshot.Generation, "before", before, "revision", objectstore.FormatRevision(object.Version),
 		"routes", len(snapshot.Tables.Routes), "organisations", len(snapshot.Tables.Organisations))
--- a/pkg/state/configurationera.go
+++ b/pkg/state/configurationera.go
@@ -13,29 +13,10 @@
 // does, which the operators state and only raise.
 
 const (
-	// olderProofPeriod is how long reads that show an older configuration than the one in
-	// force prove that there is no newer one. Operators write again within seconds. If they do
-	// not, the instance must not go on for ever with what the store does not have.
-	olderProofPeriod = 30 * time.Second
 	// heldCheckInterval is the time between checks whether a configuration is still held.
 	heldCheckInterval = 20 * time.Millisecond
 )
 
-// olderShown tells in which era the store has shown an older configuration than the one in
-// force, and since when.
-type olderShown struct {
-	era   uint64
-	since time.Duration
-}
-
-// proves reports whether such a read in an era still proves the configuration in force.
-func (o *olderShown) proves(era uint64, now time.Duration) bool {
-	if o.era != era {
-		*o = olderShown{era: era, since: now}
-	}
-	return now-o.since <= olderProofPeriod
-}
-
 // generation returns the generation in force, or 0 if there is none.
 func (c *Configuration) generation() uint64 {
 	if snapshot := c.snapshot.Load(); snapshot != nil {
@@ -54,7 +35,7 @@
 	case generation == 0 || generation > c.generation():
 		return false
 	case generation < c.generation() && era > own:
-		return c.older.proves(era, c.Clock.Elapsed())
+		c.olderEra = era
 	}
 	return true
 }
@@ -76,10 +57,10 @@
 	case era < objectstore.Era(c.revision):
 	case generation == c.generation():
 		c.Log.Info("the store has the configuration in force again", "version", generation, "revision", objectstore.FormatRevision(object.Version), "revision_before", objectstore.FormatRevision(c.revision))
-		c.revision, c.older = object.Version, olderShown{}
-	case c.older.era != era:
-		c.older = olderShown{era: era, since: c.Clock.Elapsed()}
-		c.Log.Warn("the restored store has an older configuration; the newer one stays in force", "version", c.generation(), "stored", generation, "revision", objectstore.FormatRevision(object.Version), "confirmed_for", olderProofPeriod)
+		c.revision, c.olderEra = object.Version, 0
+	case c.olderEra != era:
+		c.olderEra = era
+		c.Log.Warn("the restored store has an older configuration; the newer one stays in force", "version", c.generation(), "stored", generation, "revision", objectstore.FormatRevision(object.Version))
 	}
 }
 
@@ -87,7 +68,7 @@
 func (c *Configuration) IsNewerThanStore() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.older.era > 0
+	return c.olderEra > 0
 }
 
 // NewerThan returns the configuration in force if its generation is above the given one.
