--- a/pkg/drain/drain.go
+++ b/pkg/drain/drain.go
@@ -22,9 +22,14 @@
 	firstRequestTime = 500 * time.Millisecond
 	// checkInterval is the time between checks whether the wait is over.
 	checkInterval = 5 * time.Millisecond
-	// backlogTime bounds how long a closed Listener still accepts the connections that the
-	// kernel has established for it.
+	// backlogTime is how long a closed Listener waits for further connections that the kernel
+	// has established for it. A busy process may not run at all for as long, so that Accept is
+	// called again with a new deadline before the wait counts as over.
 	backlogTime = 10 * time.Millisecond
+	// lastAcceptTime is the deadline of that call, and unusedListenerTime the time after which
+	// a closed Listener ends on which Accept is not called.
+	lastAcceptTime     = 50 * time.Millisecond
+	unusedListenerTime = time.Second
 )
 
 // Tracker knows which connections of a server have requests. Its Record method is the
@@ -100,7 +105,8 @@
 // closed at once resets them, with requests that may have been sent on them.
 type Listener struct {
 	*net.TCPListener
-	closing atomic.Bool
+	closing    atomic.Bool
+	lastAccept atomic.Bool // the deadline of the last call of Accept is set
 }
 
 // NewListener returns l as a Listener, or l itself if it is no TCP listener.
@@ -118,15 +124,18 @@
 	if l.closing.Swap(true) {
 		return nil
 	}
-	time.AfterFunc(2*backlogTime, func() { _ = l.TCPListener.Close() }) // usually closed by then
+	time.AfterFunc(unusedListenerTime, func() { _ = l.TCPListener.Close() }) // usually closed by then
 	return l.SetDeadline(time.Now().Add(backlogTime))
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	conn, err := l.TCPListener.Accept()
-	if err != nil && l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
+	if err == nil || !l.closing.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return conn, err
 	}
-	return conn, err
+	if !l.lastAccept.Swap(true) && l.SetDeadline(time.Now().Add(lastAcceptTime)) == nil {
+		return l.Accept()
+	}
+	return nil, errors.Join(net.ErrClosed, l.TCPListener.Close())
 }
