--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -111,7 +111,7 @@
 	// each one, all would send to the same targets. For the same reason a single report
 	// counts for maxPaceWeight at most, however old the one before is.
 	paceMeanTime  = time.Second
-	maxPaceWeight = 0.3
+	maxPaceWeight = 0.6
 	// paceLifetime is the time after the last report in which the deviation from the
 	// usual pace falls to 1/e.
 	paceLifetime = 2 * time.Second
