--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -259,6 +259,7 @@
 	d.gossip = &gossip.Gossip{
 		ListenAddress: s.GossipListen, Peers: d.members.DatagramAddresses, OnReport: d.recordPeerReport, OnLeaving: d.targets.RecordLeavingHint,
 		Supersessions: d.targets.Supersessions, AsksSupersessions: d.targets.HasSuperseded, OnSupersession: d.targets.RecordSupersession, Clock: d.clock,
+		StepTimes: d.targets.StepTimes, OnStepTime: d.targets.RecordStepTime,
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
 	if d.delivery != nil {
@@ -449,7 +450,7 @@
 	var group sync.WaitGroup
 	for _, run := range []func(context.Context){
 		d.whenReaderKnown(d.configuration.Run), d.whenReaderKnown(d.configuration.Watch), d.whenReaderKnown(d.targets.Run), d.whenReaderKnown(d.weights.Run),
-		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.handleRestores, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness,
+		d.members.Run, d.whenReaderKnown(d.rollout.Run), d.cacheDirectories.Run, d.gossip.Run, d.borrower.Run, d.feed.Run, d.probeStore, d.handleRestores, d.requestLog.Run, d.quarantineKeeper.update, d.quarantineKeeper.synchronize, d.removeExpired, d.logReadiness, d.logSpeeds,
 	} {
 		group.Go(func() { run(background) })
 	}
