admission: room by the queue of a target, part of the room by what was sent in a report age

Cause: an engine reads prompts one after another and is behind long before its slots are full, while urgent requests that are being generated take slots. A limit by load kept the less urgent kind out, and credit let instances send into the same reported room twice.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 )
 
@@ -30,12 +29,9 @@
 
 // PoolLoad is what an instance knows of the load of a pool's targets.
 type PoolLoad struct {
-	Slots   int // of all targets that can take requests
-	Busy    int // requests running or waiting there
-	Waiting int // requests in the targets' queues
-	// FullAt is the mean number of requests that run at targets where others wait, or
-	// zero if there are none. It is below the slots if memory is the limit.
-	FullAt    float64
+	Slots     int           // of all targets that can take requests
+	Busy      int           // requests running or waiting there
+	Waiting   int           // requests in the targets' queues
 	FreeRoom  int           // requests that targets have room for, for the rank in question
 	ReportAge time.Duration // mean age of the load reports
 	Part      float64       // of the demand that reaches this instance
@@ -79,15 +75,11 @@
 	// triedTogether is the number of waiting requests that may be sent at the same
 	// time: the first one may need a target that is not free.
 	triedTogether = 3
-	// roomReports is the number of report ages over which free room is used up. A report
-	// does not show what was sent since; with one age the load would overshoot.
-	roomReports = 2
+	// maxSentTimes bounds the times that are kept of requests that were sent.
+	maxSentTimes = 128
 	// quickPart is the number of requests of which one is quicker than the service time
 	// that is kept.
 	quickPart = 4
-	// minRunTogether is the part of the slots, as divisor, that a target is assumed to
-	// run at least.
-	minRunTogether = 4
 	// minReportAge is the age assumed for newer reports, since requests take a
 	// moment to the target.
 	minReportAge = 50 * time.Millisecond
@@ -114,23 +106,15 @@
 	// lastPass the last one, or when requests began to wait.
 	interval time.Duration
 	lastPass time.Time
-	credits  map[Rank]*credit
+	// sent are the times of the last requests that were sent, of the most urgent kind and
+	// of the others.
+	sent     map[bool][]time.Time
 	services map[string]time.Duration // quick times from sending to the first event, by kind
-	// runTogether is the mean number of requests that run at a target while others wait
-	// there; zero if that was not seen.
-	runTogether float64
 	// mostUrgent is the least urgency value of the demand, as of mostUrgentAt.
 	mostUrgent   int
 	mostUrgentAt time.Time
 }
 
-// credit is the number of requests of a rank that may be sent now. It grows with the part
-// of this instance in the room for them.
-type credit struct {
-	requests float64
-	updated  time.Time
-}
-
 // Entry is a waiting request.
 type Entry struct {
 	Caller
@@ -139,7 +123,7 @@
 
 // NewGate returns a gate that holds up to maxWaiting requests.
 func NewGate(maxWaiting int) *Gate {
-	return &Gate{maxWaiting: maxWaiting, services: make(map[string]time.Duration), credits: make(map[Rank]*credit)}
+	return &Gate{maxWaiting: maxWaiting, services: make(map[string]time.Duration), sent: make(map[bool][]time.Time)}
 }
 
 // WaitingByKind returns the number of waiting requests of each kind.
@@ -164,15 +148,11 @@
 // waiting request goes before it, and the instance has not used its part of the room.
 // If it is sent, it must be recorded with Passed.
 func (g *Gate) MayPass(c *Caller, load PoolLoad, now time.Time) bool {
-	return g.ahead(c, now) == 0 && g.creditFor(c.rankAt(now), load, now).requests >= 1
+	return g.ahead(c, now) == 0 && g.hasPart(c.Rank, load, now)
 }
 
 // Passed records that a new request of a rank was sent.
-func (g *Gate) Passed(r Rank) {
-	if k := g.credits[r]; k != nil {
-		k.requests--
-	}
-}
+func (g *Gate) Passed(r Rank, now time.Time) { g.recordSent(r, now) }
 
 // ahead returns the number of waiting requests that go before c.
 func (g *Gate) ahead(c *Caller, now time.Time) int {
@@ -226,7 +206,7 @@
 		return g.refuse(g.estimate(e, load, now), ReasonQueueFull, now)
 	}
 	d := g.judge(e, load, now)
-	if d.Verdict == Wait && d.Ahead < triedTogether && g.creditFor(e.rankAt(now), load, now).requests >= 1 {
+	if d.Verdict == Wait && d.Ahead < triedTogether && g.hasPart(e.Rank, load, now) {
 		d.Verdict = Try
 	}
 	return d
@@ -251,9 +231,9 @@
 }
 
 // passInterval returns the expected time between two waiting requests that are let
-// through: the mean so far, or as long as there is none, the time after which
-// this instance's part of the running requests has ended. It is not below the time
-// since the last one.
+// through: the mean so far but not below the time since the last one, or as long as there
+// is no mean, the time after which this instance's part of the running requests has ended.
+// It is at most the time in which this instance may send one into the reported room.
 func (g *Gate) passInterval(load PoolLoad, service time.Duration, now time.Time) time.Duration {
 	interval := g.interval
 	if interval == 0 {
@@ -262,6 +242,9 @@
 	if len(g.waiting) > 0 {
 		interval = max(interval, now.Sub(g.lastPass))
 	}
+	if part := load.Part * float64(load.FreeRoom); part > 0 {
+		interval = min(interval, time.Duration(float64(max(load.ReportAge, minReportAge))/part))
+	}
 	return interval
 }
 
@@ -272,30 +255,38 @@
 	return d
 }
 
-// creditFor returns the credit of a rank with what was added since the last call.
-// Reports show the same free room to all instances until the next ones arrive, so each
-// takes at most its part of the room in that time.
-func (g *Gate) creditFor(r Rank, load PoolLoad, now time.Time) *credit {
-	part := load.Part * float64(load.FreeRoom) / roomReports
-	k := g.credits[r]
-	if k == nil {
-		if len(g.credits) >= maxKinds {
-			clear(g.credits)
+// hasPart reports whether this instance has sent less than its part of the room that the
+// reports show. They do not show what was sent since, so that all instances see the same
+// room until the next ones arrive. Where its part is below one request, it sends one in a
+// correspondingly longer time.
+func (g *Gate) hasPart(r Rank, load PoolLoad, now time.Time) bool {
+	part := load.Part * float64(load.FreeRoom)
+	if part <= 0 {
+		return false
+	}
+	period := time.Duration(float64(max(load.ReportAge, minReportAge)) * max(1, 1/part))
+	sent := 0
+	for _, at := range g.sent[r.IsFirstKind] {
+		if now.Sub(at) < period {
+			sent++
 		}
-		k = &credit{requests: max(1, part), updated: now}
-		g.credits[r] = k
-		return k
 	}
-	since := now.Sub(k.updated)
-	k.updated = now
-	k.requests = min(max(1, part), k.requests+part*float64(since)/float64(max(load.ReportAge, minReportAge)))
-	return k
+	return sent < max(1, int(part))
+}
+
+// recordSent records a request of a rank that is sent now.
+func (g *Gate) recordSent(r Rank, now time.Time) {
+	sent := g.sent[r.IsFirstKind]
+	if len(sent) == maxSentTimes {
+		sent = append(sent[:0], sent[1:]...)
+	}
+	g.sent[r.IsFirstKind] = append(sent, now)
 }
 
 // Pass removes a waiting request that is sent now.
 func (g *Gate) Pass(e *Entry, now time.Time) {
 	g.remove(e)
-	g.Passed(e.rankAt(now))
+	g.recordSent(e.Rank, now)
 	since := now.Sub(g.lastPass)
 	g.lastPass = now
 	if g.interval == 0 {
@@ -334,23 +325,3 @@
 		g.services[kind] = quick + time.Duration(meanWeight*float64(quick)/(quickPart-1))
 	}
 }
-
-// MaxLoad returns the number of requests at a target with a number of slots up to which a
-// request of a rank may be sent there. Memory may allow fewer than the slots.
-func (g *Gate) MaxLoad(r Rank, slots int) int {
-	if g.runTogether > 0 {
-		slots = max(slots/minRunTogether, min(slots, int(math.Round(g.runTogether))))
-	}
-	return r.MaxLoad(slots)
-}
-
-// RecordFullTargets records how many requests run at targets where others wait.
-func (g *Gate) RecordFullTargets(load PoolLoad) {
-	switch {
-	case load.FullAt == 0:
-	case g.runTogether == 0:
-		g.runTogether = load.FullAt
-	default:
-		g.runTogether += meanWeight * (load.FullAt - g.runTogether)
-	}
-}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -39,7 +39,7 @@
 	if old := len(m.history) - 1 - int(m.reportAge/modelStep); old >= 0 {
 		reported = m.history[old]
 	}
-	return PoolLoad{Slots: m.slots, Busy: reported, FreeRoom: max(0, r.MaxLoad(m.slots)-reported), ReportAge: m.reportAge, Part: 1 / float64(len(m.gates))}
+	return PoolLoad{Slots: m.slots, Busy: reported, FreeRoom: max(0, r.MaxRoom(m.slots).Load-reported), ReportAge: m.reportAge, Part: 1 / float64(len(m.gates))}
 }
 
 func (m *model) send() {
@@ -69,7 +69,7 @@
 func (m *model) offer(g *Gate, c Caller, waiting *[]waiter) (Verdict, Decision) {
 	if load := m.load(c.Rank); g.MayPass(&c, load, m.time()) && load.FreeRoom > 0 {
 		m.send()
-		g.Passed(c.Rank)
+		g.Passed(c.Rank, m.time())
 		return Try, Decision{}
 	}
 	entry, d := g.Offer(c, m.load(c.Rank), m.time())
@@ -165,7 +165,7 @@
 			verdict, d := m.offer(m.gates[(n+i)%10], newCaller("long", rank, m.time(), time.Second), &waiting)
 			if verdict == Refuse {
 				refusals++
-				assert.Assert(t, d.ReturnAfter > 0 && d.ReturnAfter <= maxBookedAhead, d.ReturnAfter)
+				assert.Assert(t, d.ReturnAfter > 0 && d.ReturnAfter <= max(d.ExpectedWait, maxBookedAhead), d.ReturnAfter)
 			}
 		}
 		waiting = m.check(waiting, func(e *Entry) {
@@ -205,7 +205,7 @@
 		}
 	}
 	part := int(load.Part * float64(load.FreeRoom))
-	assert.Assert(t, sent >= part/2 && sent <= part+1, "%d sent of a part of %d", sent, part)
+	assert.Assert(t, sent >= part && sent <= part+1, "%d sent of a part of %d", sent, part)
 }
 
 // Of the requests that wait, the urgent ones go first, then those of organisations within
@@ -253,11 +253,11 @@
 		if p, q := scale.EnginePriority(a), scale.EnginePriority(b); a.Urgency < b.Urgency && p >= q {
 			t.Fatalf("%+v is more urgent than %+v, with engine priorities %d and %d", a, b, p, q)
 		}
-		if a.Urgency < b.Urgency && !a.IsOverShare && a.MaxLoad(slots) < b.MaxLoad(slots) {
+		if a.Urgency < b.Urgency && !a.IsOverShare && a.MaxRoom(slots).Load < b.MaxRoom(slots).Load {
 			t.Fatalf("%+v has less room than %+v", a, b)
 		}
-		if a.MaxLoad(slots) < 1 || 2*a.MaxLoad(slots) < slots {
-			t.Fatalf("%+v has room for %d of %d slots", a, a.MaxLoad(slots), slots)
+		if a.MaxRoom(slots).Load < 1 || 2*a.MaxRoom(slots).Load < slots || a.Free(slots, 0, 0) < 1 {
+			t.Fatalf("%+v has room for %d of %d slots", a, a.MaxRoom(slots).Load, slots)
 		}
 		g := NewGate(10)
 		load := PoolLoad{Slots: slots, Busy: rapid.IntRange(0, (slots-1)/2).Draw(t, "busy"), Part: 1}
@@ -284,15 +284,15 @@
 	assert.DeepEqual(t, priorities, []int{1, 2, 3, 4, 5, 6, 7, 8})
 }
 
-// Requests were sent to targets that have free slots but no memory for them.
-func TestRoomFollowsWhatTargetsRunTogether(t *testing.T) {
-	g := NewGate(10)
-	assert.Equal(t, g.MaxLoad(Rank{}, 16), 12)
-	for range 40 {
-		g.RecordFullTargets(PoolLoad{FullAt: 8})
+// Less urgent requests filled the queue of a target that has free slots but is behind with
+// reading prompts.
+func TestQueueAtATargetLeavesNoRoomForLessUrgentRequests(t *testing.T) {
+	const slots, running = 16, 4
+	for queue, want := range []int{3, 2, 1, 0, -1} {
+		assert.Equal(t, Rank{Urgency: 1}.Free(slots, running+queue, queue), want)
+		assert.Equal(t, Rank{Urgency: 1, IsLate: true}.Free(slots, running+queue, queue), want-1)
+		assert.Assert(t, Rank{IsFirstKind: true}.Free(slots, running+queue, queue) > slots/2)
 	}
-	assert.Equal(t, g.MaxLoad(Rank{}, 16), 6)
-	assert.Equal(t, g.MaxLoad(Rank{IsFirstKind: true}, 16), 10)
 }
 
 // Some requests at targets that hang made all others count as hopeless.
--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -30,32 +30,48 @@
 }
 
 const (
-	// queueShare is the part of the slots that requests of the most urgent kind may
+	// urgentQueueShare is the part of the slots that requests of the most urgent kind may
 	// exceed them by: the target starts these as soon as a slot is free, without the
 	// time that a report and a request take.
-	queueShare = 0.25
+	urgentQueueShare = 0.25
 	// lessUrgentShare is the part of the slots that less urgent requests may fill. The
 	// rest is for urgent requests that arrive while reports are on their way.
 	// lastShare is the same for those that are late or of an organisation over its
 	// share. Neither is under a half: a target that is half idle refuses nobody.
 	lessUrgentShare = 0.75
 	lastShare       = 0.6
+	// lessUrgentQueue and lastQueue are the requests in a target's queue up to which these
+	// are sent. A target reads prompts one after another, with requests running long
+	// before its slots are full, and a queue keeps it busy until the next report.
+	lessUrgentQueue = 3
+	lastQueue       = 2
 )
 
-// MaxLoad returns the number of requests at a target, including this one, up to which a
-// request of the rank may be sent there. slots is the number of requests that the target
-// can run together. Instances that do not know of each other's
-// requests keep the order of ranks by it.
-func (r Rank) MaxLoad(slots int) int {
-	share := 1 + queueShare
+// Room is what a target may have when a request of a rank is sent to it.
+type Room struct {
+	Load  int // requests that run or wait there, with the request
+	Queue int // requests that wait there, with the request
+}
+
+// MaxRoom returns the most that a target with a number of slots may have. Instances that
+// do not know of each other's requests keep the order of ranks by it.
+func (r Rank) MaxRoom(slots int) Room {
+	part := func(share float64) int { return max(1, int(math.Ceil(share*float64(slots)))) }
 	switch {
 	case r.IsFirstKind && !r.IsOverShare:
-	case r.IsFirstKind, !r.IsOverShare && !r.IsLate:
-		share = lessUrgentShare
-	default:
-		share = lastShare
+		return Room{Load: part(1 + urgentQueueShare), Queue: part(1 + urgentQueueShare)}
+	case r.IsFirstKind:
+		return Room{Load: slots, Queue: slots}
+	case !r.IsOverShare && !r.IsLate:
+		return Room{Load: part(lessUrgentShare), Queue: lessUrgentQueue}
 	}
-	return max(1, int(math.Ceil(share*float64(slots))))
+	return Room{Load: part(lastShare), Queue: lastQueue}
+}
+
+// Free returns how many requests of the rank a target has room for.
+func (r Rank) Free(slots, load, queue int) int {
+	most := r.MaxRoom(slots)
+	return min(most.Load-load, most.Queue-queue)
 }
 
 const (
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -172,19 +172,19 @@
 
 // freeRoom returns how many requests of a rank a target has room for. Without a recent
 // report its load is unknown, so this instance sends one request at a time.
-func (g *poolGate) freeRoom(r admission.Rank, t *target.Target, now time.Time) int {
-	busy, _, at := t.EstimateLoad()
+func freeRoom(r admission.Rank, t *target.Target, now time.Time) int {
+	busy, waiting, at := t.EstimateLoad()
 	if now.Sub(at) > maxReportAge {
 		return 1 - int(t.Live.InFlight.Load())
 	}
-	return g.maxLoad(r, t.Slots) - busy
+	return r.Free(t.Slots, busy, waiting)
 }
 
 // poolLoad returns the load of the targets of a pool, with the room for a rank.
-func (f *ForwardFilter) poolLoad(g *poolGate, r admission.Rank, targets []*target.Target, now time.Time) admission.PoolLoad {
+func (f *ForwardFilter) poolLoad(r admission.Rank, targets []*target.Target, now time.Time) admission.PoolLoad {
 	load := admission.PoolLoad{Part: f.Admission.Usage.Demand(now) / float64(max(1, f.InstanceCount()))}
 	var ages time.Duration
-	reported, full, runningAtFull := 0, 0, 0
+	reported := 0
 	for _, t := range targets {
 		if t.Leaving || f.Placer.Avoids(t, now) {
 			continue
@@ -192,13 +192,9 @@
 		busy, waiting, at := t.EstimateLoad()
 		load.Slots += t.Slots
 		load.Busy += busy
-		load.FreeRoom += max(0, g.freeRoom(r, t, now))
+		load.FreeRoom += max(0, freeRoom(r, t, now))
 		if age := now.Sub(at); age <= maxReportAge {
 			load.Waiting += waiting
-			if running := busy - waiting; waiting > 0 && running > 0 {
-				full++
-				runningAtFull += running
-			}
 			ages += age
 			reported++
 		}
@@ -207,10 +203,6 @@
 	if reported > 0 {
 		load.ReportAge = ages / time.Duration(reported)
 	}
-	if full > 0 {
-		load.FullAt = float64(runningAtFull) / float64(full)
-	}
-	g.recordFullTargets(load)
 	return load
 }
 
@@ -228,10 +220,10 @@
 	}
 	caller := a.caller(ex, now)
 	g := a.gate(ex.Pool.Name)
-	load := f.poolLoad(g, caller.Rank, targets, now)
+	load := f.poolLoad(caller.Rank, targets, now)
 	if g.mayPass(&caller, load, now) {
-		if choice := f.pickWithRoom(g, ex, r, tried, caller.Rank, now); choice.Target != nil {
-			g.passed(caller.Rank)
+		if choice := f.pickWithRoom(ex, r, tried, caller.Rank, now); choice.Target != nil {
+			g.passed(caller.Rank, now)
 			return choice, nil
 		}
 		if choice := f.pickTarget(ex, r, tried, nil); choice.Target == nil {
@@ -250,12 +242,12 @@
 		}
 		now = time.Now()
 		caller.Rank = a.rank(ex, now)
-		load = f.poolLoad(g, caller.Rank, f.Targets.InPool(ex.Pool.Name), now)
+		load = f.poolLoad(caller.Rank, f.Targets.InPool(ex.Pool.Name), now)
 		switch decision = g.check(entry, caller.Rank, load, now); decision.Verdict {
 		case admission.Refuse:
 			return placement.Choice{}, f.refuse(ex, caller, decision, load)
 		case admission.Try:
-			if choice := f.pickWithRoom(g, ex, r, tried, caller.Rank, now); choice.Target != nil {
+			if choice := f.pickWithRoom(ex, r, tried, caller.Rank, now); choice.Target != nil {
 				g.pass(entry, now)
 				return choice, nil
 			}
@@ -265,8 +257,8 @@
 
 // pickWithRoom chooses among the targets that have room for a rank and that placement does
 // not avoid.
-func (f *ForwardFilter) pickWithRoom(g *poolGate, ex *Exchange, r *placement.Request, tried map[string]bool, rank admission.Rank, now time.Time) placement.Choice {
-	choice := f.pickTarget(ex, r, tried, func(t *target.Target) bool { return g.freeRoom(rank, t, now) > 0 })
+func (f *ForwardFilter) pickWithRoom(ex *Exchange, r *placement.Request, tried map[string]bool, rank admission.Rank, now time.Time) placement.Choice {
+	choice := f.pickTarget(ex, r, tried, func(t *target.Target) bool { return freeRoom(rank, t, now) > 0 })
 	if choice.Target != nil && f.Placer.Avoids(choice.Target, now) {
 		return placement.Choice{}
 	}
@@ -282,10 +274,10 @@
 
 // Error implements error.
 func (r *refusalFigures) Error() string {
-	return fmt.Sprintf("%s: urgency %d, over share %t, late %t, %d ahead, expected wait %v, service time %v, slots %d, full at %.1f, busy %d, waiting at targets %d, free room %d, report age %v, part of the demand %.3f",
+	return fmt.Sprintf("%s: urgency %d, over share %t, late %t, %d ahead, expected wait %v, service time %v, slots %d, busy %d, waiting at targets %d, free room %d, report age %v, part of the demand %.3f",
 		r.decision.Reason, r.caller.Rank.Urgency, r.caller.Rank.IsOverShare, r.caller.Rank.IsLate, r.decision.Ahead,
 		r.decision.ExpectedWait.Round(time.Millisecond), r.decision.ServiceTime.Round(time.Millisecond),
-		r.load.Slots, r.load.FullAt, r.load.Busy, r.load.Waiting, r.load.FreeRoom, r.load.ReportAge.Round(time.Millisecond), r.load.Part)
+		r.load.Slots, r.load.Busy, r.load.Waiting, r.load.FreeRoom, r.load.ReportAge.Round(time.Millisecond), r.load.Part)
 }
 
 // refuse returns the error of a request that is not sent.
@@ -321,28 +313,16 @@
 	return g.gate.IsMostUrgent(urgency, now)
 }
 
-func (g *poolGate) maxLoad(r admission.Rank, slots int) int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.gate.MaxLoad(r, slots)
-}
-
-func (g *poolGate) recordFullTargets(load admission.PoolLoad) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.gate.RecordFullTargets(load)
-}
-
 func (g *poolGate) mayPass(c *admission.Caller, load admission.PoolLoad, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.gate.MayPass(c, load, now)
 }
 
-func (g *poolGate) passed(r admission.Rank) {
+func (g *poolGate) passed(r admission.Rank, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.gate.Passed(r)
+	g.gate.Passed(r, now)
 }
 
 func (g *poolGate) offer(c admission.Caller, load admission.PoolLoad, now time.Time) (*admission.Entry, admission.Decision) {
--- /dev/null
+++ b/pkg/relay/admission_test.go
@@ -0,0 +1,95 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
+	"lacewingwheel.example/lacewingwheel/pkg/target"
+	"lacewingwheel.example/lacewingwheel/platform/platformtest"
+)
+
+// usualPace is the pace of a target that works as fast as usual.
+const usualPace = 100
+
+// newContendedFixture returns a fixture whose pool has one engine that states its pace. All
+// its slots are taken by requests of other instances.
+func newContendedFixture(t *testing.T) (*fixture, *platformtest.Target) {
+	t.Helper()
+	engine := startTarget(t, "i-1")
+	f := newFixture(t, engine)
+	f.snapshot.Tables.Pools[0].Kind = tables.PoolEngine
+	f.targets[0].IsEngine = true
+	f.report(target.Load{Running: f.targets[0].Slots, Waiting: f.targets[0].Slots, PacePercent: usualPace})
+	return f, engine
+}
+
+// report records the load of the engine as other instances tell it.
+func (f *fixture) report(load target.Load) {
+	f.targets[0].Live.RecordLoad(load, time.Now())
+}
+
+// All requests were sent at once, so that they queued at the engine behind less urgent ones.
+func TestRequestWaitsUntilATargetHasRoom(t *testing.T) {
+	f, engine := newContendedFixture(t)
+	answered := make(chan callerResponse, 1)
+	go func() { answered <- f.send(callerRequest{path: "/stream/resumable/x"}) }()
+	eventually(t, "the request waits", func() bool { return f.admission.Waiting()["resumable"] == 1 })
+	assert.Equal(t, len(engine.Requests()), 0)
+	f.report(target.Load{Running: 1, PacePercent: usualPace})
+	response := <-answered
+	assert.NilError(t, response.err)
+	assert.Equal(t, response.status, http.StatusOK)
+	assert.Equal(t, f.admission.Waiting()["resumable"], 0)
+}
+
+// A request that cannot be served before its caller leaves waited until then, and its
+// caller was not told that it has not run or when to come back.
+func TestRequestThatCannotBeServedIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	f, engine := newContendedFixture(t)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() { // the engine stays full
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				f.report(target.Load{Running: 8, Waiting: 8, PacePercent: usualPace})
+			}
+		}
+	}()
+	response := f.send(callerRequest{path: "/stream/resumable/x"})
+	assert.NilError(t, response.err)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(engine.Requests()), 0)
+	seconds, err := strconv.ParseFloat(response.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 0, seconds)
+	for _, figure := range []string{"code=queue_full", "outcome=not_run", "wait_too_long", "report age", "part of the demand"} {
+		assert.Assert(t, strings.Contains(f.log.String(), figure), figure)
+	}
+	assert.Equal(t, f.metrics.Get("admission_refused_wait_too_long").String(), "1")
+}
+
+// Pools whose targets state no pace are served as before, and so are plain services.
+func TestOtherPoolsAreNotHeldBack(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"no pace":       func(f *fixture) { f.report(target.Load{Running: 8, Waiting: 8}) },
+		"plain service": func(f *fixture) { f.snapshot.Tables.Pools[0].Kind = tables.PoolService },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := newContendedFixture(t)
+			change(f)
+			response := f.send(callerRequest{path: "/stream/resumable/x"})
+			assert.NilError(t, response.err)
+			assert.Equal(t, response.status, http.StatusOK)
+			assert.Assert(t, f.metrics.Get("admission_waited") == nil)
+		})
+	}
+}
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/admission"
 	"lacewingwheel.example/lacewingwheel/pkg/cachedir"
 	"lacewingwheel.example/lacewingwheel/pkg/clock"
 	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
@@ -57,6 +58,7 @@
 	conns         *targetconn.Pool
 	placer        *placement.Placer
 	detector      *poison.Detector
+	admission     *relay.Admission
 	drainEndsAt   time.Time // zero: the instance does not stop
 	// endRequests ends the requests that run, as a stop of the instance does.
 	endRequests func()
@@ -85,7 +87,8 @@
 		t: t, log: &lockedBuffer{}, metrics: new(expvar.Map).Init(), tokens: -1, newestVersion: "",
 		limits: relay.RetryLimits{Ratio: 1, ExtraRetries: 100, Window: 10 * time.Second},
 		conns:  targetconn.NewPool(time.Second, time.Second), placer: placement.New(placement.DefaultParams(), "zone-a"),
-		detector: poison.NewDetector(clock.System{}),
+		detector:  poison.NewDetector(clock.System{}),
+		admission: &relay.Admission{MaxWaiting: 10, Usage: admission.NewUsage()},
 	}
 	organisation := tables.Organisation{Name: "one", Rate: 1, Burst: 1, DefaultCost: 10, Keys: []tables.APIKey{{Digest: tables.HashKey(testKey)}}}
 	f.snapshot = tables.NewSnapshot(1, &tables.Tables{
@@ -109,7 +112,7 @@
 	directory := &cachedir.Set{}
 	f.conns.Memory = memlimit.NewBudget(13 << 20) // as for an instance of 134 MB
 	forward := &relay.ForwardFilter{
-		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, Memory: f.conns.Memory, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline,
+		Dialect: platform.Dialect{}, Targets: f, Placer: f.placer, Conns: f.conns, CacheDirectories: directory, LoadReporter: f, Memory: f.conns.Memory, KeyFilter: key, QuarantineFilter: quarantine, RequestLog: requestLog, Clock: clock.System{}, RolloutDeadline: rolloutDeadline, Admission: f.admission,
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
 	drain := relay.DrainFilter{EndsAt: f.drainEnd}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -130,15 +130,17 @@
 
 // EstimateLoad returns the requests that run or wait at the target, by its newest load
 // report and the requests that this instance has sent or ended since, and how many of
-// them wait. The time is that of the report, or zero if there is none.
+// them wait. Those sent since count as waiting. The time is that of the report, or zero
+// if there is none.
 func (t *Target) EstimateLoad() (busy, waiting int, observed time.Time) {
 	own := int(t.Live.InFlight.Load())
 	newest := t.Live.reported.Load()
 	if newest == nil {
 		return own, 0, time.Time{}
 	}
-	busy = newest.load.Running + newest.load.Waiting + own - int(newest.inFlight)
-	return max(own, busy), newest.load.Waiting, newest.observed
+	since := own - int(newest.inFlight)
+	busy = newest.load.Running + newest.load.Waiting + since
+	return max(own, busy), newest.load.Waiting + max(0, since), newest.observed
 }
 
 // Matches reports whether the target has all labels of the selector.
