admission: returning callers keep their place; docs

Cause: a caller that was refused and came back as told stood behind those that came later. Change: the first arrival follows from the time that the caller still waits. Service times of quick requests are followed faster.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -320,7 +320,7 @@
 	case !ok:
 		g.services[kind] = took
 	case took < quick:
-		g.services[kind] = quick - time.Duration(meanWeight*float64(quick))
+		g.services[kind] = (quick + took) / 2
 	default:
 		g.services[kind] = quick + time.Duration(meanWeight*float64(quick)/(quickPart-1))
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -1,5 +1,7 @@
 // Package admission is the admission control of a pool: it admits, queues or
-// refuses requests. It does no I/O; the caller passes the time in.
+// refuses requests. It does no I/O; the caller passes the time in. Queue is for routers
+// that divide the slots of the targets between them, Gate for those that share the
+// targets and know their load from reports.
 //
 // Organisations share a pool by start-time fair queueing. The virtual time of
 // an organisation advances by tokens divided by weight with each admitted
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -103,7 +103,7 @@
 // caller describes the exchange for its gate.
 func (a *Admission) caller(ex *Exchange, now time.Time) admission.Caller {
 	c := admission.Caller{
-		Kind: ex.Route.Name, Organisation: ex.OrganisationName(), Arrived: ex.Start, LeavesAt: ex.Deadline, Rank: a.rank(ex, now),
+		Kind: ex.Route.Name, Organisation: ex.OrganisationName(), Arrived: firstArrival(ex), LeavesAt: ex.Deadline, Rank: a.rank(ex, now),
 	}
 	if objective := ex.Route.Objective.FirstToken; objective > 0 {
 		c.DueAt = ex.Start.Add(objective)
@@ -114,6 +114,16 @@
 	return c
 }
 
+// firstArrival returns when the caller sent its request for the first time, as far as the
+// time that it still waits tells: a caller that was refused and comes back waits for what
+// is left of the route's time.
+func firstArrival(ex *Exchange) time.Time {
+	if ex.Route.Deadline <= 0 {
+		return ex.Start
+	}
+	return ex.Deadline.Add(-ex.Route.Deadline)
+}
+
 // rank returns the rank of the exchange.
 func (a *Admission) rank(ex *Exchange, now time.Time) admission.Rank {
 	r := admission.Rank{Urgency: a.scale(ex).Urgency(organisationPriority(ex.Organisation), ex.Route.Priority)}
