admission: hopeless requests are refused before they are charged

Change: a request that cannot be in time is counted behind those that can; AdmissionFilter comes before QuotaFilter; keys, quarantines and weights are checked again after a wait; the part of the room is used as a whole.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 )
 
@@ -155,9 +156,15 @@
 func (g *Gate) Passed(r Rank, now time.Time) { g.recordSent(r, now) }
 
 // ahead returns the number of waiting requests that go before c.
-func (g *Gate) ahead(c *Caller, now time.Time) int {
+func (g *Gate) ahead(c *Caller, now time.Time) int { return g.aheadOf(c, nil, now) }
+
+// aheadOf is ahead without one entry.
+func (g *Gate) aheadOf(c *Caller, without *Entry, now time.Time) int {
 	n, own := 0, c.rankAt(now).order()
 	for _, e := range g.waiting {
+		if e == without {
+			continue
+		}
 		order := e.rankAt(now).order()
 		if order < own || order == own && e.Arrived.Before(c.Arrived) {
 			n++
@@ -166,6 +173,14 @@
 	return n
 }
 
+// Preview returns what Offer would decide about a request, without letting it wait.
+func (g *Gate) Preview(c Caller, load PoolLoad, now time.Time) Decision {
+	if g.MayPass(&c, load, now) {
+		return Decision{Verdict: Try}
+	}
+	return g.judge(&Entry{Caller: c}, load, now)
+}
+
 // Offer decides about a request for which no target has room. If it waits, the entry
 // must be passed to Check until it is removed with Pass or Leave.
 func (g *Gate) Offer(c Caller, load PoolLoad, now time.Time) (*Entry, Decision) {
@@ -178,7 +193,7 @@
 		return nil, g.refuse(d, ReasonQueueFull, now)
 	}
 	if len(g.waiting) == 0 {
-		g.lastPass = now
+		g.lastPass, g.interval = now, 0
 	}
 	g.waiting = append(g.waiting, e)
 	return e, d
@@ -222,29 +237,36 @@
 	return d
 }
 
-// estimate returns what is expected of a request that waits.
+// estimate returns what is expected of a request that waits. One that cannot be in time any
+// more is counted behind those that can.
 func (g *Gate) estimate(e *Entry, load PoolLoad, now time.Time) Decision {
 	d := Decision{Verdict: Wait, Ahead: g.ahead(&e.Caller, now), ServiceTime: g.services[e.Kind]}
-	d.ExpectedWait = time.Duration(d.Ahead) * g.passInterval(load, d.ServiceTime, now)
 	d.CheckAfter = min(minCheckInterval*time.Duration(1+d.Ahead/triedTogether), maxCheckInterval)
+	interval := g.passInterval(load, d.ServiceTime, now)
+	d.ExpectedWait = time.Duration(d.Ahead) * interval
+	if !e.DueAt.IsZero() && now.Add(d.ExpectedWait+d.ServiceTime).After(e.DueAt) {
+		late := e.Caller
+		late.DueAt = now.Add(-1)
+		d.ExpectedWait = time.Duration(g.aheadOf(&late, e, now)) * interval
+	}
 	return d
 }
 
 // passInterval returns the expected time between two waiting requests that are let
-// through: the mean so far but not below the time since the last one, or as long as there
-// is no mean, the time after which this instance's part of the running requests has ended.
-// It is at most the time in which this instance may send one into the reported room.
+// through: the mean since requests began to wait, but not below the time since the last
+// one. As long as there is no mean, it is the time in which this instance may send one into
+// the reported room, or after which its part of the running requests has ended.
 func (g *Gate) passInterval(load PoolLoad, service time.Duration, now time.Time) time.Duration {
-	interval := g.interval
-	if interval == 0 {
-		interval = time.Duration(float64(service) / max(minPart, load.Part*float64(load.Busy)))
+	if g.interval > 0 {
+		return max(g.interval, now.Sub(g.lastPass))
+	}
+	if part := load.Part * float64(load.FreeRoom); part > 0 {
+		return time.Duration(float64(max(load.ReportAge, minReportAge)) / part)
 	}
+	interval := time.Duration(float64(service) / max(minPart, load.Part*float64(load.Busy)))
 	if len(g.waiting) > 0 {
 		interval = max(interval, now.Sub(g.lastPass))
 	}
-	if part := load.Part * float64(load.FreeRoom); part > 0 {
-		interval = min(interval, time.Duration(float64(max(load.ReportAge, minReportAge))/part))
-	}
 	return interval
 }
 
@@ -257,21 +279,22 @@
 
 // hasPart reports whether this instance has sent less than its part of the room that the
 // reports show. They do not show what was sent since, so that all instances see the same
-// room until the next ones arrive. Where its part is below one request, it sends one in a
-// correspondingly longer time.
+// room until the next ones arrive. Where its part is no whole number of requests, it sends
+// the next larger one in a correspondingly longer time.
 func (g *Gate) hasPart(r Rank, load PoolLoad, now time.Time) bool {
 	part := load.Part * float64(load.FreeRoom)
 	if part <= 0 {
 		return false
 	}
-	period := time.Duration(float64(max(load.ReportAge, minReportAge)) * max(1, 1/part))
+	count := math.Ceil(part)
+	period := time.Duration(float64(max(load.ReportAge, minReportAge)) * count / part)
 	sent := 0
 	for _, at := range g.sent[r.IsFirstKind] {
 		if now.Sub(at) < period {
 			sent++
 		}
 	}
-	return sent < max(1, int(part))
+	return sent < int(count)
 }
 
 // recordSent records a request of a rank that is sent now.
--- a/pkg/admission/rank.go
+++ b/pkg/admission/rank.go
@@ -43,8 +43,8 @@
 	// lessUrgentQueue and lastQueue are the requests in a target's queue up to which these
 	// are sent. A target reads prompts one after another, with requests running long
 	// before its slots are full, and a queue keeps it busy until the next report.
-	lessUrgentQueue = 4
-	lastQueue       = 3
+	lessUrgentQueue = 3
+	lastQueue       = 2
 )
 
 // Room is what a target may have when a request of a rank is sent to it.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -306,7 +306,7 @@
 	}
 	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.AdmissionFilter{Forward: forwardFilter}, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
--- a/pkg/gossip/gossip_test.go
+++ b/pkg/gossip/gossip_test.go
@@ -116,3 +116,35 @@
 	assert.DeepEqual(t, got, []string{"one", "two"})
 	assert.Equal(t, reports, 2)
 }
+
+// An instance that gives up a part of its usage must send it to as many others as it
+// gave parts to; otherwise usage that no instance holds is lost in each round.
+func TestUsageIsSentToAsManyAsItIsGivenTo(t *testing.T) {
+	const instances = 3
+	sockets, addresses := openSockets(t, instances)
+	log := hclog.New(&hclog.LoggerOptions{Output: t.Output()})
+	given, received := make(chan int, 100), make(chan string, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	for i := range instances {
+		g := &Gossip{
+			ListenAddress: addresses[i], Log: log,
+			ListenPacket: func(_, _ string) (net.PacketConn, error) { return sockets[i], nil },
+			Peers:        func() []string { return addresses[1:] },
+			OnUsage:      func(usage []byte) { received <- string(usage) },
+		}
+		if i == 0 {
+			g.GiveUsage = func(receivers int) []byte {
+				given <- receivers
+				return []byte("part")
+			}
+		}
+		group.Go(func() { g.Run(ctx) })
+	}
+	assert.Equal(t, <-given, instances-1)
+	for range instances - 1 {
+		assert.Equal(t, <-received, "part")
+	}
+	cancel()
+	group.Wait()
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -503,10 +503,26 @@
 func (p *Placer) Avoids(t *target.Target, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.avoids(t, now)
+}
+
+func (p *Placer) avoids(t *target.Target, now time.Time) bool {
 	s := p.stateOf(t)
 	return now.Before(s.openUntil) || now.Before(s.busyUntil) || t.Live.HasLeavingHint()
 }
 
+// ForEachUsable calls f for the targets that may get requests and are not avoided. f must
+// not call methods of the placer.
+func (p *Placer) ForEachUsable(targets []*target.Target, now time.Time, f func(*target.Target)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range targets {
+		if !t.Leaving && !p.avoids(t, now) {
+			f(t)
+		}
+	}
+}
+
 // Retain removes the state of all targets for whose key (Target.Key) keep
 // returns false.
 func (p *Placer) Retain(keep func(key string) bool) {
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -195,10 +195,7 @@
 	load := admission.PoolLoad{Part: f.Admission.Usage.Demand(now) / float64(max(1, f.InstanceCount()))}
 	var ages time.Duration
 	reported := 0
-	for _, t := range targets {
-		if t.Leaving || f.Placer.Avoids(t, now) {
-			continue
-		}
+	f.Placer.ForEachUsable(targets, now, func(t *target.Target) {
 		busy, waiting, at := t.EstimateLoad()
 		load.Slots += t.Slots
 		load.Busy += busy
@@ -208,7 +205,7 @@
 			ages += age
 			reported++
 		}
-	}
+	})
 	load.ReportAge = maxReportAge
 	if reported > 0 {
 		load.ReportAge = ages / time.Duration(reported)
@@ -216,6 +213,29 @@
 	return load
 }
 
+// AdmissionFilter refuses requests that could not be served in ForwardFilter before their
+// callers leave. It comes before QuotaFilter, so that they are not charged.
+type AdmissionFilter struct {
+	Forward *ForwardFilter
+}
+
+// Handle implements Filter.
+func (a *AdmissionFilter) Handle(ex *Exchange, next Handler) error {
+	f, now := a.Forward, time.Now()
+	targets := f.Targets.InPool(ex.Pool.Name)
+	if !f.Admission.applies(ex.Pool, targets) {
+		return next(ex)
+	}
+	f.Admission.Usage.RecordArrival(now)
+	caller := f.Admission.caller(ex, now)
+	load := f.poolLoad(caller.Rank, targets, now)
+	decision := f.Admission.gate(ex.Pool.Name).preview(caller, load, now)
+	if decision.Verdict == admission.Refuse {
+		return f.refuse(ex, caller, decision, load)
+	}
+	return next(ex)
+}
+
 // admit chooses a target that has room for the request. It waits as long as none has, and
 // returns an error if the caller would leave before. A request that may have run already
 // is not held back: its caller cannot be told to come back.
@@ -225,9 +245,6 @@
 	if !a.applies(ex.Pool, targets) || ex.MayHaveRun {
 		return f.pickTarget(ex, r, tried, nil), nil
 	}
-	if ex.Attempts == 0 && len(tried) == 0 {
-		a.Usage.RecordArrival(now)
-	}
 	caller := a.caller(ex, now)
 	g := a.gate(ex.Pool.Name)
 	load := f.poolLoad(caller.Rank, targets, now)
@@ -257,6 +274,9 @@
 		case admission.Refuse:
 			return placement.Choice{}, f.refuse(ex, caller, decision, load)
 		case admission.Try:
+			if err := f.recheck(ex, r); err != nil {
+				return placement.Choice{}, err
+			}
 			if choice := f.pickWithRoom(ex, r, tried, caller.Rank, now); choice.Target != nil {
 				g.pass(entry, now)
 				return choice, nil
@@ -265,6 +285,21 @@
 	}
 }
 
+// recheck repeats for a request that has waited what may have changed meanwhile: its key
+// may have been revoked, a part of it quarantined, and newer weights announced.
+func (f *ForwardFilter) recheck(ex *Exchange, r *placement.Request) error {
+	if err := f.QuarantineFilter.check(ex); err != nil {
+		return err
+	}
+	if r.NewestVersion != "" {
+		r.NewestVersion = f.Targets.NewestVersion(ex.Metadata.Model)
+	}
+	if f.KeyFilter == nil {
+		return nil
+	}
+	return f.KeyFilter.Revalidate(ex)
+}
+
 // pickWithRoom chooses among the targets that have room for a rank and that placement does
 // not avoid.
 func (f *ForwardFilter) pickWithRoom(ex *Exchange, r *placement.Request, tried map[string]bool, rank admission.Rank, now time.Time) placement.Choice {
@@ -335,6 +370,12 @@
 	g.gate.Passed(r, now)
 }
 
+func (g *poolGate) preview(c admission.Caller, load admission.PoolLoad, now time.Time) admission.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gate.Preview(c, load, now)
+}
+
 func (g *poolGate) offer(c admission.Caller, load admission.PoolLoad, now time.Time) (*admission.Entry, admission.Decision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/relay/admission_test.go
+++ b/pkg/relay/admission_test.go
@@ -77,6 +77,25 @@
 	assert.Equal(t, f.metrics.Get("admission_refused_wait_too_long").String(), "1")
 }
 
+// Requests that were refused without a target used up the quota of their organisation: of
+// what was borrowed for them, little fits into the bucket of the instance.
+func TestRefusedRequestIsNotCharged(t *testing.T) {
+	f, _ := newContendedFixture(t)
+	f.update(func() { f.tokens = 1000 })
+	for n := range 3 { // they wait, so that the next one is hopeless
+		go f.send(callerRequest{path: "/stream/once/x", id: "waits-" + strconv.Itoa(n), timeout: 2 * time.Second})
+	}
+	eventually(t, "requests wait", func() bool { return f.admission.Waiting()["stream-once"] == 3 })
+	time.Sleep(300 * time.Millisecond) // nothing is let through meanwhile
+	before := int64(0)
+	f.update(func() { before = f.tokens })
+	response := f.send(callerRequest{path: "/stream/resumable/x", timeout: 2 * time.Second})
+	assert.NilError(t, response.err)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	f.update(func() { assert.Equal(t, f.tokens, before) })
+	assert.Assert(t, f.metrics.Get("admission_refused_wait_too_long") != nil)
+}
+
 // Pools whose targets state no pace are served as before, and so are plain services.
 func TestOtherPoolsAreNotHeldBack(t *testing.T) {
 	for name, change := range map[string]func(f *fixture){
