admission: callers beyond their rate return one after another; usage is sent wherever it is known

Cause: of 3,400 callers that an organisation at six times its usual was refused, nearly all were told to return after 20 ms. Pools whose targets state a pace, without contention in the settings, had no usage of the fleet. Change: return times by organisation from this instance's part of the rate, where contention is expected; datagrams about usage wherever any is known. A refusal names the targets without a queue.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -33,6 +33,7 @@
 	Slots     int           // of all targets that can take requests
 	Busy      int           // requests running or waiting there
 	Waiting   int           // requests in the targets' queues
+	NoQueue   int           // targets where nothing waits
 	FreeRoom  int           // requests that targets have room for, for the rank in question
 	ReportAge time.Duration // mean age of the load reports
 	Part      float64       // of the demand that reaches this instance
@@ -102,7 +103,7 @@
 type Gate struct {
 	maxWaiting int
 	waiting    []*Entry
-	returns    returnTimes
+	returns    ReturnTimes
 	// interval is the mean time between two waiting requests that were let through, and
 	// lastPass the last one, or when requests began to wait.
 	interval time.Duration
@@ -273,7 +274,7 @@
 // refuse turns a decision into a refusal and books the time of return.
 func (g *Gate) refuse(d Decision, reason string, now time.Time) Decision {
 	d.Verdict, d.Reason = Refuse, reason
-	d.ReturnAfter = g.returns.book(d.ExpectedWait, max(g.interval, minCheckInterval), now)
+	d.ReturnAfter = g.returns.Book(d.ExpectedWait, max(g.interval, minCheckInterval), now)
 	return d
 }
 
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -310,19 +310,19 @@
 
 // Refused callers that all come back at the same time are refused again.
 func TestReturnTimesAreSpreadInOrder(t *testing.T) {
-	var r returnTimes
+	var r ReturnTimes
 	previous := time.Duration(0)
 	for range 20 {
-		at := r.book(time.Second, 50*time.Millisecond, start)
+		at := r.Book(time.Second, 50*time.Millisecond, start)
 		assert.Assert(t, at > previous)
 		previous = at
 	}
 	assert.Equal(t, previous, time.Second+19*50*time.Millisecond)
 	for range 1000 {
-		previous = r.book(time.Second, 50*time.Millisecond, start)
+		previous = r.Book(time.Second, 50*time.Millisecond, start)
 	}
 	assert.Equal(t, previous, maxBookedAhead)
-	assert.Equal(t, r.book(time.Second, 50*time.Millisecond, start.Add(time.Minute)), time.Second, "old bookings count")
+	assert.Equal(t, r.Book(time.Second, 50*time.Millisecond, start.Add(time.Minute)), time.Second, "old bookings count")
 }
 
 // A decision among 1,000 waiting requests takes under 50 us.
--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -200,11 +200,15 @@
 }
 
 // Give gives up equal parts of the sums and of the weight for a number of other
-// instances, keeps one, and returns the encoded part of each.
+// instances, keeps one, and returns the encoded part of each. It returns nil as long as no
+// usage is known.
 func (u *Usage) Give(receivers int, now time.Time) []byte {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.fade(now)
+	if len(u.sums) == 0 {
+		return nil
+	}
 	part := 1 / float64(receivers+1)
 	ids := make([]uint64, 0, len(u.sums))
 	for id := range u.sums {
--- a/pkg/admission/usage_test.go
+++ b/pkg/admission/usage_test.go
@@ -85,6 +85,8 @@
 // A datagram that no instance can have sent must not change the shares.
 func TestInvalidUsageIsIgnored(t *testing.T) {
 	u, sender := NewUsage(), NewUsage()
+	assert.Assert(t, sender.Give(1, start) == nil, "an instance without usage sends messages")
+	sender.RecordArrival(start)
 	sender.weight = 1e9
 	u.Accept(sender.Give(1, start), start)
 	u.Accept([]byte("no message"), start)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -249,11 +249,9 @@
 		Supersessions: d.targets.Supersessions, AsksSupersessions: d.targets.HasSuperseded, OnSupersession: d.targets.RecordSupersession, Clock: d.clock,
 		Notices: d.poisonDetector.Notices, OnNotice: d.poisonDetector.HandleNotice, Log: log,
 	}
-	d.admission = newAdmission(s)
-	if s.ExpectsContention {
-		d.gossip.GiveUsage = func(receivers int) []byte { return d.admission.Usage.Give(receivers, time.Now()) }
-		d.gossip.OnUsage = func(usage []byte) { d.admission.Usage.Accept(usage, time.Now()) }
-	}
+	d.admission = newAdmission(s, d.members.LiveCount)
+	d.gossip.GiveUsage = func(receivers int) []byte { return d.admission.Usage.Give(receivers, time.Now()) }
+	d.gossip.OnUsage = func(usage []byte) { d.admission.Usage.Accept(usage, time.Now()) }
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.callerConns = drain.NewTracker()
@@ -305,8 +303,12 @@
 		Admission: d.admission, RetryBudget: relay.NewRetryBudget(d.retryLimits), InstanceCount: d.members.LiveCount,
 	}
 	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
+	quotaFilter := &relay.QuotaFilter{Quota: d.borrower}
+	if d.admission.Expected {
+		quotaFilter.ReturnAfter = d.admission.QuotaReturnAfter
+	}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.AdmissionFilter{Forward: forwardFilter}, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{}, drainFilter, quarantineFilter, &relay.AdmissionFilter{Forward: forwardFilter}, quotaFilter, forwardFilter)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
 			w.Header().Set("Connection", "close")
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -110,7 +110,7 @@
 	Notices  func() [][]byte
 	OnNotice func(notice []byte)
 	// GiveUsage returns what this instance gives up of its usage for each of a number of
-	// others, and OnUsage is called for each one that another instance gave. Both may be
+	// others, or nil if nothing is to be sent, and OnUsage is called for each one that another instance gave. Both may be
 	// nil.
 	GiveUsage func(receivers int) []byte
 	OnUsage   func(usage []byte)
@@ -229,7 +229,9 @@
 	peers := g.Peers()
 	payloads := g.datagrams(time.Now())
 	if withUsage && g.GiveUsage != nil && len(peers) > 0 {
-		payloads = append(payloads, g.encode(noticeDatagram{Version: usageVersion, Notice: g.GiveUsage(min(fanOut, len(peers)))})...)
+		if usage := g.GiveUsage(min(fanOut, len(peers))); usage != nil {
+			payloads = append(payloads, g.encode(noticeDatagram{Version: usageVersion, Notice: usage})...)
+		}
 	}
 	if len(payloads) == 0 || len(peers) == 0 {
 		return
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -34,9 +35,36 @@
 	// Usage is the usage of the targets by organisation.
 	Usage *admission.Usage
 
-	mu     sync.Mutex
-	gates  map[string]*poolGate
-	scales map[string]poolScale // by pool
+	// InstanceCount returns the number of instances that share the rates.
+	InstanceCount func() int
+
+	mu sync.Mutex
+	// quotaReturns are the return times of callers that were refused for their rate, by
+	// organisation.
+	quotaReturns map[string]*admission.ReturnTimes
+	gates        map[string]*poolGate
+	scales       map[string]poolScale // by pool
+}
+
+// QuotaReturnAfter returns when a caller that was refused for its rate should come back: once
+// the refill of this instance's part of the rate covers those that were refused before.
+// Load pattern: an organisation sends several times its rate, and all that it is refused
+// would come back as soon as there may be tokens for one.
+func (a *Admission) QuotaReturnAfter(o *tables.Organisation, tokens int64, wait time.Duration) time.Duration {
+	now := time.Now()
+	rate := o.Rate * a.Usage.Demand(now) / float64(max(1, a.InstanceCount()))
+	spacing := time.Duration(float64(tokens) / max(1, rate) * float64(time.Second))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.quotaReturns == nil {
+		a.quotaReturns = make(map[string]*admission.ReturnTimes)
+	}
+	times := a.quotaReturns[o.Name]
+	if times == nil {
+		times = &admission.ReturnTimes{}
+		a.quotaReturns[o.Name] = times
+	}
+	return times.Book(wait, spacing, now)
 }
 
 // poolGate is the gate of a pool.
@@ -68,6 +96,12 @@
 	for i := range organisations {
 		rates[organisations[i].Name] = organisations[i].Rate
 	}
+	a.mu.Lock()
+	maps.DeleteFunc(a.quotaReturns, func(name string, _ *admission.ReturnTimes) bool {
+		_, listed := rates[name]
+		return !listed
+	})
+	a.mu.Unlock()
 	a.Usage.SetRates(rates)
 }
 
@@ -202,6 +236,9 @@
 		load.FreeRoom += max(0, freeRoom(r, t, now))
 		if age := now.Sub(at); age <= maxReportAge {
 			load.Waiting += waiting
+			if waiting == 0 {
+				load.NoQueue++
+			}
 			ages += age
 			reported++
 		}
@@ -319,10 +356,10 @@
 
 // Error implements error.
 func (r *refusalFigures) Error() string {
-	return fmt.Sprintf("%s: urgency %d, over share %t, late %t, %d ahead, expected wait %v, service time %v, slots %d, busy %d, waiting at targets %d, free room %d, report age %v, part of the demand %.3f",
+	return fmt.Sprintf("%s: urgency %d, over share %t, late %t, %d ahead, expected wait %v, service time %v, slots %d, busy %d, waiting at targets %d, targets without a queue %d, free room %d, report age %v, part of the demand %.3f",
 		r.decision.Reason, r.caller.Rank.Urgency, r.caller.Rank.IsOverShare, r.caller.Rank.IsLate, r.decision.Ahead,
 		r.decision.ExpectedWait.Round(time.Millisecond), r.decision.ServiceTime.Round(time.Millisecond),
-		r.load.Slots, r.load.Busy, r.load.Waiting, r.load.FreeRoom, r.load.ReportAge.Round(time.Millisecond), r.load.Part)
+		r.load.Slots, r.load.Busy, r.load.Waiting, r.load.NoQueue, r.load.FreeRoom, r.load.ReportAge.Round(time.Millisecond), r.load.Part)
 }
 
 // refuse returns the error of a request that is not sent.
--- a/pkg/relay/quota.go
+++ b/pkg/relay/quota.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
+	"lacewingwheel.example/lacewingwheel/pkg/tables"
 )
 
 // Quota holds the token buckets of organisations. Its methods may be called
@@ -23,6 +24,9 @@
 // Organisations without a rate are not limited.
 type QuotaFilter struct {
 	Quota Quota
+	// ReturnAfter returns when a caller that was refused should come back, from the time
+	// after which its tokens may be available; nil means that time.
+	ReturnAfter func(o *tables.Organisation, tokens int64, wait time.Duration) time.Duration
 }
 
 // Handle implements Filter.
@@ -32,6 +36,9 @@
 	}
 	ex.ChargedTokens = requestTokens(ex)
 	ok, wait := f.Quota.Take(ex.Context(), ex.Organisation.Name, ex.ChargedTokens)
+	if !ok && f.ReturnAfter != nil {
+		wait = f.ReturnAfter(ex.Organisation, ex.ChargedTokens, wait)
+	}
 	if !ok {
 		return errNotRun(ex, apierr.CodeRateLimited, http.StatusTooManyRequests,
 			"the organisation is over its rate", "send fewer tokens per second, or ask the operators for a higher rate", wait)
