admission: an instance that hears nothing takes nobody to be over its share

Cause: in a pool without contention in the settings usage was not sent, and each instance judged shares by the organisations of its few callers, also after being cut off.

--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -39,6 +39,13 @@
 // returns to its own figures. Load pattern: one to three organisations send several
 // times their usual while the targets are full. It is safe for concurrent use.
 type Usage struct {
+	// InstanceCount returns the number of instances; nil means one. An instance of several
+	// that hears nothing of the others knows only the few callers that reach it, and takes
+	// nobody to be over its share.
+	InstanceCount func() int
+
+	heardAt time.Time // of the last message
+
 	mu       sync.Mutex
 	sums     map[uint64]float64 // tokens that fade with usagePeriod, by hash of the organisation
 	weight   float64            // of this instance in the average; 1 without messages
@@ -149,6 +156,9 @@
 func (u *Usage) IsOverShare(organisation string, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.InstanceCount != nil && u.InstanceCount() > 1 && now.Sub(u.heardAt) > usagePeriod {
+		return false
+	}
 	if u.over == nil || now.Sub(u.sharesAt) >= shareInterval {
 		u.fade(now)
 		u.over, u.sharesAt = u.findOver(), now
@@ -262,4 +272,5 @@
 		}
 	}
 	u.weight += message.Weight
+	u.heardAt = now
 }
--- a/pkg/admission/usage_test.go
+++ b/pkg/admission/usage_test.go
@@ -82,6 +82,21 @@
 	assert.Assert(t, !u.IsOverShare("one", start.Add(20*time.Second)), "the other organisation has not asked for seconds")
 }
 
+// An instance that was cut off from the others took the organisations of its few callers to
+// be over their shares.
+func TestInstanceThatHearsNothingTakesNobodyToBeOverItsShare(t *testing.T) {
+	u, other := NewUsage(), NewUsage()
+	u.InstanceCount = func() int { return 2 }
+	u.SetRates(map[string]float64{"one": 1000, "other": 1000})
+	u.Record("one", 100_000, start)
+	u.Record("other", 20_000, start)
+	assert.Assert(t, !u.IsOverShare("one", start))
+	other.Record("other", 20_000, start)
+	u.Accept(other.Give(1, start), start)
+	assert.Assert(t, u.IsOverShare("one", start.Add(shareInterval)))
+	assert.Assert(t, !u.IsOverShare("one", start.Add(usagePeriod+time.Millisecond)))
+}
+
 // A datagram that no instance can have sent must not change the shares.
 func TestInvalidUsageIsIgnored(t *testing.T) {
 	u, sender := NewUsage(), NewUsage()
--- a/pkg/daemon/admission.go
+++ b/pkg/daemon/admission.go
@@ -18,6 +18,7 @@
 // newAdmission returns the admission of requests to pools under contention.
 func newAdmission(s *Settings, instanceCount func() int) *relay.Admission {
 	a := &relay.Admission{Expected: s.ExpectsContention, MaxWaiting: maxWaitingRequests, Usage: admission.NewUsage(), InstanceCount: instanceCount}
+	a.Usage.InstanceCount = instanceCount
 	if s.MemoryBytes > 0 {
 		a.MaxWaiting = int(min(maxWaitingRequests, s.MemoryBytes/waitingMemoryDivisor/waitingRequestBytes))
 	}
