--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -158,6 +158,7 @@
 	restored         chan struct{} // the store was found restored from a copy
 	metrics          *expvar.Map
 	requestLog       *relay.RequestLog
+	admission        *relay.Admission
 	storeCalls       relay.LatencyHistograms
 	callerServer     *http.Server
 	callerConns      *drain.Tracker
@@ -265,6 +266,9 @@
 	if d.delivery != nil {
 		d.gossip.DeliveryNotices, d.gossip.OnDeliveryNotice = d.delivery.Notices, d.delivery.HandleNotice
 	}
+	d.admission = newAdmission(s, d.members.LiveCount)
+	d.gossip.GiveUsage = func(receivers int) []byte { return d.admission.Usage.Give(receivers, time.Now()) }
+	d.gossip.OnUsage = func(usage []byte) { d.admission.Usage.Accept(usage, time.Now()) }
 	d.requestLog = &relay.RequestLog{Log: log, Metrics: d.metrics}
 	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.callerConns = drain.NewTracker()
@@ -307,6 +311,7 @@
 // and the idle timeout.
 func (d *Daemon) applyConfiguration(snapshot *tables.Snapshot) {
 	d.buckets.Configure(snapshot.Tables.Organisations)
+	d.admission.Configure(snapshot.Tables.Organisations)
 	d.idleTimeout.set(snapshot.Tables.Limits.IdleTimeout)
 }
 
@@ -318,11 +323,15 @@
 	quarantineFilter := &relay.QuarantineFilter{Detector: d.poisonDetector, Clock: d.clock, RequestLog: requestLog}
 	forwardFilter := &relay.ForwardFilter{
 		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, Memory: d.responseMemory, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
-		RetryBudget: relay.NewRetryBudget(d.retryLimits), Delivery: d.delivery, InstanceCount: d.members.LiveCount,
+		Admission: d.admission, RetryBudget: relay.NewRetryBudget(d.retryLimits), Delivery: d.delivery, InstanceCount: d.members.LiveCount,
 	}
 	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
+	quotaFilter := &relay.QuotaFilter{Quota: d.borrower}
+	if d.admission.Expected {
+		quotaFilter.ReturnAfter = d.admission.QuotaReturnAfter
+	}
 	chain := relay.NewChain(dialect, requestLog,
-		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{Callers: d.callers}, drainFilter, quarantineFilter, &relay.QuotaFilter{Quota: d.borrower}, forwardFilter)
+		&relay.RouteFilter{Configuration: d.configuration}, drainFilter, keyFilter, relay.BodyFilter{Callers: d.callers}, drainFilter, quarantineFilter, &relay.AdmissionFilter{Forward: forwardFilter}, quotaFilter, forwardFilter)
 	handler := d.callers.Handler(chain, http.HandlerFunc(chain.RefuseOutOfMemory))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if d.stopping.Load() {
