--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 )
 
 const (
@@ -17,15 +19,16 @@
 // ErrBodyTooLarge means that a body is larger than the limit.
 var ErrBodyTooLarge = errors.New("the body is larger than the limit")
 
-// Body is the body of a request. Its memory is held until Release.
+// Body is the body of a request. Its memory is held, and the connection stays open, until Release.
 type Body struct {
 	Bytes   []byte
 	limiter *Limiter
 	receipt *receipt
+	conn    *Conn // whose request runs until Release; nil if it is not known
 }
 
 // ReadBody reads the body of a request. The buffer grows as bytes arrive: a length that a
-// caller states takes no memory. copies is the number of copies of the whole body for which
+// caller states takes no memory beyond a small reservation. copies is the number of copies of the whole body for which
 // memory is held. Errors are ErrBodyTooLarge, ErrOutOfMemory, ErrStalled and those of the reader. After an
 // error the memory is released.
 func (l *Limiter) ReadBody(w http.ResponseWriter, r *http.Request, limit, copies int64) (*Body, error) {
@@ -46,14 +49,15 @@
 		err = ErrStalled
 	}
 	if l != nil && err == nil {
-		err = l.grow(b.receipt, (copies-1)*int64(len(b.Bytes)))
+		err = l.grow(b.receipt, copies*int64(len(b.Bytes))-int64(cap(b.Bytes)))
 	}
 	if err != nil {
 		b.Release()
 		return nil, err
 	}
 	if conn != nil {
-		conn.setState(stateRunning)
+		conn.startRunning()
+		b.conn = conn
 	}
 	return b, nil
 }
@@ -72,7 +76,7 @@
 			return nil
 		}
 		if len(b.Bytes) == cap(b.Bytes) {
-			if err := b.enlarge(largest); err != nil {
+			if err := b.enlarge(length, largest); err != nil {
 				return err
 			}
 		}
@@ -90,10 +94,17 @@
 	}
 }
 
-// enlarge replaces the buffer by a larger one.
-func (b *Body) enlarge(largest int64) error {
+// enlarge replaces the buffer by a larger one. A stated length that is small is reserved at once:
+// two buffers beside each other would not be small.
+func (b *Body) enlarge(length, largest int64) error {
 	before := int64(cap(b.Bytes))
 	size := min(max(initialBodyBytes, bodyGrowth*before), largest)
+	if before == 0 && length <= memlimit.SmallBytes {
+		size = max(size, length)
+	}
+	if size+initialBodyBytes > largest {
+		size = largest // no further step for the byte that is over the limit
+	}
 	if b.limiter != nil {
 		if err := b.limiter.grow(b.receipt, size); err != nil {
 			return err
@@ -111,4 +122,8 @@
 	if b.receipt != nil {
 		b.receipt.reservation.Release()
 	}
+	if b.conn != nil {
+		b.conn.endRunning()
+		b.conn = nil
+	}
 }
--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -39,7 +39,6 @@
 const (
 	stateReceiving connState = iota // awaits its first request, or receives one
 	stateIdle                       // awaits a further request
-	stateRunning                    // its request is complete and runs
 )
 
 // Conn is a connection of a caller. It reserves memory for the heads that are read from it.
@@ -50,11 +49,13 @@
 	memory    memlimit.Reservation // of the connection itself
 	state     connState            // guarded by limiter.mu
 	since     time.Time            // of the state or the last progress; guarded by limiter.mu
+	running   int                  // complete requests that run, several with HTTP/2; guarded by limiter.mu
 
 	mu       sync.Mutex
 	inHead   bool     // what is read belongs to a head
 	head     *receipt // of the head that is read; nil before its first byte
-	growing  bool     // Read reserves memory for head and releases it if the connection is closed meanwhile
+	growing  bool     // Read reserves memory for a head and releases it if that is no longer head
+	aborted  bool     // no further request may run
 	isClosed bool
 }
 
@@ -88,19 +89,21 @@
 }
 
 // admit returns a connection, or nil if there is no room for it. It closes another connection
-// to make room.
+// to make room, and only one: what it releases may be taken by a request that waits for memory.
 func (l *Limiter) admit(raw net.Conn, encrypted bool) *Conn {
 	c := &Conn{Conn: raw, limiter: l, encrypted: encrypted, inHead: true, memory: l.budget.For(causeConnection), since: time.Now()}
-	for !l.add(c) {
-		yielding := l.connToClose()
-		if yielding == nil {
-			l.recordEvent(l.refused, causeConnection, "connection refused; no room is left for connections")
-			return nil
-		}
+	if l.add(c) {
+		return c
+	}
+	if yielding := l.connToClose(); yielding != nil {
 		l.recordEvent(l.ended, causeConnection, "connection closed to make room for another")
 		_ = yielding.Close()
+		if l.add(c) {
+			return c
+		}
 	}
-	return c
+	l.recordEvent(l.refused, causeConnection, "connection refused; no room is left for connections")
+	return nil
 }
 
 // add counts a connection and reports whether there is room for it.
@@ -120,10 +123,11 @@
 func (l *Limiter) connToClose() *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	var chosen *Conn
 	for c := range l.conns {
 		switch {
-		case c.state == stateRunning || time.Since(c.since) < minStall:
+		case c.running > 0 || now.Sub(c.since) < minStall:
 		case chosen == nil || c.state < chosen.state || c.state == chosen.state && c.since.Before(chosen.since):
 			chosen = c
 		}
@@ -145,7 +149,8 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrOutOfMemory}
 }
 
-// reserveHead reserves memory for bytes of a head. It does nothing for other bytes.
+// reserveHead reserves memory for bytes of a head. It does nothing for other bytes. After an
+// error no request of the connection runs.
 func (c *Conn) reserveHead(data []byte) error {
 	head := c.startGrowing()
 	if head == nil {
@@ -160,9 +165,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.growing = false
-	if c.isClosed {
-		c.dropHead()
+	if c.head != head { // its request runs, or the connection is closed
+		head.reservation.Release()
+		return nil
 	}
+	c.aborted = c.aborted || err != nil
 	return err
 }
 
@@ -189,22 +196,22 @@
 }
 
 // releaseHead ends the reading of a head. inHead is whether the next bytes belong to another.
-func (c *Conn) releaseHead(inHead bool) {
+// It reports whether the request may run: not after a refusal, and not if the head had to give way,
+// which has closed the connection.
+func (c *Conn) releaseHead(inHead bool) (mayRun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = inHead
-	if !c.growing {
-		c.dropHead()
-	}
-}
-
-// dropHead releases the memory of the head that is read. The caller holds mu.
-func (c *Conn) dropHead() {
 	if c.head != nil {
-		c.limiter.finish(c.head)
-		c.head.reservation.Release()
+		if c.limiter.finish(c.head) {
+			c.aborted = true
+		}
+		if !c.growing {
+			c.head.reservation.Release()
+		}
 		c.head = nil
 	}
+	return !c.aborted
 }
 
 // setState records what the connection is used for.
@@ -214,6 +221,21 @@
 	c.state, c.since = state, time.Now()
 }
 
+// startRunning counts a complete request. The connection does not give way before its end.
+func (c *Conn) startRunning() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.running++
+}
+
+// endRunning ends a request of startRunning.
+func (c *Conn) endRunning() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.running--
+	c.since = time.Now()
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -300,9 +322,12 @@
 		head := &receipt{cause: causeHead, reservation: l.budget.For(causeHead)} // complete
 		defer func() { head.reservation.Release() }()
 		if c := fromContext(r.Context()); c != nil {
-			c.releaseHead(false)
+			if !c.releaseHead(false) {
+				panic(http.ErrAbortHandler) // no answer can be sent
+			}
 			if r.Body == nil || r.Body == http.NoBody {
-				c.setState(stateRunning)
+				c.startRunning()
+				defer c.endRunning()
 			}
 		}
 		if l.grow(head, headCost(r)) != nil {
--- a/pkg/control/leaseera_test.go
+++ b/pkg/control/leaseera_test.go
@@ -129,16 +129,36 @@
 	}
 }
 
-// In the first era of a store tokens count from 1 and the first holder does not wait, as
-// with a store that states no eras.
-func TestTokensCountInTheFirstEra(t *testing.T) {
-	x := newLeaseTest(t, 2, true)
+// With a store that states no eras tokens count from 1. In no era does the first holder of a new
+// system wait.
+func TestFirstHolderDoesNotWait(t *testing.T) {
+	for era := range uint64(2) {
+		x := newLeaseTest(t, 2, true)
+		x.standin.SetEra(era)
+		x.acquire(t, x.holders[0], 0)
+		first := x.highest
+		assert.Equal(t, first, max(1, objectstore.Revision(era, 0)))
+		assert.NilError(t, x.holders[0].ReleaseSettled(t.Context()))
+		x.clock.Advance(2 * time.Second)
+		x.acquire(t, x.holders[1], 0)
+		assert.Assert(t, x.highest > first)
+		assert.Assert(t, era > 0 || x.highest == 2)
+	}
+}
+
+// A process of the first start that reaches the store after a restore takes that era for the
+// first one. Its token must not be one of the lost time.
+func TestFirstTokenOfAnEraIsUnique(t *testing.T) {
+	x := newLeaseTest(t, 1, true)
+	before := x.standin.Copy()
 	x.acquire(t, x.holders[0], 0)
-	assert.Equal(t, x.highest, uint64(1))
-	assert.NilError(t, x.holders[0].ReleaseSettled(t.Context()))
-	x.clock.Advance(2 * time.Second)
-	x.acquire(t, x.holders[1], 0)
-	assert.Equal(t, x.highest, uint64(2))
+	x.standin.Restore(before)
+	late := x.add("late", true)
+	late.StoreHealth = &follow.StoreHealth{Clock: x.clock, Log: hclog.NewNullLogger()}
+	late.StoreHealth.RecordEra(2)
+	x.clock.Advance(2 * leaseDuration)
+	x.acquire(t, late, 0)
+	assert.Equal(t, len(x.byFence), 2)
 }
 
 // A restore that undid the record of a lease gave its token out twice, to a holder that did
@@ -201,7 +221,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		x := newLeaseTest(t, 3, rapid.Bool().Draw(r, "first start"))
 		var copies []platformtest.Copy
-		index := rapid.IntRange(0, 2)
+		index, restarts := rapid.IntRange(0, 2), 0
 		r.Repeat(map[string]func(*rapid.T){
 			"round": func(r *rapid.T) { assert.NilError(r, x.round(t.Context(), x.holders[index.Draw(r, "holder")])) },
 			"act":   func(r *rapid.T) { assert.NilError(r, x.act(x.holders[index.Draw(r, "holder")])) },
@@ -221,6 +241,16 @@
 					_ = h.Release(t.Context())
 				}
 			},
+			"learn": func(r *rapid.T) { x.holders[index.Draw(r, "holder")].StoreHealth.RecordEra(x.standin.Era()) },
+			"restart": func(r *rapid.T) {
+				i := index.Draw(r, "holder")
+				restarts++
+				next := x.add(fmt.Sprintf("i-%d-%d", i, restarts), false)
+				if rapid.Bool().Draw(r, "knows the era") {
+					next.StoreHealth.RecordEra(x.standin.Era())
+				}
+				x.holders[i], x.holders = next, x.holders[:len(x.holders)-1]
+			},
 			"lose":  func(r *rapid.T) { x.holders[index.Draw(r, "holder")].store.loseNext = true },
 			"delay": func(r *rapid.T) { x.holders[index.Draw(r, "holder")].store.delayNext = true },
 			"arrive": func(r *rapid.T) {
