relay: do not hold requests that no target can take

A request under contention that the only target had refused, or whose pool was empty, waited until its deadline: the targets that were tried stay excluded, and the waiting loop never asked whether any target is left. Its caller got no Retry-After.

TestRequestThatNoTargetCanTakeIsNotHeld failed before in both cases (503 at the deadline without Retry-After) and passes.

--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -290,9 +290,9 @@
 			g.passed(caller.Rank, now)
 			return choice, nil
 		}
-		if choice := f.pickTarget(ex, r, tried, nil); choice.Target == nil {
-			return choice, nil
-		}
+	}
+	if !f.canBePlaced(ex, r, tried) {
+		return placement.Choice{}, nil
 	}
 	entry, decision := g.offer(caller, load, now)
 	if entry == nil {
@@ -300,6 +300,7 @@
 	}
 	defer g.leave(entry)
 	f.RequestLog.Metrics.Add("admission_waited", 1)
+	placedAt := now // when a target was last known that may take it
 	for {
 		if !clock.Sleep(ex.Context(), clock.Jitter(decision.CheckAfter)) {
 			return placement.Choice{}, f.checkCanStart(ex)
@@ -319,9 +320,23 @@
 				return choice, nil
 			}
 		}
+		if now.Sub(placedAt) >= refusalBackoff {
+			if !f.canBePlaced(ex, r, tried) {
+				return placement.Choice{}, nil
+			}
+			placedAt = now
+		}
 	}
 }
 
+// canBePlaced reports whether a target may take the request once it has room. A request
+// that has been refused by all of them would wait in vain.
+func (f *ForwardFilter) canBePlaced(ex *Exchange, r *placement.Request, tried map[string]bool) bool {
+	candidates, others := ex.versions.Candidates(f.Targets.InPool(ex.Pool.Name))
+	return f.pickAmong(ex, r, tried, nil, candidates).Target != nil ||
+		len(others) > 0 && f.pickAmong(ex, r, tried, nil, others).Target != nil
+}
+
 // recheck repeats for a request that has waited what may have changed meanwhile: its key
 // may have been revoked, a part of it quarantined, and newer weights announced.
 func (f *ForwardFilter) recheck(ex *Exchange, r *placement.Request) error {
--- a/pkg/relay/admission_test.go
+++ b/pkg/relay/admission_test.go
@@ -112,3 +112,29 @@
 		})
 	}
 }
+
+// A request that no target can take was held until its deadline, and its caller was not
+// told when to come back.
+func TestRequestThatNoTargetCanTakeIsNotHeld(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		trim func(f *fixture, engine *platformtest.Target)
+	}{
+		{"refused by the only target", func(_ *fixture, engine *platformtest.Target) {
+			engine.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{Refuse: true} })
+		}},
+		{"empty pool", func(f *fixture, _ *platformtest.Target) { f.update(func() { f.targets = nil }) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, engine := newContendedFixture(t)
+			f.admission.Expected = true
+			f.report(target.Load{Running: 1, PacePercent: usualPace})
+			c.trim(f, engine)
+			response := f.send(callerRequest{path: "/idempotent/"})
+			assert.NilError(t, response.err)
+			assert.Equal(t, response.status, http.StatusServiceUnavailable)
+			assert.Assert(t, response.header.Get("Retry-After") != "", "held until the deadline")
+			assert.Assert(t, f.metrics.Get("admission_waited") == nil, "the request waited")
+		})
+	}
+}
