admission: requests that need another target do not block others

A waiting request that had been refused by the only target with room stayed ahead of all others. Three of them kept everybody from that target.

A request that was let try and found no target that it may use is not counted as ahead of others until its next check.

TestRequestsThatNeedAnotherTargetDoNotBlockOthers failed with the record taken out and passes with it.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -121,6 +121,8 @@
 type Entry struct {
 	Caller
 	dropped bool // gave its place to a request that goes before it
+	// needsOther is set if the targets that had room at the last check cannot take it.
+	needsOther bool
 }
 
 // NewGate returns a gate that holds up to maxWaiting requests.
@@ -163,7 +165,7 @@
 func (g *Gate) aheadOf(c *Caller, without *Entry, now time.Time) int {
 	n, own := 0, c.rankAt(now).order()
 	for _, e := range g.waiting {
-		if e == without {
+		if e == without || e.needsOther {
 			continue
 		}
 		order := e.rankAt(now).order()
@@ -216,8 +218,13 @@
 	return last != e
 }
 
+// SkipTargets records that no target with room can take a waiting request that Check let
+// try. Until its next check it is not ahead of others, which may use that room.
+func (g *Gate) SkipTargets(e *Entry) { e.needsOther = true }
+
 // Check decides about a waiting request again.
 func (g *Gate) Check(e *Entry, load PoolLoad, now time.Time) Decision {
+	e.needsOther = false
 	if e.dropped {
 		return g.refuse(g.estimate(e, load, now), ReasonQueueFull, now)
 	}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -337,3 +337,18 @@
 		g.Check(last, load, start.Add(time.Second))
 	}
 }
+
+// Waiting requests that the only target with room had refused kept all others from it.
+func TestRequestsThatNeedAnotherTargetDoNotBlockOthers(t *testing.T) {
+	g := NewGate(100)
+	load := PoolLoad{Slots: 10, Busy: 9, FreeRoom: 1, Part: 1}
+	for n := range triedTogether {
+		e, _ := g.Offer(newCaller("long", Rank{}, start.Add(time.Duration(n)), time.Minute), load, start)
+		assert.Equal(t, g.Check(e, load, start).Verdict, Try)
+		g.SkipTargets(e)
+	}
+	next := newCaller("long", Rank{}, start.Add(time.Second), time.Minute)
+	assert.Assert(t, g.MayPass(&next, load, start.Add(time.Second)), "a new request is held")
+	e, _ := g.Offer(next, load, start.Add(time.Second))
+	assert.Equal(t, g.Check(e, load, start.Add(time.Second)).Verdict, Try, "a waiting request is held")
+}
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -319,6 +319,7 @@
 				g.pass(entry, now)
 				return choice, nil
 			}
+			g.skipTargets(entry)
 		}
 		if now.Sub(placedAt) >= refusalBackoff {
 			if !f.canBePlaced(ex, r, tried) {
@@ -448,6 +449,12 @@
 	g.gate.Pass(e, now)
 }
 
+func (g *poolGate) skipTargets(e *admission.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.SkipTargets(e)
+}
+
 func (g *poolGate) leave(e *admission.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
