relay: refuse waiting requests when the instance begins to stop

The loop of a waiting request did not look at the end of the stop. A request with a later deadline was held, then sent, then cut with an unknown outcome.

The loop applies the check of DrainFilter before each decision: the request is refused as not run, with Retry-After, and another instance can take it.

TestWaitingRequestIsRefusedWhenTheInstanceMayStopBeforeItsEnd failed with the check taken out (200 from the engine, sent during the stop) and passes with it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -321,11 +321,11 @@
 	requestLog := d.requestLog
 	keyFilter := &relay.KeyFilter{Configuration: d.configuration, MaxProofAge: d.maxProofAge}
 	quarantineFilter := &relay.QuarantineFilter{Detector: d.poisonDetector, Clock: d.clock, RequestLog: requestLog}
+	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	forwardFilter := &relay.ForwardFilter{
 		Dialect: dialect, Targets: d.targets, Placer: d.placer, Conns: d.targetConns, CacheDirectories: d.cacheDirectories, LoadReporter: d.gossip, Memory: d.responseMemory, KeyFilter: keyFilter, QuarantineFilter: quarantineFilter, RequestLog: requestLog, Clock: d.clock, RolloutDeadline: d.settings().MaxRolloutDelay,
-		Admission: d.admission, RetryBudget: relay.NewRetryBudget(d.retryLimits), Delivery: d.delivery, InstanceCount: d.members.LiveCount,
+		Admission: d.admission, Drain: drainFilter, RetryBudget: relay.NewRetryBudget(d.retryLimits), Delivery: d.delivery, InstanceCount: d.members.LiveCount,
 	}
-	drainFilter := relay.DrainFilter{EndsAt: d.drainEnd}
 	quotaFilter := &relay.QuotaFilter{Quota: d.borrower}
 	if d.admission.Expected {
 		quotaFilter.ReturnAfter = d.admission.QuotaReturnAfter
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -305,6 +305,9 @@
 		if !clock.Sleep(ex.Context(), clock.Jitter(decision.CheckAfter)) {
 			return placement.Choice{}, f.checkCanStart(ex)
 		}
+		if err := f.Drain.check(ex); err != nil {
+			return placement.Choice{}, err
+		}
 		now = time.Now()
 		caller.Rank = a.rank(ex, now)
 		load = f.poolLoad(caller.Rank, f.Targets.InPool(ex.Pool.Name), now)
--- a/pkg/relay/admission_test.go
+++ b/pkg/relay/admission_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingwheel.example/lacewingwheel/pkg/apierr"
 	"lacewingwheel.example/lacewingwheel/pkg/tables"
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
@@ -138,3 +139,20 @@
 		})
 	}
 }
+
+// A request that waited when the instance began to stop was held, sent to a target and cut
+// there at the end of the stop, with an unknown outcome.
+func TestWaitingRequestIsRefusedWhenTheInstanceMayStopBeforeItsEnd(t *testing.T) {
+	f, engine := newContendedFixture(t)
+	answered := make(chan callerResponse, 1)
+	go func() { answered <- f.send(callerRequest{path: "/stream/once/x"}) }()
+	eventually(t, "the request waits", func() bool { return f.admission.Waiting()["stream-once"] == 1 })
+	f.setDrainEnd(time.Now().Add(100 * time.Millisecond))
+	response := <-answered
+	assert.NilError(t, response.err)
+	assert.Equal(t, response.status, http.StatusServiceUnavailable)
+	assert.Equal(t, response.header.Get(apierr.HeaderOutcome), string(apierr.OutcomeNotRun))
+	assert.Assert(t, response.header.Get("Retry-After") != "")
+	assert.Assert(t, strings.Contains(response.body, "the instance stops"), response.body)
+	assert.Equal(t, len(engine.Requests()), 0)
+}
--- a/pkg/relay/drain.go
+++ b/pkg/relay/drain.go
@@ -24,10 +24,21 @@
 
 // Handle implements Filter.
 func (f DrainFilter) Handle(ex *Exchange, next Handler) error {
+	if err := f.check(ex); err != nil {
+		return err
+	}
+	return next(ex)
+}
+
+// check returns an error if the instance may stop before the request is complete.
+func (f DrainFilter) check(ex *Exchange) error {
+	if f.EndsAt == nil {
+		return nil
+	}
 	if at := f.EndsAt(); !at.IsZero() && ex.Deadline.After(at) {
 		return errStopping(ex)
 	}
-	return next(ex)
+	return nil
 }
 
 // errStopping returns the error of a request that an instance which stops does not complete.
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -64,6 +64,8 @@
 	Clock            clock.Clock
 	// Admission holds back or refuses requests of pools under contention; nil means none.
 	Admission *Admission
+	// Drain refuses requests that wait for room when the instance begins to stop.
+	Drain DrainFilter
 	// RolloutDeadline is the time from the announcement of weights to the last
 	// request that begins on older ones; zero means no deadline.
 	RolloutDeadline time.Duration
--- a/pkg/relay/harness_test.go
+++ b/pkg/relay/harness_test.go
@@ -116,6 +116,7 @@
 		RetryBudget: relay.NewRetryBudget(func() relay.RetryLimits { return f.limits }), InstanceCount: func() int { return 1 },
 	}
 	drain := relay.DrainFilter{EndsAt: f.drainEnd}
+	forward.Drain = drain
 	chain := relay.NewChain(platform.Dialect{}, requestLog, &relay.RouteFilter{Configuration: f}, drain, key, relay.BodyFilter{}, drain, quarantine, &relay.AdmissionFilter{Forward: forward}, &relay.QuotaFilter{Quota: f}, forward)
 	requests, endRequests := context.WithCancelCause(context.Background())
 	f.endRequests = func() { endRequests(relay.ErrStopping) }
