relay: count on callers of streams for as long as they stay

Requests were refused after four first-event objectives, although callers stay for the longest of 2 s, four objectives and eight of the longest event gaps. Routes with a short objective refused requests whose callers still waited.

Use the longest of the three. A request is also checked when its time is over, which ends minAttemptTime before the deadline, so that it is refused with Retry-After and is not sent without time for an answer.

TestCallersOfStreamsStayForTheLongestOfTheirTimes failed before (400 ms instead of 2 s) and passes.

--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -15,9 +15,22 @@
 	"lacewingwheel.example/lacewingwheel/pkg/target"
 )
 
-// callerPatience is the number of first-event objectives after which callers abandon a
-// stream without an event.
-const callerPatience = 4
+// Callers abandon a stream without an event after the longest of minPatience, objectivePatience
+// first-event objectives and gapPatience of the route's longest event gaps.
+const (
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// patience returns the time after which callers of a route abandon a stream without an event.
+func patience(r *tables.Route) time.Duration {
+	return max(minPatience, objectivePatience*r.Objective.FirstToken, gapPatience*r.MaxEventGap)
+}
+
+// minCheckInterval is the time between the checks of a request that has waited as long as its
+// caller stays, while its pool is half idle.
+const minCheckInterval = 20 * time.Millisecond
 
 // maxReportAge is the age up to which a load report says something about the room at a
 // target. Reports between instances are not older.
@@ -137,11 +150,11 @@
 // caller describes the exchange for its gate.
 func (a *Admission) caller(ex *Exchange, now time.Time) admission.Caller {
 	c := admission.Caller{
-		Kind: ex.Route.Name, Organisation: ex.OrganisationName(), Arrived: firstArrival(ex), LeavesAt: ex.Deadline, Rank: a.rank(ex, now),
+		Kind: ex.Route.Name, Organisation: ex.OrganisationName(), Arrived: firstArrival(ex), LeavesAt: ex.Deadline.Add(-minAttemptTime), Rank: a.rank(ex, now),
 	}
 	if objective := ex.Route.Objective.FirstToken; objective > 0 {
 		c.DueAt = ex.Start.Add(objective)
-		if leaves := ex.Start.Add(callerPatience * objective); ex.Route.StreamsEvents && leaves.Before(c.LeavesAt) {
+		if leaves := ex.Start.Add(patience(ex.Route)); ex.Route.StreamsEvents && leaves.Before(c.LeavesAt) {
 			c.LeavesAt = leaves
 		}
 	}
@@ -302,7 +315,7 @@
 	f.RequestLog.Metrics.Add("admission_waited", 1)
 	placedAt := now // when a target was last known that may take it
 	for {
-		if !clock.Sleep(ex.Context(), clock.Jitter(decision.CheckAfter)) {
+		if !clock.Sleep(ex.Context(), min(clock.Jitter(decision.CheckAfter), untilAfter(caller.LeavesAt))) {
 			return placement.Choice{}, f.checkCanStart(ex)
 		}
 		if err := f.Drain.check(ex); err != nil {
@@ -333,6 +346,14 @@
 	}
 }
 
+// untilAfter returns the time until a moment has passed, or the shortest check interval if it has.
+func untilAfter(at time.Time) time.Duration {
+	if left := time.Until(at) + time.Millisecond; left > time.Millisecond {
+		return left
+	}
+	return minCheckInterval
+}
+
 // canBePlaced reports whether a target may take the request once it has room. A request
 // that has been refused by all of them would wait in vain.
 func (f *ForwardFilter) canBePlaced(ex *Exchange, r *placement.Request, tried map[string]bool) bool {
--- a/pkg/relay/admission_return_test.go
+++ b/pkg/relay/admission_return_test.go
@@ -23,3 +23,37 @@
 	}
 	assert.Assert(t, a.QuotaReturnAfter(other, 10_000, 10*time.Millisecond) < 100*time.Millisecond)
 }
+
+// Callers of routes with a short objective or long event gaps were taken to leave long before
+// they do, and were refused while they still waited.
+func TestCallersOfStreamsStayForTheLongestOfTheirTimes(t *testing.T) {
+	for _, c := range []struct{ objective, gap, want time.Duration }{
+		{100 * time.Millisecond, 100 * time.Millisecond, 2 * time.Second},
+		{time.Second, 100 * time.Millisecond, 4 * time.Second},
+		{100 * time.Millisecond, time.Second, 8 * time.Second},
+	} {
+		route := &tables.Route{Name: "r", Pool: "p", Deadline: time.Minute, StreamsEvents: true, MaxEventGap: c.gap, Objective: tables.Objective{FirstToken: c.objective}}
+		now := time.Now()
+		ex := &Exchange{
+			Route: route, Pool: &tables.Pool{Name: "p"}, Start: now, Deadline: now.Add(time.Minute),
+			Snapshot: tables.NewSnapshot(1, &tables.Tables{Routes: []tables.Route{*route}}),
+		}
+		a := &Admission{Usage: admission.NewUsage(), InstanceCount: func() int { return 1 }}
+		assert.Equal(t, a.caller(ex, now).LeavesAt.Sub(now), c.want)
+	}
+}
+
+// A request whose deadline passed while it waited ended without Retry-After, or was sent
+// when no time was left for an answer.
+func TestRequestIsRefusedBeforeItsDeadlineIsTooCloseToSendIt(t *testing.T) {
+	now := time.Now()
+	route := tables.Route{Name: "r", Pool: "p", Deadline: time.Minute}
+	ex := &Exchange{
+		Route: &route, Pool: &tables.Pool{Name: "p"}, Start: now, Deadline: now.Add(time.Second),
+		Snapshot: tables.NewSnapshot(1, &tables.Tables{Routes: []tables.Route{route}}),
+	}
+	a := &Admission{Usage: admission.NewUsage(), InstanceCount: func() int { return 1 }}
+	c := a.caller(ex, now)
+	assert.Equal(t, ex.Deadline.Sub(c.LeavesAt), minAttemptTime)
+	assert.Assert(t, untilAfter(c.LeavesAt) < time.Second, "the request is not checked when its time is over")
+}
