admission: estimate the wait of urgent and other requests separately

All ranks shared the mean time between two passes and the last pass, and requests that did not wait were not counted. When less urgent requests stood still, the time since their last pass counted as the interval of urgent ones, which were refused while urgent requests were sent all the time.

The times are kept for the most urgent kind and for the others, count requests that are sent without waiting, and are forgotten when no request of the kind waits any more. They stayed after the gate had emptied, and spaced the return times of the next refusals.

--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -104,10 +105,10 @@
 	maxWaiting int
 	waiting    []*Entry
 	returns    ReturnTimes
-	// interval is the mean time between two waiting requests that were let through, and
-	// lastPass the last one, or when requests began to wait.
-	interval time.Duration
-	lastPass time.Time
+	// passes are the times of requests that were sent while others of their kind waited, of
+	// the most urgent kind and of the others: less urgent ones may stand still while urgent
+	// ones are served.
+	passes map[bool]passTimes
 	// sent are the times of the last requests that were sent, of the most urgent kind and
 	// of the others.
 	sent     map[bool][]time.Time
@@ -117,6 +118,22 @@
 	mostUrgentAt time.Time
 }
 
+// passTimes are the mean time between two requests that were sent, zero if it is not known,
+// and the time of the last one, or when requests began to wait.
+type passTimes struct {
+	interval time.Duration
+	last     time.Time
+}
+
+// next returns the times after a request is sent.
+func (p passTimes) next(now time.Time) passTimes {
+	since := now.Sub(p.last)
+	if p.interval == 0 {
+		return passTimes{interval: since, last: now}
+	}
+	return passTimes{interval: p.interval + time.Duration(meanWeight*float64(since-p.interval)), last: now}
+}
+
 // Entry is a waiting request.
 type Entry struct {
 	Caller
@@ -127,7 +144,7 @@
 
 // NewGate returns a gate that holds up to maxWaiting requests.
 func NewGate(maxWaiting int) *Gate {
-	return &Gate{maxWaiting: maxWaiting, services: make(map[string]time.Duration), sent: make(map[bool][]time.Time)}
+	return &Gate{maxWaiting: maxWaiting, services: make(map[string]time.Duration), sent: make(map[bool][]time.Time), passes: make(map[bool]passTimes)}
 }
 
 // WaitingByKind returns the number of waiting requests of each kind.
@@ -156,24 +173,38 @@
 }
 
 // Passed records that a new request of a rank was sent.
-func (g *Gate) Passed(r Rank, now time.Time) { g.recordSent(r, now) }
+func (g *Gate) Passed(r Rank, now time.Time) {
+	g.recordSent(r, now)
+	if times, waits := g.passes[r.IsFirstKind]; waits {
+		g.passes[r.IsFirstKind] = times.next(now)
+	}
+}
+
+// place is how many waiting requests go before another one.
+type place struct{ first, others int } // of the most urgent kind, and less urgent ones
+
+func (p place) total() int { return p.first + p.others }
 
 // ahead returns the number of waiting requests that go before c.
-func (g *Gate) ahead(c *Caller, now time.Time) int { return g.aheadOf(c, nil, now) }
+func (g *Gate) ahead(c *Caller, now time.Time) int { return g.aheadOf(c, nil, now).total() }
 
-// aheadOf is ahead without one entry.
-func (g *Gate) aheadOf(c *Caller, without *Entry, now time.Time) int {
-	n, own := 0, c.rankAt(now).order()
+// aheadOf returns the waiting requests that go before c, without one entry.
+func (g *Gate) aheadOf(c *Caller, without *Entry, now time.Time) (p place) {
+	own := c.rankAt(now).order()
 	for _, e := range g.waiting {
 		if e == without || e.needsOther {
 			continue
 		}
 		order := e.rankAt(now).order()
-		if order < own || order == own && e.Arrived.Before(c.Arrived) {
-			n++
+		switch {
+		case order > own || order == own && !e.Arrived.Before(c.Arrived):
+		case e.Rank.IsFirstKind:
+			p.first++
+		default:
+			p.others++
 		}
 	}
-	return n
+	return p
 }
 
 // Preview returns what Offer would decide about a request, without letting it wait.
@@ -193,15 +224,38 @@
 		return nil, d
 	}
 	if len(g.waiting) >= g.maxWaiting && !g.dropLast(e, now) {
-		return nil, g.refuse(d, ReasonQueueFull, now)
-	}
-	if len(g.waiting) == 0 {
-		g.lastPass, g.interval = now, 0
+		return nil, g.refuse(d, e.Rank, ReasonQueueFull, now)
 	}
 	g.waiting = append(g.waiting, e)
+	g.beginPasses(e.Rank, now)
 	return e, d
 }
 
+// SetRank sets the rank of a waiting request, which may change while it waits.
+func (g *Gate) SetRank(e *Entry, r Rank, now time.Time) {
+	before := e.Rank
+	e.Rank = r
+	if !e.dropped && r.IsFirstKind != before.IsFirstKind {
+		g.beginPasses(r, now)
+		g.endPasses(before)
+	}
+}
+
+// beginPasses records that a request of a rank begins to wait.
+func (g *Gate) beginPasses(r Rank, now time.Time) {
+	if _, waits := g.passes[r.IsFirstKind]; !waits {
+		g.passes[r.IsFirstKind] = passTimes{last: now}
+	}
+}
+
+// endPasses forgets the times of the kind of a rank if no request of it waits any more:
+// they say nothing about the next time that requests wait.
+func (g *Gate) endPasses(r Rank) {
+	if !slices.ContainsFunc(g.waiting, func(e *Entry) bool { return e.Rank.IsFirstKind == r.IsFirstKind }) {
+		delete(g.passes, r.IsFirstKind)
+	}
+}
+
 // dropLast makes room for a request by taking the place of the last one in the order. It
 // returns false if the new request is the last one itself.
 func (g *Gate) dropLast(e *Entry, now time.Time) bool {
@@ -226,7 +280,7 @@
 func (g *Gate) Check(e *Entry, load PoolLoad, now time.Time) Decision {
 	e.needsOther = false
 	if e.dropped {
-		return g.refuse(g.estimate(e, load, now), ReasonQueueFull, now)
+		return g.refuse(g.estimate(e, load, now), e.Rank, ReasonQueueFull, now)
 	}
 	d := g.judge(e, load, now)
 	if d.Verdict == Wait && d.Ahead < triedTogether && g.hasPart(e.Rank, load, now) {
@@ -240,7 +294,7 @@
 func (g *Gate) judge(e *Entry, load PoolLoad, now time.Time) Decision {
 	d := g.estimate(e, load, now)
 	if !load.isHalfIdle() && now.Add(d.ExpectedWait+d.ServiceTime).After(e.LeavesAt) {
-		return g.refuse(d, ReasonLeavesBefore, now)
+		return g.refuse(d, e.Rank, ReasonLeavesBefore, now)
 	}
 	return d
 }
@@ -248,40 +302,47 @@
 // estimate returns what is expected of a request that waits. One that cannot be in time any
 // more is counted behind those that can.
 func (g *Gate) estimate(e *Entry, load PoolLoad, now time.Time) Decision {
-	d := Decision{Verdict: Wait, Ahead: g.ahead(&e.Caller, now), ServiceTime: g.services[e.Kind]}
+	ahead := g.aheadOf(&e.Caller, nil, now)
+	d := Decision{Verdict: Wait, Ahead: ahead.total(), ServiceTime: g.services[e.Kind]}
 	d.CheckAfter = min(minCheckInterval*time.Duration(1+d.Ahead/triedTogether), maxCheckInterval)
-	interval := g.passInterval(load, d.ServiceTime, now)
-	d.ExpectedWait = time.Duration(d.Ahead) * interval
+	d.ExpectedWait = g.expectedWait(ahead, load, d.ServiceTime, now)
 	if !e.DueAt.IsZero() && now.Add(d.ExpectedWait+d.ServiceTime).After(e.DueAt) {
 		late := e.Caller
 		late.DueAt = now.Add(-1)
-		d.ExpectedWait = time.Duration(g.aheadOf(&late, e, now)) * interval
+		d.ExpectedWait = g.expectedWait(g.aheadOf(&late, e, now), load, d.ServiceTime, now)
 	}
 	return d
 }
 
-// passInterval returns the expected time between two waiting requests that are let
-// through: the mean since requests began to wait, but not below the time since the last
+// expectedWait returns the time until the requests ahead are let through.
+func (g *Gate) expectedWait(ahead place, load PoolLoad, service time.Duration, now time.Time) time.Duration {
+	return time.Duration(ahead.first)*g.passInterval(true, load, service, now) +
+		time.Duration(ahead.others)*g.passInterval(false, load, service, now)
+}
+
+// passInterval returns the expected time between two requests, of the most urgent kind or
+// of the others, that are let through while such ones wait: the mean since requests began to wait, but not below the time since the last
 // one. As long as there is no mean, it is the time in which this instance may send one into
 // the reported room, or after which its part of the running requests has ended.
-func (g *Gate) passInterval(load PoolLoad, service time.Duration, now time.Time) time.Duration {
-	if g.interval > 0 {
-		return max(g.interval, now.Sub(g.lastPass))
+func (g *Gate) passInterval(ofFirstKind bool, load PoolLoad, service time.Duration, now time.Time) time.Duration {
+	times, waits := g.passes[ofFirstKind]
+	if times.interval > 0 {
+		return max(times.interval, now.Sub(times.last))
 	}
 	if part := load.Part * float64(load.FreeRoom); part > 0 {
 		return time.Duration(float64(max(load.ReportAge, minReportAge)) / part)
 	}
 	interval := time.Duration(float64(service) / max(minPart, load.Part*float64(load.Busy)))
-	if len(g.waiting) > 0 {
-		interval = max(interval, now.Sub(g.lastPass))
+	if waits {
+		interval = max(interval, now.Sub(times.last))
 	}
 	return interval
 }
 
 // refuse turns a decision into a refusal and books the time of return.
-func (g *Gate) refuse(d Decision, reason string, now time.Time) Decision {
+func (g *Gate) refuse(d Decision, r Rank, reason string, now time.Time) Decision {
 	d.Verdict, d.Reason = Refuse, reason
-	d.ReturnAfter = g.returns.Book(d.ExpectedWait, max(g.interval, minCheckInterval), now)
+	d.ReturnAfter = g.returns.Book(d.ExpectedWait, max(g.passes[r.IsFirstKind].interval, minCheckInterval), now)
 	return d
 }
 
@@ -316,15 +377,8 @@
 
 // Pass removes a waiting request that is sent now.
 func (g *Gate) Pass(e *Entry, now time.Time) {
+	g.Passed(e.Rank, now)
 	g.remove(e)
-	g.recordSent(e.Rank, now)
-	since := now.Sub(g.lastPass)
-	g.lastPass = now
-	if g.interval == 0 {
-		g.interval = since
-		return
-	}
-	g.interval += time.Duration(meanWeight * float64(since-g.interval))
 }
 
 // Leave removes a waiting request that is not sent.
@@ -336,6 +390,7 @@
 			last := len(g.waiting) - 1
 			g.waiting[n], g.waiting[last] = g.waiting[last], nil
 			g.waiting = g.waiting[:last]
+			g.endPasses(e.Rank)
 			return
 		}
 	}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -352,3 +352,38 @@
 	e, _ := g.Offer(next, load, start.Add(time.Second))
 	assert.Equal(t, g.Check(e, load, start.Add(time.Second)).Verdict, Try, "a waiting request is held")
 }
+
+// Urgent requests were refused because less urgent ones had not been let through for long.
+func TestUrgentRequestsAreNotRefusedForThoseThatStandStill(t *testing.T) {
+	g := NewGate(100)
+	urgent, less := Rank{IsFirstKind: true}, Rank{Urgency: 1}
+	load := PoolLoad{Slots: 10, Busy: 10, FreeRoom: 2, Part: 1}
+	passes, _ := g.Offer(newCaller("long", less, start, time.Hour), load, start)
+	_, d := g.Offer(newCaller("long", less, start, time.Hour), load, start)
+	assert.Equal(t, d.Verdict, Wait)
+	now := start.Add(100 * time.Millisecond)
+	g.Pass(passes, now)
+	for range 100 { // urgent requests are sent for ten seconds
+		now = now.Add(100 * time.Millisecond)
+		c := newCaller("short", urgent, now, 500*time.Millisecond)
+		assert.Assert(t, g.MayPass(&c, load, now))
+		g.Passed(urgent, now)
+	}
+	for n := range 3 {
+		_, d := g.Offer(newCaller("short", urgent, now.Add(time.Duration(n)), 500*time.Millisecond), load, now)
+		assert.Equal(t, d.Verdict, Wait, "the request with %d ahead, expected wait %v", d.Ahead, d.ExpectedWait)
+	}
+}
+
+// The interval of an earlier time of waiting counted for the next requests that wait.
+func TestIntervalIsForgottenWhenNobodyWaits(t *testing.T) {
+	g := NewGate(100)
+	load := PoolLoad{Slots: 10, Busy: 10, FreeRoom: 5, Part: 1}
+	e, _ := g.Offer(newCaller("long", Rank{}, start, time.Hour), load, start)
+	now := start.Add(10 * time.Second)
+	g.Pass(e, now)
+	preview := g.Preview(newCaller("long", Rank{}, now, time.Second), PoolLoad{Slots: 10, Busy: 10, Part: 1}, now)
+	assert.Assert(t, preview.ExpectedWait < time.Second, preview.ExpectedWait)
+	assert.Equal(t, g.refuse(Decision{}, Rank{}, ReasonQueueFull, now).ReturnAfter, time.Duration(0))
+	assert.Equal(t, g.refuse(Decision{}, Rank{}, ReasonQueueFull, now).ReturnAfter, minCheckInterval)
+}
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -463,7 +463,7 @@
 func (g *poolGate) check(e *admission.Entry, r admission.Rank, load admission.PoolLoad, now time.Time) admission.Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e.Rank = r
+	g.gate.SetRank(e, r, now)
 	return g.gate.Check(e, load, now)
 }
 
