relay: record usage only under contention, and as it is charged

Usage and service times were recorded in all pools: instances of earlier deployments sent datagrams about usage, and plain services got a gate. Only stated tokens counted, while the quota charges the default of the organisation for a request without them, and requests that no target ran stayed in the usage.

Record only requests that are admitted by rank, with the tokens that the quota is charged, and take them back when the request has certainly not run. What was given to other instances meanwhile is not taken back.

TestPoolsWithoutContentionRecordNothing and TestUsageIsWhatTheQuotaIsCharged failed before (the latter for the request that runs) and pass.

--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -94,6 +94,18 @@
 	u.add(xxhash.Sum64String(organisation), float64(tokens))
 }
 
+// TakeBack removes the tokens of a recorded request that has not run, as far as they have not
+// been given to other instances.
+func (u *Usage) TakeBack(organisation string, tokens int64, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.fade(now)
+	id := xxhash.Sum64String(organisation)
+	if sum, known := u.sums[id]; known {
+		u.sums[id] = max(0, sum-float64(tokens))
+	}
+}
+
 // arrivalsID is the key of all requests in the sums. No organisation has it: it is the
 // hash of no name.
 const arrivalsID = 0
--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -292,7 +292,8 @@
 func (f *ForwardFilter) admit(ex *Exchange, r *placement.Request, tried map[string]bool) (placement.Choice, error) {
 	a, now := f.Admission, time.Now()
 	targets := f.Targets.InPool(ex.Pool.Name)
-	if !a.applies(ex.Pool, targets) || ex.MayHaveRun {
+	ex.isRanked = a.applies(ex.Pool, targets)
+	if !ex.isRanked || ex.MayHaveRun {
 		return f.pickTarget(ex, r, tried, nil), nil
 	}
 	caller := a.caller(ex, now)
@@ -411,16 +412,24 @@
 	return err
 }
 
-// recordStart records a request that is sent to a target.
-func (a *Admission) recordStart(ex *Exchange, tokens int64) {
-	if a != nil && ex.Organisation != nil {
-		a.Usage.Record(ex.Organisation.Name, tokens, time.Now())
+// recordStart records a request that is sent to a target, with the tokens that its quota is
+// charged.
+func (a *Admission) recordStart(ex *Exchange) {
+	if ex.isRanked && ex.Organisation != nil {
+		a.Usage.Record(ex.Organisation.Name, requestTokens(ex), time.Now())
+	}
+}
+
+// recordNotRun takes back what recordStart recorded of a request that has not run.
+func (a *Admission) recordNotRun(ex *Exchange) {
+	if ex.isRanked && ex.Organisation != nil {
+		a.Usage.TakeBack(ex.Organisation.Name, requestTokens(ex), time.Now())
 	}
 }
 
 // recordFirstEvent records how long a target took to the first event of a request.
 func (a *Admission) recordFirstEvent(ex *Exchange, took time.Duration) {
-	if a == nil {
+	if !ex.isRanked {
 		return
 	}
 	g := a.gate(ex.Pool.Name)
--- a/pkg/relay/admission_test.go
+++ b/pkg/relay/admission_test.go
@@ -157,3 +157,32 @@
 	assert.Assert(t, strings.Contains(response.body, "the instance stops"), response.body)
 	assert.Equal(t, len(engine.Requests()), 0)
 }
+
+// Pools without contention recorded usage, which was sent to other instances, and kept the
+// state of a gate.
+func TestPoolsWithoutContentionRecordNothing(t *testing.T) {
+	f, _ := newContendedFixture(t)
+	f.targets[0].Live = &target.LiveState{}
+	response := f.send(callerRequest{path: "/stream/resumable/x", header: map[string]string{"Lacewingwheel-Token-Usage": "100,100"}})
+	assert.Equal(t, response.status, http.StatusOK)
+	assert.Equal(t, len(f.admission.Usage.TokensPerSecond(time.Now())), 0)
+	assert.Assert(t, f.admission.Usage.Give(1, time.Now()) == nil, "usage is sent")
+}
+
+// A request without token counts, which costs its organisation the default, was not part of
+// its usage, and one that no target ran was.
+func TestUsageIsWhatTheQuotaIsCharged(t *testing.T) {
+	for name, refuses := range map[string]bool{"runs": false, "does not run": true} {
+		t.Run(name, func(t *testing.T) {
+			f, engine := newContendedFixture(t)
+			f.report(target.Load{Running: 1, PacePercent: usualPace})
+			f.admission.Configure(f.snapshot.Tables.Organisations)
+			engine.SetFaults(func(int, string) platformtest.Fault { return platformtest.Fault{Refuse: refuses} })
+			f.send(callerRequest{path: "/once/"})
+			assert.Equal(t, len(engine.Requests()), 1)
+			// The usage is small but not zero however slow the machine is.
+			used := f.admission.Usage.TokensPerSecond(time.Now())["one"] > 0
+			assert.Equal(t, used, !refuses)
+		})
+	}
+}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -46,7 +46,7 @@
 	t.Live.InFlight.Add(1)
 	t.Live.InFlightTokens.Add(int64(r.PromptTokens + r.MaxOutputTokens))
 	f.Placer.RecordSent(t, r, choice.UncachedTokens, now)
-	f.Admission.recordStart(ex, int64(r.PromptTokens+r.MaxOutputTokens))
+	f.Admission.recordStart(ex)
 	started := false
 	markStarted := func() {
 		if !started {
@@ -80,6 +80,7 @@
 		if !failed.requestSent {
 			ex.MayHaveRun = mayHaveRunBefore
 			ex.Attempts--
+			f.Admission.recordNotRun(ex)
 		}
 		return failed
 	}
@@ -88,6 +89,7 @@
 	f.recordResponse(t, metadata)
 	if metadata.NotRun {
 		ex.MayHaveRun = mayHaveRunBefore
+		f.Admission.recordNotRun(ex)
 		return f.classifyRefusal(ex, t, response, metadata)
 	}
 	if !metadata.FromTarget || response.Header.Get("Content-Encoding") != "" {
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -46,6 +46,7 @@
 	LongestEventGap time.Duration // longest time between two consecutive events
 	Status          int           // sent to the caller
 
+	isRanked       bool                   // admitted by rank, as its pool may be under contention
 	versions       *delivery.Selection    // software versions that the request may go to; nil: all
 	Fingerprints   []poison.Fingerprint   // of the shared parts of the prompt, then of the request
 	quarantineKeys []poison.Fingerprint   // Fingerprints, and those of the parts within the organisation
