relay: a target that has stated a pace keeps its order by rank

Whether a pool is served by rank followed the pace in the newest load report. Reports that instances of earlier versions pass on have none, so the pool changed between both ways several times a second.

A target that has stated a pace counts as stating one: the time of the last pace, which is kept over later reports, tells so.

--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -96,7 +96,7 @@
 		return true
 	}
 	for _, t := range targets {
-		if load, _ := t.NewestLoad(); load.PacePercent > 0 {
+		if t.Live.HasStatedPace() {
 			return true
 		}
 	}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -153,6 +153,13 @@
 // if the target does not say or has not said so lately.
 func (l *LiveState) Pace(now time.Time) float64 { return l.reported.Load().paceNow(now) }
 
+// HasStatedPace reports whether the target has stated a pace. Not every later report repeats
+// it: instances of earlier versions pass reports on without it.
+func (l *LiveState) HasStatedPace() bool {
+	newest := l.reported.Load()
+	return newest != nil && !newest.paceAt.IsZero()
+}
+
 // RecordLoad records a load report of the target. Reports older than the newest
 // recorded one are dropped.
 func (l *LiveState) RecordLoad(load Load, observed time.Time) {
