relay: bound what a short timeout counts in the order of arrival

The first arrival of a request was its deadline less the time of the route. A first request with a timeout of 2 s on a route of 15 s counted as 13 s old and went before all others of its rank.

It counts as one second older at most, which is about one return.

TestShortTimeoutIsNoLongWait failed with the bound taken out (-13 s) and passes.

--- a/pkg/relay/admission.go
+++ b/pkg/relay/admission.go
@@ -32,6 +32,10 @@
 // caller stays, while its pool is half idle.
 const minCheckInterval = 20 * time.Millisecond
 
+// maxEarlierWait bounds the time that a caller is taken to have waited before it sent the
+// request, which is about that of one return.
+const maxEarlierWait = time.Second
+
 // maxReportAge is the age up to which a load report says something about the room at a
 // target. Reports between instances are not older.
 const maxReportAge = 1200 * time.Millisecond
@@ -163,12 +167,17 @@
 
 // firstArrival returns when the caller sent its request for the first time, as far as the
 // time that it still waits tells: a caller that was refused and comes back waits for what
-// is left of the route's time.
+// is left of the route's time. Others set a short timeout on their first request, so that
+// the time before it is bounded.
 func firstArrival(ex *Exchange) time.Time {
 	if ex.Route.Deadline <= 0 {
 		return ex.Start
 	}
-	return ex.Deadline.Add(-ex.Route.Deadline)
+	first, earliest := ex.Deadline.Add(-ex.Route.Deadline), ex.Start.Add(-maxEarlierWait)
+	if first.Before(earliest) {
+		return earliest
+	}
+	return first
 }
 
 // rank returns the rank of the exchange.
--- a/pkg/relay/admission_return_test.go
+++ b/pkg/relay/admission_return_test.go
@@ -57,3 +57,15 @@
 	assert.Equal(t, ex.Deadline.Sub(c.LeavesAt), minAttemptTime)
 	assert.Assert(t, untilAfter(c.LeavesAt) < time.Second, "the request is not checked when its time is over")
 }
+
+// A first request with a short timeout counted as waiting for most of the route's time, and
+// went before all others of its rank.
+func TestShortTimeoutIsNoLongWait(t *testing.T) {
+	now := time.Now()
+	arrived := func(timeout time.Duration) time.Duration {
+		return firstArrival(&Exchange{Route: &tables.Route{Deadline: 15 * time.Second}, Start: now, Deadline: now.Add(timeout)}).Sub(now)
+	}
+	assert.Equal(t, arrived(15*time.Second), time.Duration(0))
+	assert.Equal(t, arrived(14500*time.Millisecond), -500*time.Millisecond)
+	assert.Equal(t, arrived(2*time.Second), -maxEarlierWait)
+}
