admission: say what is dropped of usage, and plainer wording

The time of the last message stands below the mutex that guards it. Comments and the name of a test avoid figurative words.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -16,7 +16,7 @@
 	return Caller{Kind: kind, Rank: rank, Arrived: arrived, DueAt: arrived.Add(objective), LeavesAt: arrived.Add(4 * objective)}
 }
 
-// model is a pool whose targets hear of each other's requests only through reports of
+// model is a pool whose targets know of each other's requests only through reports of
 // an age, behind instances that decide by gates of their own.
 type model struct {
 	slots     int
@@ -33,7 +33,7 @@
 
 func (m *model) time() time.Time { return start.Add(m.now) }
 
-// load returns what an instance hears of the pool.
+// load returns what the reports tell an instance of the pool.
 func (m *model) load(r Rank) PoolLoad {
 	reported := 0
 	if old := len(m.history) - 1 - int(m.reportAge/modelStep); old >= 0 {
@@ -149,7 +149,7 @@
 
 // Callers waited until they left, although it was clear before that nobody would get to
 // them, and the backlog of a burst was served after it instead of what came then.
-func TestHopelessRequestsAreRefusedAtOnceAndTheBacklogEnds(t *testing.T) {
+func TestRequestsThatWouldBeLateAreRefusedAtOnceAndTheBacklogEnds(t *testing.T) {
 	m := newModel(10, 160)
 	rank := Rank{Urgency: 2}
 	var waiting []waiter
@@ -295,7 +295,7 @@
 	}
 }
 
-// Some requests at targets that hang made all others count as hopeless.
+// Some requests at targets that hang made all others count as too late.
 func TestServiceTimeIsThatOfQuickRequests(t *testing.T) {
 	g := NewGate(10)
 	for n := range 400 {
--- a/pkg/admission/usage.go
+++ b/pkg/admission/usage.go
@@ -26,7 +26,8 @@
 	shareInterval = 100 * time.Millisecond
 	// minSum is the sum below which an entry is forgotten.
 	minSum = 0.01
-	// maxSentUsages bounds the organisations in a message, to keep it in one packet.
+	// maxSentUsages bounds the organisations in a message, to keep it in one packet. What
+	// would be given of the others is dropped: the weight that is given counts for them too.
 	maxSentUsages = 48
 	// maxUsages bounds the organisations whose usage is kept.
 	maxUsages = 2048
@@ -40,21 +41,20 @@
 // times their usual while the targets are full. It is safe for concurrent use.
 type Usage struct {
 	// InstanceCount returns the number of instances; nil means one. An instance of several
-	// that hears nothing of the others knows only the few callers that reach it, and takes
+	// that receives no messages of the others knows only the few callers that reach it, and takes
 	// nobody to be over its share.
 	InstanceCount func() int
 
-	heardAt time.Time // of the last message
-
-	mu       sync.Mutex
-	sums     map[uint64]float64 // tokens that fade with usagePeriod, by hash of the organisation
-	weight   float64            // of this instance in the average; 1 without messages
-	fadedAt  time.Time
-	arrivals float64            // requests that reached this instance; fades
-	rates    map[uint64]float64 // configured, by hash of the organisation
-	names    map[uint64]string
-	over     map[uint64]bool // organisations over their share, as of sharesAt
-	sharesAt time.Time
+	mu         sync.Mutex
+	receivedAt time.Time          // of the last message
+	sums       map[uint64]float64 // tokens that fade with usagePeriod, by hash of the organisation
+	weight     float64            // of this instance in the average; 1 without messages
+	fadedAt    time.Time
+	arrivals   float64            // requests that reached this instance; fades
+	rates      map[uint64]float64 // configured, by hash of the organisation
+	names      map[uint64]string
+	over       map[uint64]bool // organisations over their share, as of sharesAt
+	sharesAt   time.Time
 }
 
 // NewUsage returns an empty estimate.
@@ -168,7 +168,7 @@
 func (u *Usage) IsOverShare(organisation string, now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.InstanceCount != nil && u.InstanceCount() > 1 && now.Sub(u.heardAt) > usagePeriod {
+	if u.InstanceCount != nil && u.InstanceCount() > 1 && now.Sub(u.receivedAt) > usagePeriod {
 		return false
 	}
 	if u.over == nil || now.Sub(u.sharesAt) >= shareInterval {
@@ -221,7 +221,7 @@
 	Sums   []float32
 }
 
-// Give gives up equal parts of the sums and of the weight for a number of other
+// Give splits off equal parts of the sums and of the weight for a number of other
 // instances, keeps one, and returns the encoded part of each. It returns nil as long as no
 // usage is known.
 func (u *Usage) Give(receivers int, now time.Time) []byte {
@@ -268,7 +268,7 @@
 	return 0
 }
 
-// Accept adds what another instance gave up. Messages are not authenticated: values that
+// Accept adds what another instance gave. Messages are not authenticated: values that
 // no instance can have are ignored.
 func (u *Usage) Accept(payload []byte, now time.Time) {
 	var message usageMessage
@@ -284,5 +284,5 @@
 		}
 	}
 	u.weight += message.Weight
-	u.heardAt = now
+	u.receivedAt = now
 }
--- a/pkg/gossip/gossip.go
+++ b/pkg/gossip/gossip.go
@@ -143,9 +143,9 @@
 	// software versions.
 	DeliveryNotices  func() [][]byte
 	OnDeliveryNotice func(notice []byte)
-	// GiveUsage returns what this instance gives up of its usage for each of a number of
-	// others, or nil if nothing is to be sent, and OnUsage is called for each one that another instance gave. Both may be
-	// nil.
+	// GiveUsage returns the part of its usage that this instance gives to each of a number
+	// of others, or nil if nothing is to be sent. OnUsage is called for each part that
+	// another instance gave. Both may be nil.
 	GiveUsage func(receivers int) []byte
 	OnUsage   func(usage []byte)
 	Log       hclog.Logger
--- a/pkg/relay/admission_test.go
+++ b/pkg/relay/admission_test.go
@@ -84,7 +84,7 @@
 func TestRefusedRequestIsNotCharged(t *testing.T) {
 	f, _ := newContendedFixture(t)
 	f.update(func() { f.tokens = 1000 })
-	for n := range 3 { // they wait, so that the next one is hopeless
+	for n := range 3 { // they wait, so that the next one would be too late
 		go f.send(callerRequest{path: "/stream/once/x", id: "waits-" + strconv.Itoa(n), timeout: 2 * time.Second})
 	}
 	eventually(t, "requests wait", func() bool { return f.admission.Waiting()["stream-once"] == 3 })
