--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -387,3 +387,22 @@
 	assert.Equal(t, g.refuse(Decision{}, Rank{}, ReasonQueueFull, now).ReturnAfter, time.Duration(0))
 	assert.Equal(t, g.refuse(Decision{}, Rank{}, ReasonQueueFull, now).ReturnAfter, minCheckInterval)
 }
+
+// The time at which less urgent requests stood still counted for a request whose kind became
+// the most urgent one while it waited.
+func TestRequestWhoseRankChangesWaitsWithItsNewKind(t *testing.T) {
+	g := NewGate(100)
+	load := PoolLoad{Slots: 10, Busy: 10, FreeRoom: 1, Part: 1}
+	less, urgent := Rank{Urgency: 1}, Rank{Urgency: 1, IsFirstKind: true}
+	passes, _ := g.Offer(newCaller("long", less, start, time.Hour), load, start)
+	e, _ := g.Offer(newCaller("long", less, start, time.Hour), load, start)
+	g.Pass(passes, start.Add(time.Second))
+	now := start.Add(time.Minute)
+	g.SetRank(e, urgent, now)
+	next := newCaller("long", urgent, now, time.Hour)
+	assert.Assert(t, g.Preview(next, PoolLoad{Slots: 10, Busy: 10, Part: 1}, now).ExpectedWait < time.Second)
+	g.SetRank(e, less, now)
+	_, stale := g.passes[true]
+	assert.Assert(t, !stale, "the times of a kind of which nobody waits are kept")
+	assert.Equal(t, g.passes[false].last, now)
+}
