--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -46,6 +46,7 @@
 	t.Live.InFlight.Add(1)
 	t.Live.InFlightTokens.Add(int64(r.PromptTokens + r.MaxOutputTokens))
 	f.Placer.RecordSent(t, r, choice.UncachedTokens, now)
+	f.Admission.recordStart(ex)
 	started := false
 	markStarted := func() {
 		if !started {
@@ -62,6 +63,7 @@
 			f.RequestLog.RecordSupersededStart(ex, t, sentAt, f.Clock.Elapsed())
 		}
 		markStarted()
+		f.Admission.recordFirstEvent(ex, time.Since(now))
 	}
 	defer func() {
 		markStarted()
@@ -78,6 +80,7 @@
 		if !failed.requestSent {
 			ex.MayHaveRun = mayHaveRunBefore
 			ex.Attempts--
+			f.Admission.recordNotRun(ex)
 		}
 		return failed
 	}
@@ -86,6 +89,7 @@
 	f.recordResponse(t, metadata)
 	if metadata.NotRun {
 		ex.MayHaveRun = mayHaveRunBefore
+		f.Admission.recordNotRun(ex)
 		return f.classifyRefusal(ex, t, response, metadata)
 	}
 	if !metadata.FromTarget || response.Header.Get("Content-Encoding") != "" {
@@ -134,7 +138,7 @@
 	}
 	if t.IsEngine && t.WeightVersion != "" && ex.Metadata.Model == t.Model {
 		options.WeightVersion = t.WeightVersion
-		options.EnginePriority = enginePriority(ex)
+		options.EnginePriority = f.enginePriority(ex)
 		options.CacheSalt = t.WeightVersion + "." + cacheIsolation(ex)
 		f.setCacheTransfer(ex, choice, options)
 	}
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -62,6 +62,10 @@
 	QuarantineFilter *QuarantineFilter
 	RequestLog       *RequestLog
 	Clock            clock.Clock
+	// Admission holds back or refuses requests of pools under contention; nil means none.
+	Admission *Admission
+	// Drain refuses requests that wait for room when the instance begins to stop.
+	Drain DrainFilter
 	// RolloutDeadline is the time from the announcement of weights to the last
 	// request that begins on older ones; zero means no deadline.
 	RolloutDeadline time.Duration
@@ -107,7 +111,10 @@
 		if err := f.checkCanStart(ex); err != nil {
 			return err
 		}
-		choice := f.pickTarget(ex, r, tried)
+		choice, err := f.admit(ex, r, tried)
+		if err != nil {
+			return err
+		}
 		if choice.Target == nil {
 			break
 		}
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -57,23 +57,24 @@
 }
 
 // pickTarget chooses a target that was not tried and whose weights may be used
-// for long enough, of the software versions that the request may go to.
-func (f *ForwardFilter) pickTarget(ex *Exchange, r *placement.Request, tried map[string]bool) placement.Choice {
+// for long enough, of the software versions that the request may go to. If hasRoom is not nil, it must
+// hold for the target.
+func (f *ForwardFilter) pickTarget(ex *Exchange, r *placement.Request, tried map[string]bool, hasRoom func(*target.Target) bool) placement.Choice {
 	candidates, others := ex.versions.Candidates(f.Targets.InPool(ex.Pool.Name))
-	choice := f.pickAmong(ex, r, tried, candidates)
+	choice := f.pickAmong(ex, r, tried, hasRoom, candidates)
 	if choice.Target == nil && len(others) > 0 {
-		choice = f.pickAmong(ex, r, tried, others)
+		choice = f.pickAmong(ex, r, tried, hasRoom, others)
 	}
 	ex.versions.Choose(choice.Target)
 	return choice
 }
 
 // pickAmong is pickTarget among the given targets.
-func (f *ForwardFilter) pickAmong(ex *Exchange, r *placement.Request, tried map[string]bool, candidates []*target.Target) placement.Choice {
+func (f *ForwardFilter) pickAmong(ex *Exchange, r *placement.Request, tried map[string]bool, hasRoom func(*target.Target) bool, candidates []*target.Target) placement.Choice {
 	now, untilDeadline := f.Clock.Elapsed(), time.Until(ex.Deadline)
 	pick := func(needed time.Duration) placement.Choice {
 		return f.Placer.Pick(candidates, r, func(t *target.Target) bool {
-			return tried[t.Key()] || !t.IntakeForChoice(now).Allowed || timeOnWeights(t, now) < min(needed, untilDeadline)
+			return tried[t.Key()] || !t.IntakeForChoice(now).Allowed || timeOnWeights(t, now) < min(needed, untilDeadline) || hasRoom != nil && !hasRoom(t)
 		}, time.Now())
 	}
 	choice := pick(minTimeOnWeights)
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -105,6 +105,7 @@
 	observed time.Time
 	pace     float64   // mean of the stated paces; zero if none was stated
 	paceAt   time.Time // of the newest report that stated one
+	inFlight int64     // requests of this instance when it was recorded
 }
 
 const (
@@ -152,11 +153,18 @@
 // if the target does not say or has not said so lately.
 func (l *LiveState) Pace(now time.Time) float64 { return l.reported.Load().paceNow(now) }
 
+// HasStatedPace reports whether the target has stated a pace. Not every later report repeats
+// it: instances of earlier versions pass reports on without it.
+func (l *LiveState) HasStatedPace() bool {
+	newest := l.reported.Load()
+	return newest != nil && !newest.paceAt.IsZero()
+}
+
 // RecordLoad records a load report of the target. Reports older than the newest
 // recorded one are dropped.
 func (l *LiveState) RecordLoad(load Load, observed time.Time) {
 	l.MarkSeen(observed)
-	next := &reportedLoad{load: load, observed: observed}
+	next := &reportedLoad{load: load, observed: observed, inFlight: l.InFlight.Load()}
 	for {
 		newest := l.reported.Load()
 		if newest != nil && newest.observed.After(observed) {
@@ -179,6 +187,21 @@
 	return Load{}, time.Time{}
 }
 
+// EstimateLoad returns the requests that run or wait at the target, by its newest load
+// report and the requests that this instance has sent or ended since, and how many of
+// them wait. Those sent since count as waiting. The time is that of the report, or zero
+// if there is none.
+func (t *Target) EstimateLoad() (busy, waiting int, observed time.Time) {
+	own := int(t.Live.InFlight.Load())
+	newest := t.Live.reported.Load()
+	if newest == nil {
+		return own, 0, time.Time{}
+	}
+	since := own - int(newest.inFlight)
+	busy = newest.load.Running + newest.load.Waiting + since
+	return max(own, busy), newest.load.Waiting + max(0, since), newest.observed
+}
+
 // Matches reports whether the target has all labels of the selector.
 func (t *Target) Matches(selector map[string]string) bool {
 	for label, value := range selector {
