--- a/review/standin-2/crashes.go
+++ b/review/standin-2/crashes.go
@@ -63,7 +63,7 @@
 			e := f.edges[n%len(f.edges)]
 			c.send(e, request{
 				method: "POST", path: "/triage/7a", key: fmt.Sprintf("key%d", 1+n/2%2), model: modelName, tokens: "9190,9",
-				parts: fmt.Sprintf("5c1e07a2:2520,%08x:3780,%08x:2890", n%9, 1000+n), body: fmt.Sprintf("station %d", n), deadline: 4 * time.Second, tag: tagOf(e),
+				parts: fmt.Sprintf("5c1e07a2:6300,%08x:2890", 1000+n), body: fmt.Sprintf("station %d", n), deadline: 4 * time.Second, tag: tagOf(e),
 			})
 		})
 	}()
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,12 +29,13 @@
 
 // cases are the cases by the name that run.sh passes. Each reports whether the rule was broken.
 var cases = map[string]func(*fleet) (broken bool, err error){
-	"pause":   playPause,
-	"crashes": playCrashes,
-	"relist":  playRelist,
-	"parts":   playParts,
-	"walls":   playWalls,
-	"deadly":  playDeadly,
+	"pause":     playPause,
+	"crashes":   playCrashes,
+	"relist":    playRelist,
+	"parts":     playParts,
+	"walls":     playWalls,
+	"deadly":    playDeadly,
+	"slowcrash": playSlowCrash,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -23,7 +23,7 @@
 	// abps-paie-grown.
 	crowdMemoryMB = 112
 	memoryCheck   = 20 * time.Millisecond
-	crowdClients  = 600 // that send one request each to each machine
+	crowdClients  = 900 // that send one request each to each machine
 	crowdInterval = 4 * time.Millisecond
 	crowdWork     = 10 * time.Second // to the first event of each
 	crowdDeadline = 12 * time.Second
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -268,6 +268,7 @@
 		r.f.printf("runner %s turns request %s away, Retry-After %s", id, requestID, b.retryAfter)
 		return
 	}
+	r.f.printf("runner %s runs request %s of %s", id, requestID, request.Header.Get("Lacewingwheel-Tenant"))
 	r.mu.Lock()
 	r.running++
 	r.mu.Unlock()
