--- a/review/standin-2/crashes.go
+++ b/review/standin-2/crashes.go
@@ -27,18 +27,22 @@
 func playCrashes(f *fleet) (bool, error) {
 	decide := func(r *runner, _ string, _ *http.Request) behaviour {
 		r.mu.Lock()
-		cold := time.Since(r.startsAt) < coldTime
+		cold := r.coldLeft() > 0
 		r.mu.Unlock()
 		b := behaviour{firstToken: 250 * time.Millisecond, events: 9, gap: 8 * time.Millisecond}
-		if cold && len(r.crashes) > 0 {
+		if cold {
 			b.firstToken = 900 * time.Millisecond
 		}
 		return b
 	}
 	for range 2 {
-		if _, err := f.addRunner("sprakmodell", modelName, decide); err != nil {
+		r, err := f.addRunner("sprakmodell", modelName, decide)
+		if err != nil {
 			return false, err
 		}
+		r.mu.Lock()
+		r.coldTime = coldTime
+		r.mu.Unlock()
 	}
 	f.store.Put("versions", modelName, map[string]any{"model": modelName, "version": 1})
 	route := map[string]any{
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -25,15 +25,21 @@
 	memoryCheck   = 20 * time.Millisecond
 	crowdClients  = 900 // that send one request each to each machine
 	crowdInterval = 4 * time.Millisecond
-	crowdWork     = 10 * time.Second // to the first event of each
+	// Each request asks for up to crowdTokens tokens. The engine is that of khusom-lacewing: 64 requests at
+	// once, a step of 3.03 ms and 0.121 ms more for each of them, and events of six tokens.
+	crowdTokens   = 2000
+	engineSlots   = 64
+	engineStep    = 3030*time.Microsecond + engineSlots*121*time.Microsecond
+	eventTokens   = 6
+	firstToken    = 110 * time.Millisecond // 60 ms and the time to read 4,000 tokens
 	crowdDeadline = 12 * time.Second
 	// crowdTime is how long further crowds come.
 	crowdTime = 85 * time.Second
 	headBytes = 16384 // max_header_bytes of the configuration
 	// A day counts nothing if on two machines processes end by themselves so often.
 	maxEnds = 3
-	// The sizes are those of khusom-lacewing-grown, except for the number of machines.
-	crowdRunners, crowdTenants = 90, 16
+	// The runners are those of khusom-lacewing, the tenants those of khusom-lacewing-grown.
+	crowdRunners, crowdTenants = 18, 16
 	// moreRoutes is the largest count of big_config.
 	moreRoutes = 350
 )
@@ -60,14 +66,16 @@
 	f.memoryMB = crowdMemoryMB
 	decide := func(_ *runner, id string, _ *http.Request) behaviour {
 		if strings.HasPrefix(id, "crowd") {
-			return behaviour{firstToken: crowdWork, events: 9, gap: 10 * time.Millisecond}
+			return behaviour{firstToken: firstToken, events: crowdTokens / eventTokens, gap: eventTokens * engineStep}
 		}
-		return behaviour{firstToken: 100 * time.Millisecond, events: 49, gap: 10 * time.Millisecond}
+		return behaviour{firstToken: firstToken, events: 49 / eventTokens, gap: eventTokens * engineStep}
 	}
 	for range crowdRunners {
-		if _, err := f.addRunner("ram-llm", modelName, decide); err != nil {
+		r, err := f.addRunner("ram-llm", modelName, decide)
+		if err != nil {
 			return false, err
 		}
+		r.places = make(chan struct{}, engineSlots)
 	}
 	memory, err := f.startCacheStore()
 	if err != nil {
@@ -84,7 +92,7 @@
 		more["name"], more["path_prefix"] = fmt.Sprintf("more-%d", n), fmt.Sprintf("/more/%d/", n)
 		routes = append(routes, more)
 	}
-	tenants := []map[string]any{tenant("t1", "key1", 4e6, 4e6)}
+	tenants := []map[string]any{tenant("t1", "key1", 2e7, 2e7)}
 	for n := range crowdTenants - 1 {
 		tenants = append(tenants, tenant(fmt.Sprintf("o%d", n), fmt.Sprintf("key-o%d", n), 4e5, 4e5))
 	}
@@ -160,8 +168,8 @@
 		}
 		parts = strings.TrimSuffix(list.String(), ",")
 	}
-	return fmt.Sprintf("POST /draft/9b HTTP/1.1\r\nHost: %s\r\nAuthorization: Token key1\r\nLacewingwheel-Model: %s\r\nLacewingwheel-Token-Usage: %d,49\r\nLacewingwheel-Deadline-Ms: %d\r\nLacewingwheel-Prefix-Hash: %s\r\nContent-Length: 2\r\n",
-		host, modelName, tokens, crowdDeadline.Milliseconds(), parts), strings.Count(parts, ",") + 1
+	return fmt.Sprintf("POST /draft/9b HTTP/1.1\r\nHost: %s\r\nAuthorization: Token key1\r\nLacewingwheel-Model: %s\r\nLacewingwheel-Token-Usage: %d,%d\r\nLacewingwheel-Deadline-Ms: %d\r\nLacewingwheel-Prefix-Hash: %s\r\nContent-Length: 2\r\n",
+		host, modelName, tokens, crowdTokens, crowdDeadline.Milliseconds(), parts), strings.Count(parts, ",") + 1
 }
 
 // startCacheStore starts a store of kept parts that never has any, and returns its service.
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -51,6 +51,8 @@
 	slots    int
 	model    string // empty: a plain service
 	loadTime time.Duration
+	coldTime time.Duration // how long it is slow after a start that follows a crash
+	places   chan struct{} // of requests that run at once; nil: no bound
 	decide   func(r *runner, id string, request *http.Request) behaviour
 
 	mu       sync.Mutex
@@ -188,7 +190,7 @@
 	r.seq++
 	entry := map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready",
-		"cold_remaining_ms": 0, "seq": r.seq, "born": r.born,
+		"cold_remaining_ms": r.coldLeft().Milliseconds(), "seq": r.seq, "born": r.born,
 	}
 	if r.model != "" {
 		entry["stage"] = "both"
@@ -198,6 +200,14 @@
 	r.f.store.Put("servers", r.id, entry)
 }
 
+// coldLeft returns how much longer the runner is slow. The caller holds mu.
+func (r *runner) coldLeft() time.Duration {
+	if len(r.crashes) == 0 {
+		return 0
+	}
+	return max(0, r.coldTime-time.Since(r.startsAt))
+}
+
 // silentIDs returns the incarnations whose entry lapses now.
 func (r *runner) silentIDs() []string {
 	r.mu.Lock()
@@ -225,7 +235,7 @@
 	}
 	h := w.Header()
 	requestID := request.Header.Get("Lacewingwheel-Request-Id")
-	h.Set("Lacewingwheel-Load-Report", fmt.Sprintf("%d,0,%d", running, r.slots))
+	h.Set("Lacewingwheel-Load-Report", fmt.Sprintf("%d,%d,%d", min(running, r.slots), max(0, running-r.slots), r.slots))
 	refuse := func(status int) {
 		h.Set("Lacewingwheel-Instance-Id", id)
 		h.Set("Lacewingwheel-Request-Id", requestID)
@@ -294,6 +304,20 @@
 			return true
 		}
 	}
+	if r.places != nil {
+		queued := time.Now()
+		select {
+		case r.places <- struct{}{}:
+			defer func() { <-r.places }()
+		case <-ctx.Done():
+			return
+		case <-time.After(deadlineOf(request) - time.Since(queued)):
+			h.Del("Lacewingwheel-Response-Stamp")
+			h.Set("Lacewingwheel-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	if !wait(b.firstToken) {
 		return
 	}
@@ -334,6 +358,15 @@
 	}
 }
 
+// deadlineOf returns how long a request may take at a runner.
+func deadlineOf(request *http.Request) time.Duration {
+	ms, err := strconv.Atoi(request.Header.Get("Lacewingwheel-Deadline-Ms"))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // crashDowntime is the time after which a runner is back that a request has crashed.
 const crashDowntime = 2 * time.Second
 
@@ -341,7 +374,7 @@
 	r.mu.Lock()
 	text, _ := json.Marshal(map[string]any{
 		"stage": "both", "models": r.models(), "busy": r.busy, "seq": r.orders,
-		"queued": 0, "running": r.running, "kv_used": 0, "kv_total": 100000, "handles": 0, "pinned": 0, "held": 0, "state": "ready", "runs": []any{},
+		"queued": max(0, r.running-r.slots), "running": min(r.running, r.slots), "kv_used": 0, "kv_total": 100000, "handles": 0, "pinned": 0, "held": 0, "state": "ready", "runs": []any{},
 	})
 	r.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
