--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -42,7 +42,7 @@
 func (c crowd) run(t *testing.T, start func(*testing.T, limits) *router, l limits) {
 	r := start(t, l)
 	r.awaitAnswer(t)
-	stopSampling := r.sampleDescriptors()
+	samples := r.sample()
 	var conns []net.Conn
 	var sending sync.WaitGroup
 	for n := range c.connections {
@@ -60,12 +60,20 @@
 		_ = conn.Close()
 	}
 	r.awaitAnswer(t)
-	most := stopSampling()
+	samples.stop()
 	assert.Assert(t, r.lives(), "the process ended")
-	peak := r.peakMemory(t)
-	t.Logf("%d connections: peak memory %d of %d MB, %d of %d descriptors", c.connections, peak>>20, l.memory>>20, most, l.descriptors)
-	assert.Assert(t, peak <= l.memory, "peak memory of %d MB, limit %d MB", peak>>20, l.memory>>20)
-	assert.Assert(t, most <= l.descriptors, "%d descriptors, limit %d", most, l.descriptors)
+	r.checkLimits(t, samples, l)
+}
+
+// checkLimits checks that the process has stayed within its limits.
+func (r *router) checkLimits(t *testing.T, s *sampler, l limits) {
+	t.Helper()
+	peak, withUnread, most := r.peakMemory(t), s.memory.Load(), int(s.descriptors.Load())
+	t.Logf("peak memory %d of %d MB, with unread bytes %d MB (at most %d MB unread), %d of %d descriptors",
+		peak>>20, l.memory>>20, withUnread>>20, s.unread.Load()>>20, most, l.descriptors)
+	assert.Check(t, peak <= l.memory, "peak memory of %d MB, limit %d MB", peak>>20, l.memory>>20)
+	assert.Check(t, withUnread <= l.memory, "peak memory of %d MB with unread bytes, limit %d MB", withUnread>>20, l.memory>>20)
+	assert.Check(t, most <= l.descriptors, "%d descriptors, limit %d", most, l.descriptors)
 }
 
 // shortLines returns header lines of the given length in bytes with different names, as
