Prompt parts of a request take a bounded part of memory

What callers saw: with 900 requests of legal size whose list of prompt parts has thousands of entries, edge took more than the memory of its machine and was killed. 16 KB of list became 96 KB of parts for as long as the request ran, 64 KB of fields, and 128 KB of keys for each attempt; the budget for callers held 32 KB for it.

Cause: all that placement, the directory of kept parts and the quarantine made of the list grew with it. Placement kept up to 2,000 parts and a prompt more for each target; maps that were emptied kept their size. The directory kept names that hold the header which they were cut from, names of any length, and was bounded only when its store was read. The fingerprint of a request copied its body.

Placement keeps 30,000 parts over all targets, and the directory copies names and knows none above 256 bytes. A body is hashed in pieces.

--- a/pkg/cachedir/cachedir.go
+++ b/pkg/cachedir/cachedir.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	// maxParts bounds the memory of a directory. Beyond it the directory is
 	// cleared.
 	maxParts = 20000
+	// maxKeyBytes bounds the salt and the part of a key. Callers choose the names of parts.
+	maxKeyBytes = 256
 	// savingTimeout is how long a part that a target was asked to save counts as
 	// stored before the store reports it.
 	savingTimeout = 3 * time.Second
@@ -44,9 +47,11 @@
 )
 
 // Key identifies a part. Parts with different salts must not be shared between
-// requests.
+// requests. A directory does not know keys of more than maxKeyBytes.
 type Key struct{ Salt, Part string }
 
+func (k Key) isKept() bool { return len(k.Salt)+len(k.Part) <= maxKeyBytes }
+
 // Change is a part that was added to a store or removed from it.
 type Change struct {
 	Key   Key
@@ -204,6 +209,9 @@
 		d.parts = make(map[Key]part)
 	}
 	for _, change := range c.Changes {
+		if !change.Key.isKept() {
+			continue
+		}
 		if change.Added {
 			d.parts[change.Key] = part{stored: true}
 		} else {
@@ -214,6 +222,11 @@
 	if over := len(d.recent) - maxRecent; over > 0 {
 		d.recent = append(d.recent[:0], d.recent[over:]...)
 	}
+	d.bound()
+}
+
+// bound clears the directory if it is too large.
+func (d *Directory) bound() {
 	if len(d.parts) > maxParts {
 		clear(d.parts)
 	}
@@ -244,7 +257,8 @@
 	return len(keys)
 }
 
-// MarkSaving records that a target was asked to save the parts.
+// MarkSaving records that a target was asked to save the parts. It copies their names, which
+// would hold the whole header of a request otherwise.
 func (d *Directory) MarkSaving(keys []Key) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -253,8 +267,9 @@
 	}
 	now := d.Clock.Elapsed()
 	for _, key := range keys {
-		if !d.parts[key].stored {
-			d.parts[key] = part{saveRequestedAt: now}
+		if key.isKept() && !d.parts[key].stored {
+			d.parts[Key{Salt: key.Salt, Part: strings.Clone(key.Part)}] = part{saveRequestedAt: now}
 		}
 	}
+	d.bound()
 }
--- a/pkg/cachedir/cachedir_test.go
+++ b/pkg/cachedir/cachedir_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -144,3 +146,28 @@
 	assert.Equal(t, other.CachedPrefixLen([]Key{key(50)}), 1)
 	assert.Equal(t, other.Position(), reader.Position())
 }
+
+// Callers choose the names of parts. Long names, and names that hold the header which they were
+// cut from, filled the memory, and so did many that were marked while the store was not read.
+func TestNamesOfPartsTakeLittleMemory(t *testing.T) {
+	d := &Directory{Clock: clock.NewFake(time.Now()), Log: hclog.NewNullLogger()}
+	long := strings.Repeat("x", maxKeyBytes+1)
+	d.apply(Changes{Epoch: 1, Changes: []Change{{Key{"s", long}, true}, {Key{"s", "a"}, true}}}, 0)
+	d.MarkSaving(keys(long))
+	assert.Equal(t, len(d.parts), 1)
+	assert.Equal(t, len(d.recent), 1)
+
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for n := range 3 * maxParts {
+		header := fmt.Sprintf("%08x:%s", n, strings.Repeat("1", 4<<10))
+		d.MarkSaving(keys(header[:8]))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&now)
+	assert.Assert(t, len(d.parts) <= maxParts)
+	const most = maxParts * 1024
+	assert.Assert(t, int64(now.HeapAlloc)-int64(before.HeapAlloc) < most, "%d bytes", now.HeapAlloc-before.HeapAlloc)
+	runtime.KeepAlive(d)
+}
--- a/pkg/claim/digest.go
+++ b/pkg/claim/digest.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
+	"hash"
 )
 
 // Digest identifies a request or an idempotency key without its text.
@@ -21,27 +22,52 @@
 	return digest("idempotency-key", []byte(organisation), []byte(key))
 }
 
-// DigestRequest returns the digest of the content of a request.
-func DigestRequest(organisation, method, path string, body []byte) Digest {
-	return digest("request", []byte(organisation), []byte(method), []byte(path), body)
+// DigestRequest returns the digest of the content of a request. The pieces of the body count
+// as one, so that callers need not copy them.
+func DigestRequest(organisation, method, path string, body ...[]byte) Digest {
+	h := newFieldHash("request")
+	h.writeField([]byte(organisation))
+	h.writeField([]byte(method))
+	h.writeField([]byte(path))
+	h.writeField(body...)
+	return Digest(h.Sum(nil))
 }
 
 // DigestPart returns the digest of the ID of a prompt part.
 func DigestPart(id string) Digest { return digest("prompt-part", []byte(id)) }
 
-// digest hashes each field after its length, so that different lists of fields
-// never give the same input.
 func digest(domain string, fields ...[]byte) Digest {
-	h := sha256.New()
-	var size [8]byte
-	for _, field := range append([][]byte{[]byte(domain)}, fields...) {
-		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
-		h.Write(size[:])
-		h.Write(field)
+	h := newFieldHash(domain)
+	for _, field := range fields {
+		h.writeField(field)
 	}
 	return Digest(h.Sum(nil))
 }
 
+// fieldHash hashes each field after its length, so that different lists of fields
+// never give the same input.
+type fieldHash struct{ hash.Hash }
+
+func newFieldHash(domain string) fieldHash {
+	h := fieldHash{sha256.New()}
+	h.writeField([]byte(domain))
+	return h
+}
+
+// writeField writes a field that consists of pieces.
+func (h fieldHash) writeField(pieces ...[]byte) {
+	length := 0
+	for _, piece := range pieces {
+		length += len(piece)
+	}
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(length))
+	h.Write(size[:])
+	for _, piece := range pieces {
+		h.Write(piece)
+	}
+}
+
 // kindCount is the number of object kinds that claims are spread over. The
 // object store can only list a whole kind. With 1024 kinds, the list of one
 // stays under 2 MB at 20 claims per second and DefaultRetention.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -135,6 +135,7 @@
 	usable  []candidate                        // reused by each Pick
 	states  map[*target.LiveState]*targetState // by target and incarnation
 	parts   []uint64                           // hashes of the prompt's parts; reused by each call
+	tracked int                                // cached parts of all states
 }
 
 // targetState is what a placer tracks about one incarnation of a target.
@@ -495,28 +496,43 @@
 	s := p.stateOf(t)
 	s.pendingPrefill += float64(uncached)
 	p.hashParts(r)
+	before := len(s.cached)
 	for _, part := range p.parts {
 		s.cached[mix(part, s.versionHash)] = now
 	}
+	p.tracked += len(s.cached) - before
 	if len(s.cached) > maxTrackedParts {
-		s.evictParts(now, p.Params.CacheLifetime)
+		p.evictParts(s, maxTrackedParts, now)
+	}
+	if p.tracked > maxTrackedTotal {
+		for _, other := range p.states {
+			p.evictParts(other, maxTrackedTotal/len(p.states), now)
+		}
 	}
 }
 
-// maxTrackedParts bounds the number of cached parts tracked for each target.
-const maxTrackedParts = 2000
+const (
+	// maxTrackedParts bounds the number of cached parts tracked for each target, and
+	// maxTrackedTotal that for all targets, which take about 1.5 MB.
+	maxTrackedParts = 2000
+	maxTrackedTotal = 30_000
+)
 
-// evictParts removes parts that were not used for half the lifetime, or all
-// parts if too many are left.
-func (s *targetState) evictParts(now time.Time, lifetime time.Duration) {
+// evictParts removes the parts of a target that were not used for half the lifetime, or all
+// if more than limit are left.
+func (p *Placer) evictParts(s *targetState, limit int, now time.Time) {
+	p.tracked -= len(s.cached)
+	kept := make(map[uint64]time.Time) // a map that is emptied keeps its size
 	for key, at := range s.cached {
-		if now.Sub(at) > lifetime/2 {
-			delete(s.cached, key)
+		if now.Sub(at) <= p.Params.CacheLifetime/2 {
+			kept[key] = at
 		}
 	}
-	if len(s.cached) > maxTrackedParts {
-		clear(s.cached)
+	if len(kept) > limit {
+		kept = make(map[uint64]time.Time)
 	}
+	s.cached = kept
+	p.tracked += len(kept)
 }
 
 // RecordFirstEvent records that a request got its first event, or ended without
@@ -600,6 +616,7 @@
 	defer p.mu.Unlock()
 	for live, s := range p.states {
 		if !keep(s.key) {
+			p.tracked -= len(s.cached)
 			delete(p.states, live)
 		}
 	}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -279,3 +279,25 @@
 	assert.Assert(t, away.Delay > home.Delay && away.Delay < home.Delay+recomputed, "%v away, %v at home", away.Delay, home.Delay)
 	assert.Assert(t, away.Cost > home.Cost+recomputed)
 }
+
+// Callers whose prompts all have other parts made the router remember 2,000 and more at each
+// target.
+func TestPartsOfManyPromptsTakeLittleMemory(t *testing.T) {
+	all := engines(240)
+	p, now := New(DefaultParams(), "zone-0"), time.Now()
+	for n := range 20_000 {
+		r := &Request{PromptTokens: 64}
+		for part := range 64 {
+			r.Parts = append(r.Parts, Part{fmt.Sprint(n, part), 1})
+		}
+		p.RecordSent(all[n%len(all)], r, 64, now)
+	}
+	tracked := 0
+	for _, s := range p.states {
+		tracked += len(s.cached)
+	}
+	assert.Assert(t, tracked <= maxTrackedTotal+64, "%d parts", tracked)
+	assert.Equal(t, tracked, p.tracked)
+	p.Retain(func(string) bool { return false })
+	assert.Equal(t, p.tracked, 0)
+}
--- a/pkg/relay/quarantine.go
+++ b/pkg/relay/quarantine.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"syscall"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,11 +48,12 @@
 	for _, id := range ids {
 		all = append(all, poison.OfPart(id))
 	}
-	content := ex.Body
+	var ownPart []byte
 	if n := len(ex.Metadata.PromptParts); n > 0 {
-		content = append(slices.Clip(content), ex.Metadata.PromptParts[n-1].ID...)
+		ownPart = []byte(ex.Metadata.PromptParts[n-1].ID)
 	}
-	return append(all, poison.OfRequest(claim.DigestRequest(ex.OrganisationName(), ex.Request.Method, ex.Request.URL.RequestURI(), content), ex.OrganisationName()))
+	digest := claim.DigestRequest(ex.OrganisationName(), ex.Request.Method, ex.Request.URL.RequestURI(), ex.Body, ownPart)
+	return append(all, poison.OfRequest(digest, ex.OrganisationName()))
 }
 
 // check returns an error if the request is quarantined.
