Requests that cannot progress do not give way

What callers saw: while memory was short, requests were ended that waited for memory themselves, or whose bytes had arrived and were not read because the process had no time; heads never progressed, and bodies of a few KB neither. A slow caller was ended before one from whom nothing came, if it held more.

Cause: progress was what the process had read, in steps of 16 KB.

Fix: a receipt that waits for memory is not ended and starts anew after it, nor one with unread bytes in the kernel. A kilobyte counts as a move, and those that move give way after those that do not. A sixteenth of what is held is still asked for progress, so that a large body cannot stay for a few bytes.

Evidence: TestOnlyCallersThatStallGiveWay, which cannot be built on the code before.

--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -42,7 +43,11 @@
 	conn := fromContext(r.Context())
 	if l != nil {
 		controller := http.NewResponseController(w)
-		b.receipt = l.newReceipt(causeBody, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
+		var raw net.Conn
+		if conn != nil && r.ProtoMajor == 1 {
+			raw = conn.Conn
+		}
+		b.receipt = l.newReceipt(causeBody, raw, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	}
 	err := b.read(r.Body, conn, r.ContentLength, limit)
 	if l != nil && l.finish(b.receipt) {
--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -189,7 +189,7 @@
 		return nil
 	}
 	if c.head == nil {
-		c.head = c.limiter.newReceipt(causeHead, func() { _ = c.Conn.Close() })
+		c.head = c.limiter.newReceipt(causeHead, c.Conn, func() { _ = c.Conn.Close() })
 	}
 	c.growing = true
 	return c.head
--- a/pkg/callerconn/conn_test.go
+++ b/pkg/callerconn/conn_test.go
@@ -34,7 +34,7 @@
 	f := &headFixture{limiter: l, conn: l.admit(server, false), peer: client}
 	blocked := make(chan struct{})
 	f.unblock = func() { close(blocked) }
-	stalled := l.newReceipt(causeBody, func() { <-blocked })
+	stalled := l.newReceipt(causeBody, nil, func() { <-blocked })
 	stalled.progressAt = time.Now().Add(-time.Hour)
 	stalled.held = 1 << 20
 	return f
--- a/pkg/callerconn/limiter.go
+++ b/pkg/callerconn/limiter.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"expvar"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -38,9 +39,10 @@
 	// minStall is the time without progress after which a connection or what is received
 	// on it may have to give way.
 	minStall = 250 * time.Millisecond
-	// progressBytes and progressDivisor: a receipt progresses when it has grown by as many
-	// bytes and by that part of what it holds, so that single bytes are no progress.
-	progressBytes   = 16 << 10
+	// progressBytes and progressDivisor: a receipt moves when it has grown by as many bytes, so
+	// that single bytes count for nothing, and progresses when it has also grown by that part
+	// of what it holds.
+	progressBytes   = 1 << 10
 	progressDivisor = 16
 	// releaseTime bounds the wait until a receipt that had to give way has released its
 	// memory, and releaseCheckInterval is the time between checks.
@@ -137,18 +139,23 @@
 type receipt struct {
 	cause       string
 	reservation memlimit.Reservation
-	end         func() // makes the goroutine end that receives it
+	conn        net.Conn // it is received from; nil if that is not known
+	end         func()   // makes the goroutine end that receives it
 
 	held       int64 // bytes of the reservation
 	received   int64 // bytes
 	markedAt   int64 // received at the last progress
 	progressAt time.Time
+	countedAt  int64 // received at the last move
+	movedAt    time.Time
+	waits      bool // for memory, so that it cannot progress
 	ended      bool // it had to give way
 }
 
 // newReceipt returns a receipt that may have to give way until finish.
-func (l *Limiter) newReceipt(cause string, end func()) *receipt {
-	r := &receipt{cause: cause, reservation: l.budget.For(cause), end: end, progressAt: time.Now()}
+func (l *Limiter) newReceipt(cause string, conn net.Conn, end func()) *receipt {
+	now := time.Now()
+	r := &receipt{cause: cause, reservation: l.budget.For(cause), conn: conn, end: end, progressAt: now, movedAt: now}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.receipts[r] = struct{}{}
@@ -172,10 +179,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.received += int64(bytes)
-	if r.received-r.markedAt < max(progressBytes, r.held/progressDivisor) {
+	if r.received-r.countedAt < progressBytes {
+		return false
+	}
+	now := time.Now()
+	r.countedAt, r.movedAt = r.received, now
+	if r.received-r.markedAt < r.held/progressDivisor {
 		return false
 	}
-	r.markedAt, r.progressAt = r.received, time.Now()
+	r.markedAt, r.progressAt = r.received, now
 	return true
 }
 
@@ -195,6 +207,8 @@
 	if !r.reservation.CanEverGrow(bytes) {
 		return false
 	}
+	l.setWaits(r, true)
+	defer l.setWaits(r, false)
 	for deadline := time.Now().Add(releaseTime); l.endStalled(r, bytes) && time.Now().Before(deadline); {
 		time.Sleep(releaseCheckInterval)
 		if r.reservation.Grow(bytes) {
@@ -204,6 +218,18 @@
 	return false
 }
 
+// setWaits records that a receipt begins or ends to wait for memory. The time in which it waits
+// is no time without progress.
+func (l *Limiter) setWaits(r *receipt, waits bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.waits = waits
+	if !waits {
+		r.progressAt = time.Now()
+		r.movedAt = r.progressAt
+	}
+}
+
 // shrink returns a part of what a receipt holds.
 func (l *Limiter) shrink(r *receipt, bytes int64) {
 	r.reservation.Shrink(bytes)
@@ -220,8 +246,10 @@
 	r.held = held
 }
 
-// endStalled ends receipts that stalled until they hold the wanted bytes, those first that hold
-// most for longest. It reports whether memory will be released.
+// endStalled ends receipts that stalled until they hold the wanted bytes: those first from whose
+// callers nothing comes, and of these that hold most for longest. Receipts that wait for memory, or
+// for the process to read what has arrived, are not ended. It reports whether memory will be
+// released.
 func (l *Limiter) endStalled(wanting *receipt, bytes int64) bool {
 	l.mu.Lock()
 	if bytes -= l.yielding; wanting.ended {
@@ -235,16 +263,27 @@
 	var stalled, chosen []*receipt
 	var released int64
 	for r := range l.receipts {
-		if r != wanting && !r.ended && now.Sub(r.progressAt) >= minStall {
+		if r != wanting && !r.ended && !r.waits && now.Sub(r.progressAt) >= minStall {
 			stalled = append(stalled, r)
 		}
 	}
 	cost := func(r *receipt) float64 { return float64(r.held) * now.Sub(r.progressAt).Seconds() }
-	slices.SortFunc(stalled, func(a, b *receipt) int { return cmp.Compare(cost(b), cost(a)) })
+	rank := func(r *receipt) int {
+		if now.Sub(r.movedAt) < minStall {
+			return 1 // it moves, if slowly
+		}
+		return 0
+	}
+	slices.SortFunc(stalled, func(a, b *receipt) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(cost(b), cost(a)))
+	})
 	for _, r := range stalled {
 		if bytes <= 0 {
 			break
 		}
+		if r.conn != nil && hasUnread(r.conn) {
+			continue
+		}
 		r.ended = true
 		l.yielding += r.held
 		bytes -= r.held
--- a/pkg/callerconn/limiter_test.go
+++ b/pkg/callerconn/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"net"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 	l := New(Limits{Memory: testMemory}, hclog.NewNullLogger(), func(string, expvar.Var) {})
 	var receipts []*receipt
 	for range 100 {
-		r := l.newReceipt(causeBody, func() {})
+		r := l.newReceipt(causeBody, nil, func() {})
 		assert.NilError(t, l.grow(r, 1000))
 		r.progressAt = time.Now().Add(-time.Hour)
 		receipts = append(receipts, r)
@@ -32,3 +33,52 @@
 	assert.Equal(t, ended, 2)
 	assert.Equal(t, l.yielding, int64(0))
 }
+
+// Under memory pressure requests were ended that could not progress, because they waited for memory or
+// the process had not read what had arrived, and slow ones before those that did not move at all.
+func TestOnlyCallersThatStallGiveWay(t *testing.T) {
+	l := New(Limits{Memory: testMemory}, hclog.NewNullLogger(), func(string, expvar.Var) {})
+	server, client := openTCP(t)
+	_, err := client.Write([]byte("x"))
+	assert.NilError(t, err)
+	for !hasUnread(server) {
+		time.Sleep(time.Millisecond)
+	}
+	long := time.Now().Add(-time.Hour)
+	receipts := make(map[string]*receipt)
+	for _, name := range []string{"waits", "unread", "slow", "stalled"} {
+		r := l.newReceipt(causeBody, nil, func() {})
+		assert.NilError(t, l.grow(r, 1<<20))
+		r.progressAt, r.movedAt = long, long
+		receipts[name] = r
+	}
+	receipts["waits"].waits = true
+	receipts["unread"].conn = server
+	receipts["slow"].held *= 4
+	l.recordReceived(receipts["slow"], progressBytes) // moves, but is no sixteenth
+	wanting := &receipt{cause: causeBody}
+	for _, last := range []string{"stalled", "slow"} {
+		l.endStalled(wanting, l.yielding+1)
+		for name, r := range receipts {
+			assert.Equal(t, r.ended, name == "stalled" || name == last, name)
+		}
+	}
+	assert.Assert(t, !l.endStalled(wanting, l.yielding+1))
+	assert.Assert(t, !receipts["waits"].ended && !receipts["unread"].ended)
+	l.setWaits(receipts["waits"], false)
+	assert.Assert(t, time.Since(receipts["waits"].progressAt) < time.Hour)
+}
+
+// openTCP returns the two ends of a TCP connection.
+func openTCP(t *testing.T) (server, client net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	client, err = net.Dial("tcp4", listener.Addr().String())
+	assert.NilError(t, err)
+	server, err = listener.Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _, _ = server.Close(), client.Close() })
+	return server, client
+}
