The kernel holds little of a connection, and that is reserved

What callers saw: up to 154 MB had arrived at a process of 192 MB and were not read, beside all budgets. These bytes count towards the memory of a machine, where the process was killed.

Cause: the kernel lets a connection send on while its request runs, or while the process is busy, up to its own limit of megabytes. Bytes behind a request also hid that the caller had left, so that its request ran to its deadline. Connections with TLS were reserved like others, and HTTP/2 could buffer 1 MB for each.

Fix: listeners have a receive buffer of which a connection holds 16 KB at most, before the first connection, because the kernel takes the window's limit from there. A body of more gets 64 KB, if there is memory. Both are reserved while a request runs: only then are there bytes that nobody reads. Multipath TCP is off, because its subflows have buffers of their own. Each second it is checked whether the caller of a running request has closed the connection. TLS takes 48 KB a connection, HTTP/2 128 KB more and 100 streams.

--- a/pkg/callerconn/body.go
+++ b/pkg/callerconn/body.go
@@ -25,7 +25,8 @@
 	Bytes   []byte
 	limiter *Limiter
 	receipt *receipt
-	conn    *Conn // whose request runs until Release; nil if it is not known
+	unread  memlimit.Reservation // for what the kernel holds beside it
+	conn    *Conn                // whose request runs until Release; nil if it is not known
 }
 
 // ReadBody reads the body of a request. The buffer grows as bytes arrive: a length that a
@@ -46,6 +47,7 @@
 		var raw net.Conn
 		if conn != nil && r.ProtoMajor == 1 {
 			raw = conn.Conn
+			b.unread = conn.allowBody(r.ContentLength)
 		}
 		b.receipt = l.newReceipt(causeBody, raw, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	}
@@ -127,6 +129,7 @@
 	if b.receipt != nil {
 		b.receipt.reservation.Release()
 	}
+	b.unread.Release()
 	if b.conn != nil {
 		b.conn.endRunning()
 		b.conn = nil
--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -16,15 +16,22 @@
 const (
 	// headBaseBytes is the memory of a request without its head and body. headLineBytes is
 	// that of each header line, which is in several maps until it is sent on, and
-	// headByteFactor that of each byte.
+	// headByteFactor that of each byte: as it is read, parsed, and written to a target.
 	headBaseBytes  = 16 << 10
 	headLineBytes  = 200
-	headByteFactor = 2
+	headByteFactor = 3
 	// encryptedByteFactor replaces the two while the bytes of a head are encrypted.
 	encryptedByteFactor = 10
 	// maxEncryptedHead is the size above which encrypted bytes are no head, but frames that
 	// keep a connection open.
 	maxEncryptedHead = 128 << 10
+	// encryptedConnBytes replaces connBytes with TLS.
+	encryptedConnBytes = 48 << 10
+	// StreamBufferBytes bounds the unread bytes of all streams of a connection of HTTP/2.
+	StreamBufferBytes = 128 << 10
+	// leaveCheckInterval is the time between checks whether a caller has closed the connection
+	// of a request that runs.
+	leaveCheckInterval = time.Second
 	// refusalTime bounds writing a refusal.
 	refusalTime = 100 * time.Millisecond
 )
@@ -57,6 +64,10 @@
 	growing  bool     // Read reserves memory for a head and releases it if that is no longer head
 	aborted  bool     // no further request may run
 	isClosed bool
+	unread   int64              // bytes that the kernel may hold while a request runs
+	leave    context.CancelFunc // ends the running request of HTTP/1; nil: none runs
+	watch    *time.Timer        // checks whether the caller of that request has left
+	streams  bool               // memory holds the buffers of HTTP/2
 }
 
 // Listen returns a listener whose connections are bounded. encrypted is set if the connections
@@ -91,7 +102,7 @@
 // admit returns a connection, or nil if there is no room for it. It closes another connection
 // to make room, and only one: what it releases may be taken by a request that waits for memory.
 func (l *Limiter) admit(raw net.Conn, encrypted bool) *Conn {
-	c := &Conn{Conn: raw, limiter: l, encrypted: encrypted, inHead: true, memory: l.budget.For(causeConnection), since: time.Now()}
+	c := &Conn{Conn: raw, limiter: l, encrypted: encrypted, inHead: true, unread: unreadBytes, memory: l.budget.For(causeConnection), since: time.Now()}
 	if l.add(c) {
 		return c
 	}
@@ -110,7 +121,11 @@
 func (l *Limiter) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.maxConns || !c.memory.Grow(connBytes) {
+	bytes := int64(connBytes)
+	if c.encrypted {
+		bytes = encryptedConnBytes
+	}
+	if len(l.conns) >= l.maxConns || !c.memory.Grow(bytes) {
 		return false
 	}
 	l.conns[c] = struct{}{}
@@ -312,8 +327,8 @@
 	return c
 }
 
-// Handler returns a handler that holds memory for the head of each request until next returns.
-// If none is left it calls refuse instead.
+// Handler returns a handler that holds memory for the head of each request until next returns,
+// and for what the kernel may hold behind the request. If none is left it calls refuse instead.
 func (l *Limiter) Handler(next, refuse http.Handler) http.Handler {
 	if l == nil {
 		return next
@@ -321,6 +336,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		head := &receipt{cause: causeHead, reservation: l.budget.For(causeHead)} // complete
 		defer func() { head.reservation.Release() }()
+		bytes := headCost(r)
 		if c := fromContext(r.Context()); c != nil {
 			if !c.releaseHead(false) {
 				panic(http.ErrAbortHandler) // no answer can be sent
@@ -329,8 +345,17 @@
 				c.startRunning()
 				defer c.endRunning()
 			}
+			if r.ProtoMajor == 1 {
+				var endRequest func()
+				r, endRequest = c.startRequest(r)
+				defer endRequest()
+				bytes += c.unreadLimit()
+			} else if !c.reserveStreams() {
+				refuse.ServeHTTP(w, r)
+				return
+			}
 		}
-		if l.grow(head, headCost(r)) != nil {
+		if l.grow(head, bytes) != nil {
 			refuse.ServeHTTP(w, r)
 			return
 		}
@@ -338,6 +363,75 @@
 	})
 }
 
+// reserveStreams reserves the buffers of HTTP/2 for a connection, once. It reports whether
+// there is memory for them.
+func (c *Conn) reserveStreams() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed || c.streams {
+		return true
+	}
+	c.streams = c.memory.Grow(StreamBufferBytes)
+	return c.streams
+}
+
+// unreadLimit returns the bytes that the kernel may hold of the connection.
+func (c *Conn) unreadLimit() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unread
+}
+
+// allowBody lets more of a large body arrive before it is read, if there is memory for it. It
+// returns that memory, which must be held until the end of the request. The buffer of the
+// connection stays as it is then.
+func (c *Conn) allowBody(length int64) memlimit.Reservation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	memory := c.limiter.budget.For(causeBody)
+	if length >= 0 && length <= unreadBytes || c.unread == unreadBodyBytes || !memory.Grow(unreadBodyBytes-c.unread) {
+		return memory
+	}
+	c.unread = unreadBodyBytes
+	allowUnread(c.Conn, unreadBodyBytes)
+	return memory
+}
+
+// startRequest returns the request with a context that also ends when its caller closes the
+// connection behind further bytes, which hide that from the server. The returned function must
+// be called at the end of the request.
+func (c *Conn) startRequest(r *http.Request) (*http.Request, func()) {
+	ctx, cancel := context.WithCancel(r.Context())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leave = cancel
+	if c.watch == nil {
+		c.watch = time.AfterFunc(leaveCheckInterval, c.checkLeft)
+	} else {
+		c.watch.Reset(leaveCheckInterval)
+	}
+	return r.WithContext(ctx), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.watch.Stop()
+		c.leave = nil
+		cancel()
+	}
+}
+
+// checkLeft ends the running request if its caller has closed the connection.
+func (c *Conn) checkLeft() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.leave == nil:
+	case hasLeft(c.Conn):
+		c.leave()
+	default:
+		c.watch.Reset(leaveCheckInterval)
+	}
+}
+
 // headCost returns the memory that a request takes without its body.
 func headCost(r *http.Request) int64 {
 	lines, length := 0, len(r.RequestURI)+len(r.Host)
--- a/pkg/callerconn/limiter_test.go
+++ b/pkg/callerconn/limiter_test.go
@@ -69,10 +69,10 @@
 	assert.Assert(t, time.Since(receipts["waits"].progressAt) < time.Hour)
 }
 
-// openTCP returns the two ends of a TCP connection.
+// openTCP returns the two ends of a connection of Listen.
 func openTCP(t *testing.T) (server, client net.Conn) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
 	client, err = net.Dial("tcp4", listener.Addr().String())
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -164,7 +164,7 @@
 	callerConns      *drain.Tracker
 	callers          *callerconn.Limiter
 	idleTimeout      *idleTimeout
-	listen           func(network, address string) (net.Listener, error) // net.Listen except in tests
+	listen           func(network, address string) (net.Listener, error) // callerconn.Listen except in tests
 	stopping         atomic.Bool
 	// drainEndsAt is when requests that still run are ended; nil until the instance takes
 	// only those that it can complete.
@@ -179,7 +179,7 @@
 // settings and must allow concurrent calls.
 func New(settings func() *Settings, p Platform, log hclog.Logger) *Daemon {
 	s := settings()
-	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init(), listen: net.Listen, restored: make(chan struct{}, 1)}
+	d := &Daemon{settings: settings, log: log, clock: clock.System{}, metrics: new(expvar.Map).Init(), listen: callerconn.Listen, restored: make(chan struct{}, 1)}
 	d.startedAt = d.clock.Elapsed()
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
--- a/pkg/server/endpoint.go
+++ b/pkg/server/endpoint.go
@@ -20,6 +20,9 @@
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 64 << 10
 	idleTimeout       = 2 * time.Minute
+	// maxStreams bounds the requests at a time on a connection of HTTP/2. The protocol
+	// recommends no less.
+	maxStreams = 100
 )
 
 // endpoint is an HTTP server with its listener. It uses TLS if a certificate is
@@ -49,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", o.address)
+	listener, err := callerconn.Listen("tcp", o.address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "%s_listen: choose another address or end the process that uses it", o.setting)
 	}
@@ -65,7 +68,10 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          o.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: callerconn.StreamBufferBytes / 2, MaxReceiveBufferPerConnection: callerconn.StreamBufferBytes,
+		},
+		ErrorLog: o.log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{InferLevels: true}),
 	}
 	return &endpoint{server: httpServer, listener: drain.NewListener(listener), conns: conns, callers: o.callers}, nil
 }
