Listeners for probes, metrics and the operator are bounded like that for callers

What callers saw: 1,200 connections to the listener for readiness took edge to 1,221 of 500 descriptors and 147 MB of 88; serve took 225 MB of 64. Without descriptors no caller is served.

Cause: only the listener for callers had a limiter. The others had no bound for connections, idle time, reading or writing.

Fix: one more limiter of the same kind for these listeners of a process: 64 connections, 4 MB, and the longest idle or slowest connection gives way to a new one. Its metrics are called probe_.

--- a/pkg/callerconn/limiter.go
+++ b/pkg/callerconn/limiter.go
@@ -34,6 +34,10 @@
 	// minConnDivisor is the part of the descriptors that callers can take where few are left
 	// beside keptDescriptors.
 	minConnDivisor = 4
+	// probeMemory is the memory that connections to the listeners for probes can make a
+	// process hold, and maxProbeConns their number.
+	probeMemory   = 4 << 20
+	maxProbeConns = 64
 	// unknownMemory is the memory of the process if it cannot be read.
 	unknownMemory = 512 << 20
 	// minStall is the time without progress after which a connection or what is received
@@ -106,25 +110,36 @@
 	unlogged int // events since the last log line
 }
 
-// New returns a limiter for a process. publish is called with each metric.
+// New returns a limiter for the callers of a process. publish is called with each metric.
 func New(limits Limits, log hclog.Logger, publish func(name string, v expvar.Var)) *Limiter {
 	limits = limits.withDefaults()
+	byDescriptors := max(int(connShare*float64(limits.Descriptors-keptDescriptors)), limits.Descriptors/minConnDivisor)
+	byMemory := int(limits.Memory / connBudgetDivisor / connBytes)
+	l := newLimiter("caller", limits.Memory/budgetDivisor, max(1, min(byDescriptors, byMemory)), log, publish)
+	log.Info("limits for callers", "memory", l.budget.Total(), "connections", l.maxConns, "process_memory", limits.Memory, "process_descriptors", limits.Descriptors)
+	return l
+}
+
+// NewForProbes returns a limiter for the listeners of a process at which it is probed and read
+// by monitoring systems.
+func NewForProbes(log hclog.Logger, publish func(name string, v expvar.Var)) *Limiter {
+	return newLimiter("probe", probeMemory, maxProbeConns, log, publish)
+}
+
+// newLimiter returns a limiter whose metrics begin with name.
+func newLimiter(name string, memory int64, maxConns int, log hclog.Logger, publish func(name string, v expvar.Var)) *Limiter {
 	l := &Limiter{
-		log: log, budget: memlimit.NewCallerBudget(limits.Memory / budgetDivisor),
+		log: log.With("listener", name), budget: memlimit.NewCallerBudget(memory), maxConns: maxConns,
 		refused: make(map[string]*expvar.Int), ended: make(map[string]*expvar.Int),
 		conns: make(map[*Conn]struct{}), receipts: make(map[*receipt]struct{}),
 	}
-	byDescriptors := max(int(connShare*float64(limits.Descriptors-keptDescriptors)), limits.Descriptors/minConnDivisor)
-	byMemory := int(limits.Memory / connBudgetDivisor / connBytes)
-	l.maxConns = max(1, min(byDescriptors, byMemory))
 	for _, cause := range []string{causeConnection, causeHead, causeBody} {
 		l.refused[cause], l.ended[cause] = new(expvar.Int), new(expvar.Int)
-		publish("caller_refused_"+cause, l.refused[cause])
-		publish("caller_ended_"+cause, l.ended[cause])
-		publish("caller_memory_bytes_"+cause, expvar.Func(func() any { return l.budget.UsedBy(cause) }))
+		publish(name+"_refused_"+cause, l.refused[cause])
+		publish(name+"_ended_"+cause, l.ended[cause])
+		publish(name+"_memory_bytes_"+cause, expvar.Func(func() any { return l.budget.UsedBy(cause) }))
 	}
-	publish("caller_connections", expvar.Func(func() any { return l.connCount() }))
-	log.Info("limits for callers", "memory", l.budget.Total(), "connections", l.maxConns, "process_memory", limits.Memory, "process_descriptors", limits.Descriptors)
+	publish(name+"_connections", expvar.Func(func() any { return l.connCount() }))
 	return l
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -163,6 +163,7 @@
 	callerServer     *http.Server
 	callerConns      *drain.Tracker
 	callers          *callerconn.Limiter
+	probes           *callerconn.Limiter // of the listeners for readiness and metrics
 	idleTimeout      *idleTimeout
 	listen           func(network, address string) (net.Listener, error) // callerconn.Listen except in tests
 	stopping         atomic.Bool
@@ -273,6 +274,7 @@
 	d.requests, d.endRequests = context.WithCancelCause(context.Background())
 	d.callerConns = drain.NewTracker()
 	d.callers = callerconn.New(callerconn.Limits{Memory: s.MemoryBytes, Descriptors: s.MaxDescriptors}, log, d.metrics.Set)
+	d.probes = callerconn.NewForProbes(log, d.metrics.Set)
 	d.callerServer = &http.Server{
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			d.callerConns.Record(conn, state)
@@ -467,10 +469,10 @@
 		group.Go(func() { d.whenReaderKnown(d.delivery.Run)(background) })
 	}
 	group.Go(func() { d.peerEndpoint.run(background, d.platformStore, s) })
-	probeServer := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: readHeaderTimeout}
+	probeServer := d.newProbeServer(d.serveReady)
 	failed := make(chan error, 3)
 	go func() { failed <- d.callerServer.Serve(d.callers.Listen(d.idleTimeout.wrap(callerListener), false)) }()
-	go func() { failed <- probeServer.Serve(readyListener) }()
+	go func() { failed <- probeServer.Serve(d.probes.Listen(readyListener, false)) }()
 	d.serveMetrics(s.MetricsListen)
 	d.log.Info("started", "instance", s.Instance, "zone", s.Zone, "callers", s.CallerListen, "ready", s.ReadyListen,
 		"metrics", s.MetricsListen, "first_start", s.FirstStart)
@@ -505,10 +507,3 @@
 		}
 	}
 }
-
-// serveReady answers the readiness probe of the platform.
-func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if reason := d.notReadyReason(); reason != "" {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-	}
-}
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -37,17 +37,17 @@
 	if address == "" {
 		return
 	}
-	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := d.newProbeServer(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		fmt.Fprintln(w, d.metrics.String())
-	})}
+	})
 	listener, err := d.listen("tcp", address)
 	if err != nil {
 		d.log.Warn("metrics are not served", "address", address, "cause", err)
 		return
 	}
 	go func() {
-		d.log.Warn("metrics are not served", "address", address, "cause", server.Serve(listener))
+		d.log.Warn("metrics are not served", "address", address, "cause", server.Serve(d.probes.Listen(listener, false)))
 	}()
 }
 
--- a/pkg/server/endpoint.go
+++ b/pkg/server/endpoint.go
@@ -41,7 +41,8 @@
 	certFile string
 	keyFile  string
 	handler  http.Handler
-	callers  *callerconn.Limiter // bounds the connections; nil means no bound
+	callers  *callerconn.Limiter // bounds the connections
+	timeout  time.Duration       // bounds reading a request and writing its answer; zero means no bound
 	log      hclog.Logger
 }
 
@@ -66,6 +67,8 @@
 		Handler:           o.handler,
 		TLSConfig:         tlsConfig,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       o.timeout,
+		WriteTimeout:      o.timeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
--- a/pkg/server/operator.go
+++ b/pkg/server/operator.go
@@ -2,8 +2,14 @@
 
 import (
 	"net/http"
+	"time"
+
+	"lacewingwheel.example/lacewingwheel/pkg/callerconn"
 )
 
+// operatorTimeout bounds reading a request of the operator and writing its answer.
+const operatorTimeout = 10 * time.Second
+
 // operatorHandler returns the handler of the operator listener.
 func (s *Server) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -12,7 +18,10 @@
 	mux.HandleFunc("GET /status", s.serveStatusPage)
 	mux.HandleFunc("GET /status.json", s.serveStatusJSON)
 	mux.Handle("GET /debug/vars", s.metrics)
-	return mux
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, callerconn.ErrOutOfMemory.Error(), http.StatusServiceUnavailable)
+	}
+	return s.probes.Handler(mux, http.HandlerFunc(refuse))
 }
 
 func (s *Server) ready() bool { return s.notReadyReason() == "" }
--- a/pkg/server/server.go
+++ b/pkg/server/server.go
@@ -50,6 +50,7 @@
 	stopping        atomic.Bool
 
 	callers          *callerconn.Limiter
+	probes           *callerconn.Limiter // of the operator's listener
 	callerEndpoint   *endpoint
 	operatorEndpoint *endpoint
 }
@@ -78,6 +79,7 @@
 	}
 	limits := callerconn.Limits{Memory: settings.Server.MemoryLimit, Descriptors: settings.Server.DescriptorLimit}
 	s.callers = callerconn.New(limits, log.Named("callers"), s.metrics.Publish)
+	s.probes = callerconn.NewForProbes(log.Named("operator"), s.metrics.Publish)
 	s.claims = claim.NewManager(claim.Options{
 		Store: client, Clock: clock.System{}, Log: log.Named("claims"),
 		Instance: settings.Instance.ID, Incarnation: s.incarnation, HasEnded: s.incarnationEnded,
@@ -116,7 +118,7 @@
 	instance, files := s.settings.Instance, s.settings.TLS
 	s.operatorEndpoint, err = newEndpoint(endpointOptions{
 		setting: "operator", address: instance.OperatorListen, certFile: files.OperatorCert, keyFile: files.OperatorKey,
-		handler: s.operatorHandler(), log: s.log,
+		handler: s.operatorHandler(), callers: s.probes, timeout: operatorTimeout, log: s.log,
 	})
 	if err != nil {
 		return err
