serve builds nothing from query parameters, cookies and connection names

What callers saw: with heads of thousands of parameters serve took 65 MB of 64. More than 3,000 cookies were all lost on the way to the target, and fewer were copied once for each of them.

Cause: to find a key, all parameters and cookies were parsed into objects of 200 B and more, and written anew. Names in Connection became a map of all names, for each attempt again.

Fix: fields are compared in place. Those with a key are cut out, the others stay as they were sent. Two different keys are enough to refuse a request. Only names of headers that the request has are listed.

Evidence: TestFieldsBesideKeysStay fails before (5,001 cookies: none arrive).

--- a/pkg/gateway/authentication.go
+++ b/pkg/gateway/authentication.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"slices"
 	"strings"
 
 	"lacewingwheel.example/lacewingwheel/pkg/apierr"
@@ -62,20 +64,18 @@
 	return next(ex)
 }
 
-// takeKeys removes all keys from the request and returns them without
+// maxKeys is the number of different keys that takeKeys returns at most. A request with more
+// than one is refused.
+const maxKeys = 2
+
+// takeKeys removes all keys from the request and returns the first maxKeys of them without
 // duplicates.
 func takeKeys(r *http.Request) []string {
 	var keys []string
 	add := func(key string) {
-		if key == "" {
-			return
-		}
-		for _, other := range keys {
-			if other == key {
-				return
-			}
+		if key != "" && len(keys) < maxKeys && !slices.Contains(keys, key) {
+			keys = append(keys, key)
 		}
-		keys = append(keys, key)
 	}
 	for _, value := range r.Header.Values(headerAuthorization) {
 		if len(value) >= len(bearerPrefix) && strings.EqualFold(value[:len(bearerPrefix)], bearerPrefix) {
@@ -94,29 +94,90 @@
 	return keys
 }
 
+// takeQueryKeys removes the parameters with keys from the query. It leaves the others as they are and
+// builds nothing from them: a head may name thousands.
 func takeQueryKeys(r *http.Request, add func(string)) {
-	query := r.URL.Query()
-	if _, ok := query[keyParameter]; !ok {
+	query, found := removeFields(r.URL.RawQuery, "&", func(field string) bool {
+		key, isKey := queryKey(field)
+		add(key)
+		return isKey
+	})
+	if !found {
 		return
 	}
-	for _, value := range query[keyParameter] {
-		add(value)
-	}
-	query.Del(keyParameter)
-	r.URL.RawQuery = query.Encode()
+	r.URL.RawQuery = query
 	r.RequestURI = r.URL.RequestURI()
 }
 
+// queryKey returns the key that a field of a query states. Malformed fields state none.
+func queryKey(field string) (key string, isKey bool) {
+	name, value, _ := strings.Cut(field, "=")
+	if strings.Contains(field, ";") {
+		return "", false
+	}
+	if name != keyParameter {
+		if !strings.Contains(name, "%") {
+			return "", false
+		}
+		if decoded, err := url.QueryUnescape(name); err != nil || decoded != keyParameter {
+			return "", false
+		}
+	}
+	key, err := url.QueryUnescape(value)
+	return key, err == nil
+}
+
+// takeCookieKeys does the same with the cookies.
 func takeCookieKeys(r *http.Request, add func(string)) {
-	cookies := r.Cookies()
-	r.Header.Del("Cookie")
-	for _, cookie := range cookies {
-		if cookie.Name == keyParameter {
-			add(cookie.Value)
-			continue
+	lines := r.Header["Cookie"]
+	kept := lines[:0:0]
+	changed := false
+	for _, line := range lines {
+		rest, found := removeFields(line, ";", func(field string) bool {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if name != keyParameter {
+				return false
+			}
+			add(strings.Trim(value, `"`))
+			return true
+		})
+		changed = changed || found
+		if rest = strings.TrimSpace(rest); rest != "" {
+			kept = append(kept, rest)
 		}
-		r.AddCookie(cookie)
 	}
+	switch {
+	case !changed:
+	case len(kept) == 0:
+		r.Header.Del("Cookie")
+	default:
+		r.Header["Cookie"] = kept
+	}
+}
+
+// removeFields removes the fields of a list for which remove returns true, and reports whether
+// there are any.
+func removeFields(list, separator string, remove func(field string) bool) (rest string, found bool) {
+	var kept strings.Builder
+	start := 0 // of the fields that are not in kept yet
+	for at := 0; at <= len(list); {
+		length := strings.Index(list[at:], separator)
+		if length < 0 {
+			length = len(list) - at
+		}
+		next := at + length + len(separator)
+		if remove(list[at : at+length]) {
+			found = true
+			kept.WriteString(list[start:at])
+			start = min(next, len(list))
+		}
+		at = next
+	}
+	if !found {
+		return list, false
+	}
+	kept.WriteString(list[start:])
+	return strings.TrimSuffix(kept.String(), separator), true
 }
 
 // removeHeadersContaining deletes each header with a value that contains a key,
--- a/pkg/gateway/authentication_test.go
+++ b/pkg/gateway/authentication_test.go
@@ -294,3 +294,30 @@
 	assert.Equal(t, len(f.engine.ReceivedRequests()), 3)
 	assert.Equal(t, len(salts), 2)
 }
+
+// Thousands of cookies or parameters made the router build as many objects, or lost the cookies. All but the
+// keys must arrive as they were sent.
+func TestFieldsBesideKeysStay(t *testing.T) {
+	many := strings.Repeat("a=1; ", 5000) + "b=2"
+	for _, c := range []struct{ query, restQuery, cookie, restCookie, key string }{
+		{"z=1&a=%zz&a;b&&a=2", "z=1&a=%zz&a;b&&a=2", many, many, ""},
+		{"z=1&api_key=k+1&a=2", "z=1&a=2", "a=1; api_key=\"k 1\"; b=2", "a=1; b=2", "k 1"},
+		{"api%5Fkey=k&z=1", "z=1", many + "; api_key=k", many, "k"},
+		{"z=1&api_key=k", "z=1", "api_key=k", "", "k"},
+		{"api_key=k", "", "api_key=k;a=1", "a=1", "k"},
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/?"+c.query, nil)
+		r.Header.Set("Cookie", c.cookie)
+		keys := takeKeys(r)
+		assert.Equal(t, strings.Join(keys, "|"), c.key)
+		assert.Equal(t, r.URL.RawQuery, c.restQuery)
+		assert.Equal(t, r.Header.Get("Cookie"), c.restCookie)
+		assert.Equal(t, r.Header["Cookie"] == nil, c.restCookie == "")
+	}
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	r.Header["X-Api-Key"] = strings.Split(many, "; ")
+	r.Header["Connection"] = []string{strings.Repeat("a,", 5000) + "x-listed"}
+	r.Header.Set("X-Listed", "1")
+	assert.DeepEqual(t, connectionHeaders(r.Header), map[string]bool{"X-Listed": true})
+	assert.Equal(t, len(takeKeys(r)), maxKeys)
+}
--- a/pkg/gateway/sender.go
+++ b/pkg/gateway/sender.go
@@ -267,13 +267,16 @@
 	}
 }
 
-// connectionHeaders returns the names listed in the Connection header, which are
+// connectionHeaders returns the names of h that are listed in its Connection header. They are
 // not forwarded either.
 func connectionHeaders(h http.Header) map[string]bool {
 	listed := make(map[string]bool)
 	for _, value := range h.Values("Connection") {
-		for _, name := range strings.Split(value, ",") {
-			listed[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		for name := range strings.SplitSeq(value, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if _, present := h[name]; present {
+				listed[name] = true
+			}
 		}
 	}
 	return listed
