The head of an attempt is written once, into a buffer of its size

Cause: the head was built in a buffer that doubled and was then copied, so that an attempt took up to five times its bytes, and a request above 8 KB held two copies until its target had taken it. The budget holds three times the bytes of a head: as it was read, parsed, and written to one target.

Fix: the size is computed first. Evidence: none of its own; the crowds of heads, and the tests of pkg/targetconn.

--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -179,30 +179,38 @@
 	return nil
 }
 
+// headOverheadBytes is more than what a head has beside the method, path, host and header lines.
+const headOverheadBytes = 128
+
+// encodeHead returns the head of the request, in a buffer that is large enough from the start.
 func encodeHead(r *Request) []byte {
-	var b strings.Builder
-	b.Grow(1024)
-	b.WriteString(r.Method)
-	b.WriteByte(' ')
-	b.WriteString(r.Path)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(r.Host)
-	b.WriteString("\r\n")
+	size := headOverheadBytes + len(r.Method) + len(r.Path) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(": ") + len(value) + len("\r\n")
+		}
+	}
+	b := make([]byte, 0, size)
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, r.Host...)
+	b = append(b, "\r\n"...)
 	for name, values := range r.Header {
 		for _, value := range values {
-			b.WriteString(name)
-			b.WriteString(": ")
-			b.WriteString(value)
-			b.WriteString("\r\n")
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, value...)
+			b = append(b, "\r\n"...)
 		}
 	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodDelete {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
-		b.WriteString("\r\n")
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = append(b, "\r\n"...)
 	}
-	b.WriteString("\r\n")
-	return []byte(b.String())
+	return append(b, "\r\n"...)
 }
 
 // readResponse returns the response to the request. It skips informational
