Queued log lines take a bounded part of memory

Cause: the sink bounded the number of queued lines, 2,048, but a line has text of callers, such as request IDs of 16 KB: with a slow reader of the log 32 MB and more.

Fix: 1 MB of lines is queued, further ones are dropped and counted as before; a line is cut at 8 KB. No line that the router writes without such text is as long. Evidence: TestLongLinesTakeLittleMemory, 13 MB on the code before.

--- a/pkg/logsink/logsink.go
+++ b/pkg/logsink/logsink.go
@@ -2,6 +2,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -9,8 +10,11 @@
 )
 
 const (
-	// maxQueuedLines bounds the lines that are queued for a slow reader.
+	// maxQueuedLines and maxQueuedBytes bound the lines that are queued for a slow reader.
 	maxQueuedLines = 2048
+	maxQueuedBytes = 1 << 20
+	// maxLineBytes bounds a line, which may have text of a caller.
+	maxLineBytes = 8 << 10
 	// MaxLinesPerSecond bounds the log volume. At 300 bytes per line, 200 lines per
 	// second are 60 KB/s, more than an instance writes in any single failure.
 	MaxLinesPerSecond = 200
@@ -20,10 +24,11 @@
 
 // Sink is an io.Writer that queues log lines and writes them in the background.
 // It drops lines when the queue is full or MaxLinesPerSecond is exceeded, and
-// reports in the log how many were dropped.
+// reports in the log how many were dropped. It cuts lines at maxLineBytes.
 type Sink struct {
 	out             io.Writer
 	lines           chan []byte
+	queuedBytes     atomic.Int64
 	DroppedLines    atomic.Int64  // since the sink was created
 	flushed         chan struct{} // closed when all lines are written after Close
 	currentSecond   atomic.Int64  // since started
@@ -50,20 +55,35 @@
 		s.DroppedLines.Add(1)
 		return len(line), nil
 	}
-	select {
-	case s.lines <- append([]byte(nil), line...):
-	default:
-		s.DroppedLines.Add(1)
+	queued := cutLine(line)
+	if s.queuedBytes.Add(int64(len(queued))) <= maxQueuedBytes {
+		select {
+		case s.lines <- queued:
+			return len(line), nil
+		default:
+		}
 	}
+	s.queuedBytes.Add(-int64(len(queued)))
+	s.DroppedLines.Add(1)
 	return len(line), nil
 }
 
+// cutLine returns a copy of a line that is not too long.
+func cutLine(line []byte) []byte {
+	const mark = "... (cut)\n"
+	if len(line) <= maxLineBytes {
+		return bytes.Clone(line)
+	}
+	return append(append(make([]byte, 0, maxLineBytes), line[:maxLineBytes-len(mark)]...), mark...)
+}
+
 // writeLines writes queued lines until Close, and reports dropped lines.
 func (s *Sink) writeLines() {
 	defer close(s.flushed)
 	reportedDrops, reportedAt := int64(0), time.Now()
 	for line := range s.lines {
 		_, _ = s.out.Write(line) // a failed log write cannot be reported anywhere else
+		s.queuedBytes.Add(-int64(len(line)))
 		if dropped := s.DroppedLines.Load(); dropped > reportedDrops && time.Since(reportedAt) > dropReportInterval {
 			_, _ = fmt.Fprintf(s.out, "level=warn msg=\"log lines dropped\" dropped=%d\n", dropped-reportedDrops)
 			reportedDrops, reportedAt = dropped, time.Now()
--- a/pkg/logsink/logsink_test.go
+++ b/pkg/logsink/logsink_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"testing"
@@ -49,3 +50,29 @@
 	assert.Assert(t, strings.Contains(out.String(), "after"))
 	assert.Assert(t, strings.Contains(out.String(), "dropped="), "no line reports dropped lines")
 }
+
+// Lines have text of callers, such as request IDs of 16 KB. Those that were queued for a slow
+// reader filled the memory.
+func TestLongLinesTakeLittleMemory(t *testing.T) {
+	read, write, err := os.Pipe()
+	assert.NilError(t, err)
+	defer read.Close()
+	sink := logsink.New(write)
+	const lines, maxHeld = logsink.MaxLinesPerSecond - 1, 1 << 20
+	line := []byte(strings.Repeat("x", 64<<10) + "\n")
+	for range lines {
+		_, err := sink.Write(line)
+		assert.NilError(t, err)
+	}
+	go func() {
+		sink.Close(10 * time.Second)
+		_ = write.Close()
+	}()
+	text, err := io.ReadAll(read)
+	assert.NilError(t, err)
+	assert.Assert(t, len(text) > 0 && len(text) <= maxHeld+64<<10, "%d bytes", len(text))
+	assert.Assert(t, sink.DroppedLines.Load() > 0)
+	for written := range strings.Lines(string(text)) {
+		assert.Assert(t, len(written) <= 8<<10 && strings.HasSuffix(written, "\n"))
+	}
+}
