A response that grows is reserved whole

Cause: when the buffer of a response grew, only the difference was reserved, while both buffers were held: half more than the budget, at the moment when memory is short.

Fix: the larger buffer is reserved before the smaller one is returned. With a stated length the buffer grows once, so that no copies are left. Evidence: TestGrowingResponseIsReservedWhole.

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -40,7 +40,7 @@
 func (s *Sender) relayBuffered(ex *Exchange, response *targetResponse) *attemptError {
 	memory := s.memory.For(ex.Target.ID)
 	defer func() { memory.Release() }()
-	body, err := readResponseBody(response.resp.Body, &memory)
+	body, err := readResponseBody(response.resp.Body, response.resp.ContentLength, &memory)
 	switch {
 	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errOutOfMemory):
 		return &attemptError{cause: err}
@@ -68,19 +68,24 @@
 }
 
 // readResponseBody reads a body up to maxBufferedResponseBytes and holds what it takes in
-// memory.
-func readResponseBody(r io.Reader, memory *memlimit.Reservation) ([]byte, error) {
+// memory: while the buffer grows, the one before it too. A negative length is not stated.
+func readResponseBody(r io.Reader, length int64, memory *memlimit.Reservation) ([]byte, error) {
 	body := make([]byte, 0, 4<<10)
+	var held int64
 	for {
 		if len(body) > maxBufferedResponseBytes {
 			return nil, errResponseTooLarge
 		}
 		if len(body) == cap(body) {
-			larger := 2 * cap(body)
-			if larger > freeResponseBytes && !memory.Grow(int64(larger-cap(body))) {
+			larger := largerBuffer(cap(body), length)
+			if larger > freeResponseBytes && !memory.Grow(larger) {
 				return nil, errOutOfMemory
 			}
 			body = append(make([]byte, 0, larger), body...)
+			memory.Shrink(held)
+			if held = 0; larger > freeResponseBytes {
+				held = larger
+			}
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -93,6 +98,16 @@
 	}
 }
 
+// largerBuffer returns the size of the buffer that follows a full one. Beyond what is free it
+// has room for the stated length and the end.
+func largerBuffer(size int, length int64) int64 {
+	larger := 2 * int64(size)
+	if larger > freeResponseBytes && length > larger && length <= maxBufferedResponseBytes {
+		return length + 1
+	}
+	return larger
+}
+
 type usageBody struct {
 	Usage struct {
 		PromptTokens     int `json:"prompt_tokens"`
--- a/pkg/gateway/memory_test.go
+++ b/pkg/gateway/memory_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingwheel.example/lacewingwheel/pkg/engine"
+	"lacewingwheel.example/lacewingwheel/pkg/memlimit"
 	"lacewingwheel.example/lacewingwheel/pkg/standin"
 )
 
@@ -47,3 +50,42 @@
 	growth := int64(now.HeapAlloc) - int64(before.HeapAlloc)
 	assert.Assert(t, growth < maxGrowth, "the heap grew by %d MB", growth>>20)
 }
+
+// While a response grew, its buffer and the larger one were held, and only the larger one was reserved, so that
+// responses took half more than the budget.
+func TestGrowingResponseIsReservedWhole(t *testing.T) {
+	const length = 1 << 20
+	for _, stated := range []int64{length, -1} {
+		budget := memlimit.NewCallerBudget(64 << 20)
+		memory := budget.For("t")
+		body, err := readResponseBody(&reservedReader{left: length, check: func(p []byte) {
+			assert.Assert(t, budget.Used() >= int64(cap(p)) || cap(p) <= freeResponseBytes)
+		}}, stated, &memory)
+		assert.NilError(t, err)
+		assert.Equal(t, len(body), length)
+		assert.Assert(t, budget.Used() >= int64(cap(body)))
+		if stated > 0 {
+			assert.Equal(t, budget.Used(), stated+1)
+		}
+		full := memlimit.NewCallerBudget(3 * length) // half for one reservation
+		memory = full.For("t")
+		_, err = readResponseBody(strings.NewReader(strings.Repeat("x", length)), -1, &memory)
+		assert.Equal(t, err, errOutOfMemory) // 1 MB and 2 MB beside each other
+	}
+}
+
+// reservedReader returns as many bytes as are left and calls check with each buffer.
+type reservedReader struct {
+	left  int
+	check func(p []byte)
+}
+
+// Read implements io.Reader.
+func (r *reservedReader) Read(p []byte) (int, error) {
+	r.check(p)
+	n := min(len(p), r.left)
+	if r.left -= n; n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
