The body of a refused request is read only while it arrives

Cause: after a refusal the rest of the body was read until the deadline of the request, also if nothing came: the connection, its head and its goroutine were held for as long, with nothing left to answer.

Fix: each part must arrive within a second. What arrives is still read, so that a caller which is writing gets the answer instead of a reset.

--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -146,9 +146,13 @@
 	c.sendFailure(ex, w, r, failure)
 }
 
-// maxDiscardedBytes bounds the part of a request body that is read after the
-// response.
-const maxDiscardedBytes = 64 << 20
+const (
+	// maxDiscardedBytes bounds the part of a request body that is read after the
+	// response.
+	maxDiscardedBytes = 64 << 20
+	// discardStall is the time without a byte after which no more of it is read.
+	discardStall = time.Second
+)
 
 // sendFailure sends a failure. If the request body was not read, it sends the
 // failure at once and then reads the body: if the connection were closed with
@@ -179,19 +183,16 @@
 }
 
 // discardBody reads the rest of a request body, up to maxDiscardedBytes and the
-// deadline. At maxDiscardedBytes it makes the server half-close the connection
-// after the response.
+// deadline, as long as it arrives. At maxDiscardedBytes it makes the server half-close the
+// connection after the response.
 func discardBody(w http.ResponseWriter, r *http.Request, deadline time.Time) error {
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
-		return err
-	}
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxDiscardedBytes)); err != nil {
+	body := arrivingBody{http.MaxBytesReader(w, r.Body, maxDiscardedBytes), http.NewResponseController(w), deadline}
+	if _, err := io.Copy(io.Discard, body); err != nil {
 		return err
 	}
 	// After the body the server waits for the caller to close the connection. A
 	// deadline that passes meanwhile cancels the later requests of the connection.
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+	if err := body.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
 	if !time.Now().Before(deadline) {
@@ -200,6 +201,25 @@
 	return nil
 }
 
+// arrivingBody is a request body of which each part must arrive within discardStall.
+type arrivingBody struct {
+	io.Reader
+	conn     *http.ResponseController
+	deadline time.Time
+}
+
+// Read implements io.Reader.
+func (b arrivingBody) Read(p []byte) (int, error) {
+	limit := time.Now().Add(discardStall)
+	if b.deadline.Before(limit) {
+		limit = b.deadline
+	}
+	if err := b.conn.SetReadDeadline(limit); err != nil {
+		return 0, err
+	}
+	return b.Reader.Read(p)
+}
+
 // callerStatus returns the outcome and the status to send. Callers take some
 // statuses as a promise that the request has not run; unless that is so, they
 // are replaced by 502.
