One check a second looks for callers that have left, not a timer for each request

Cause: the check for callers that leave behind bytes took a context, a copy of the request and a timer for each request.

Fix: the context belongs to the connection, and while requests run one timer of the limiter looks each second at those that run for longer than that.

--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -29,9 +29,6 @@
 	encryptedConnBytes = 48 << 10
 	// StreamBufferBytes bounds the unread bytes of all streams of a connection of HTTP/2.
 	StreamBufferBytes = 128 << 10
-	// leaveCheckInterval is the time between checks whether a caller has closed the connection
-	// of a request that runs.
-	leaveCheckInterval = time.Second
 	// refusalTime bounds writing a refusal.
 	refusalTime = 100 * time.Millisecond
 )
@@ -64,9 +61,8 @@
 	growing  bool     // Read reserves memory for a head and releases it if that is no longer head
 	aborted  bool     // no further request may run
 	isClosed bool
+	leave    context.CancelFunc // ends the requests; nil: only the server does
 	unread   int64              // bytes that the kernel may hold while a request runs
-	leave    context.CancelFunc // ends the running request of HTTP/1; nil: none runs
-	watch    *time.Timer        // checks whether the caller of that request has left
 	streams  bool               // memory holds the buffers of HTTP/2
 }
 
@@ -240,7 +236,10 @@
 func (c *Conn) startRunning() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.running++
+	if c.running++; c.running == 1 {
+		c.since = time.Now()
+	}
+	c.limiter.startChecks()
 }
 
 // endRunning ends a request of startRunning.
@@ -261,6 +260,7 @@
 	if wasClosed {
 		return err
 	}
+	c.endRequests()
 	c.releaseHead(true)
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
@@ -269,6 +269,16 @@
 	return err
 }
 
+// endRequests ends the contexts of the connection's requests.
+func (c *Conn) endRequests() {
+	c.mu.Lock()
+	leave := c.leave
+	c.mu.Unlock()
+	if leave != nil {
+		leave()
+	}
+}
+
 // CloseWrite closes the sending side, as the HTTP server does before it closes a connection
 // with unread bytes.
 func (c *Conn) CloseWrite() error {
@@ -312,12 +322,17 @@
 
 type contextKey struct{}
 
-// ContextWithConn stores the connection in the context of its requests. It is meant for
-// http.Server.ConnContext.
+// ContextWithConn stores the connection in the context of its requests, which then also ends
+// when either side has closed the connection. It is meant for http.Server.ConnContext.
 func ContextWithConn(ctx context.Context, conn net.Conn) context.Context {
-	if c := fromNetConn(conn); c != nil {
-		return context.WithValue(ctx, contextKey{}, c)
+	c := fromNetConn(conn)
+	if c == nil {
+		return ctx
 	}
+	ctx, cancel := context.WithCancel(context.WithValue(ctx, contextKey{}, c))
+	c.mu.Lock()
+	c.leave = cancel
+	c.mu.Unlock()
 	return ctx
 }
 
@@ -346,9 +361,6 @@
 				defer c.endRunning()
 			}
 			if r.ProtoMajor == 1 {
-				var endRequest func()
-				r, endRequest = c.startRequest(r)
-				defer endRequest()
 				bytes += c.unreadLimit()
 			} else if !c.reserveStreams() {
 				refuse.ServeHTTP(w, r)
@@ -397,41 +409,6 @@
 	return memory
 }
 
-// startRequest returns the request with a context that also ends when its caller closes the
-// connection behind further bytes, which hide that from the server. The returned function must
-// be called at the end of the request.
-func (c *Conn) startRequest(r *http.Request) (*http.Request, func()) {
-	ctx, cancel := context.WithCancel(r.Context())
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leave = cancel
-	if c.watch == nil {
-		c.watch = time.AfterFunc(leaveCheckInterval, c.checkLeft)
-	} else {
-		c.watch.Reset(leaveCheckInterval)
-	}
-	return r.WithContext(ctx), func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.watch.Stop()
-		c.leave = nil
-		cancel()
-	}
-}
-
-// checkLeft ends the running request if its caller has closed the connection.
-func (c *Conn) checkLeft() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.leave == nil:
-	case hasLeft(c.Conn):
-		c.leave()
-	default:
-		c.watch.Reset(leaveCheckInterval)
-	}
-}
-
 // headCost returns the memory that a request takes without its body.
 func headCost(r *http.Request) int64 {
 	lines, length := 0, len(r.RequestURI)+len(r.Host)
--- a/pkg/callerconn/limiter.go
+++ b/pkg/callerconn/limiter.go
@@ -106,6 +106,7 @@
 	conns    map[*Conn]struct{}
 	receipts map[*receipt]struct{} // that are being received
 	yielding int64                 // bytes of the receipts that had to give way and are not finished
+	checking bool                  // endLeft is going to run
 	loggedAt time.Time
 	unlogged int // events since the last log line
 }
--- a/pkg/callerconn/socket_test.go
+++ b/pkg/callerconn/socket_test.go
@@ -47,6 +47,6 @@
 			t.Error("the request still runs")
 		}
 	})
-	ctx := context.WithValue(context.Background(), contextKey{}, c)
+	ctx := ContextWithConn(context.Background(), c)
 	l.Handler(next, http.NotFoundHandler()).ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil))
 }
