One organisation leaves memory to others, and connections with TLS to requests

What callers would see: requests of one organisation, each small and waiting for its answer until its deadline, take all memory for callers, and no other organisation is served meanwhile. Idle connections with TLS take the whole budget, because their number followed from the 16 KB of a connection without it, and requests find none.

Fix: what an organisation's requests hold is counted, bodies once they are complete. Connections take half of the budget at most, by what they take on their listener.

--- a/pkg/callerconn/callerconn_test.go
+++ b/pkg/callerconn/callerconn_test.go
@@ -226,3 +226,11 @@
 	close(s.release)
 	assert.NilError(t, <-result)
 }
+
+// Idle connections with TLS took the whole budget, because their number was bounded by the memory of one without,
+// and requests found none.
+func TestEncryptedConnectionsLeaveMemoryToRequests(t *testing.T) {
+	s := newTestServer(t, Limits{Memory: testMemory}, true)
+	assert.Assert(t, s.limiter.maxConns*encryptedConnBytes <= int(s.limiter.budget.Total())/2)
+	assert.Assert(t, New(Limits{Memory: testMemory}, hclog.NewNullLogger(), func(string, expvar.Var) {}).maxConns > s.limiter.maxConns)
+}
--- a/pkg/callerconn/conn.go
+++ b/pkg/callerconn/conn.go
@@ -67,11 +67,16 @@
 }
 
 // Listen returns a listener whose connections are bounded. encrypted is set if the connections
-// carry TLS. With a nil limiter it returns inner.
+// carry TLS, which take more memory, so that there are fewer. With a nil limiter it returns inner.
 func (l *Limiter) Listen(inner net.Listener, encrypted bool) net.Listener {
 	if l == nil {
 		return inner
 	}
+	if encrypted {
+		l.mu.Lock()
+		l.maxConns = max(1, min(l.maxConns, connsWithin(l.budget.Total(), encryptedConnBytes)))
+		l.mu.Unlock()
+	}
 	return &listener{Listener: inner, limiter: l, encrypted: encrypted}
 }
 
--- a/pkg/callerconn/limiter.go
+++ b/pkg/callerconn/limiter.go
@@ -22,8 +22,9 @@
 	// budgetDivisor is the part of the process's memory that callers can make it hold. The
 	// garbage of what they sent before comes on top until it is collected.
 	budgetDivisor = 3
-	// connBudgetDivisor is the part of the process's memory that bounds the connections.
-	connBudgetDivisor = 6
+	// connBudgetDivisor is the part of the budget that bounds the connections. The rest is for
+	// their requests.
+	connBudgetDivisor = 2
 	// connBytes is the memory of an open connection: its buffers and the stack of its
 	// goroutine.
 	connBytes = 16 << 10
@@ -105,6 +106,7 @@
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
 	receipts map[*receipt]struct{} // that are being received
+	byOwner  map[string]int64      // bytes of the requests of each owner
 	yielding int64                 // bytes of the receipts that had to give way and are not finished
 	checking bool                  // endLeft is going to run
 	loggedAt time.Time
@@ -115,8 +117,7 @@
 func New(limits Limits, log hclog.Logger, publish func(name string, v expvar.Var)) *Limiter {
 	limits = limits.withDefaults()
 	byDescriptors := max(int(connShare*float64(limits.Descriptors-keptDescriptors)), limits.Descriptors/minConnDivisor)
-	byMemory := int(limits.Memory / connBudgetDivisor / connBytes)
-	l := newLimiter("caller", limits.Memory/budgetDivisor, max(1, min(byDescriptors, byMemory)), log, publish)
+	l := newLimiter("caller", limits.Memory/budgetDivisor, byDescriptors, log, publish)
 	log.Info("limits for callers", "memory", l.budget.Total(), "connections", l.maxConns, "process_memory", limits.Memory, "process_descriptors", limits.Descriptors)
 	return l
 }
@@ -130,9 +131,9 @@
 // newLimiter returns a limiter whose metrics begin with name.
 func newLimiter(name string, memory int64, maxConns int, log hclog.Logger, publish func(name string, v expvar.Var)) *Limiter {
 	l := &Limiter{
-		log: log.With("listener", name), budget: memlimit.NewCallerBudget(memory), maxConns: maxConns,
+		log: log.With("listener", name), budget: memlimit.NewCallerBudget(memory), maxConns: max(1, min(maxConns, connsWithin(memory, connBytes))),
 		refused: make(map[string]*expvar.Int), ended: make(map[string]*expvar.Int),
-		conns: make(map[*Conn]struct{}), receipts: make(map[*receipt]struct{}),
+		conns: make(map[*Conn]struct{}), receipts: make(map[*receipt]struct{}), byOwner: make(map[string]int64),
 	}
 	for _, cause := range []string{causeConnection, causeHead, causeBody} {
 		l.refused[cause], l.ended[cause] = new(expvar.Int), new(expvar.Int)
@@ -144,6 +145,9 @@
 	return l
 }
 
+// connsWithin returns the number of connections that a budget allows.
+func connsWithin(memory, connBytes int64) int { return int(memory / connBudgetDivisor / connBytes) }
+
 func (l *Limiter) connCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/gateway/routing.go
+++ b/pkg/gateway/routing.go
@@ -36,11 +36,18 @@
 
 // Handle implements Filter.
 func (f Routing) Handle(ex *Exchange, next Handler) error {
+	holding, err := f.Callers.HoldFor(ex.OrganisationName(), ex.Request)
+	if err != nil {
+		ex.Writer.Header().Set("Connection", "close") // the body is not read
+		return errNoRequestMemory(err)
+	}
+	defer holding.Release()
 	body, err := f.readBody(ex)
 	if err != nil {
 		return err
 	}
 	defer body.Release()
+	holding.AddBody(body.Bytes)
 	ex.Body = body.Bytes
 	parseErr := parseGeneration(ex)
 	if err := selectRoute(ex); err != nil {
--- a/pkg/relay/body.go
+++ b/pkg/relay/body.go
@@ -28,6 +28,11 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	holding, err := f.Callers.HoldFor(ex.OrganisationName(), ex.Request)
+	if err != nil {
+		return errOutOfMemory(ex, err)
+	}
+	defer holding.Release()
 	if ex.Request.Body == nil || ex.Request.Body == http.NoBody {
 		return next(ex)
 	}
@@ -41,6 +46,7 @@
 		return bodyError(ex, err)
 	}
 	defer body.Release()
+	holding.AddBody(body.Bytes)
 	ex.Body = body.Bytes
 	return next(ex)
 }
