Crowds are sampled at least once while all of their connections are open

Seen: in one run of TestEdgeSurvivesLargeBodies, alone on the machine, the sampler had seen only the idle process (22 MB, 21 descriptors) while its largest resident memory was 80 MB: the crowd's own 150 writers of 4 MB kept it from running. The check of unread bytes and descriptors said nothing then.

Cause: samples were taken by one goroutine only, at intervals. Change: one more is taken by the test when all connections have sent what they can, and samples exclude each other. Crowds and bounds are the same.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -55,6 +55,7 @@
 		sending.Go(func() { c.send(r, conn, n) })
 	}
 	sending.Wait()
+	samples.record(r) // while all of them are open
 	r.awaitAnswer(t)
 	for _, conn := range conns {
 		_ = conn.Close()
@@ -68,9 +69,9 @@
 // checkLimits checks that the process has stayed within its limits.
 func (r *router) checkLimits(t *testing.T, s *sampler, l limits) {
 	t.Helper()
-	peak, withUnread, most := r.peakMemory(t), s.memory.Load(), int(s.descriptors.Load())
+	peak, withUnread, most := r.peakMemory(t), s.memory, s.descriptors
 	t.Logf("peak memory %d of %d MB, with unread bytes %d MB (at most %d MB unread), %d of %d descriptors",
-		peak>>20, l.memory>>20, withUnread>>20, s.unread.Load()>>20, most, l.descriptors)
+		peak>>20, l.memory>>20, withUnread>>20, s.unread>>20, most, l.descriptors)
 	assert.Check(t, peak <= l.memory, "peak memory of %d MB, limit %d MB", peak>>20, l.memory>>20)
 	assert.Check(t, withUnread <= l.memory, "peak memory of %d MB with unread bytes, limit %d MB", withUnread>>20, l.memory>>20)
 	assert.Check(t, most <= l.descriptors, "%d descriptors, limit %d", most, l.descriptors)
--- a/test/crowd/memory_test.go
+++ b/test/crowd/memory_test.go
@@ -6,7 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,9 +19,11 @@
 // sampler records the most that a router process holds until stop is called.
 type sampler struct {
 	done, ended chan struct{}
-	memory      atomic.Int64 // resident memory and unread bytes, at the same time
-	unread      atomic.Int64
-	descriptors atomic.Int64
+
+	mu          sync.Mutex
+	memory      int64 // resident memory and unread bytes, at the same time
+	unread      int64
+	descriptors int
 }
 
 // sample starts to record what the process holds.
@@ -41,17 +43,20 @@
 	return s
 }
 
+// record takes a sample.
 func (s *sampler) record(r *router) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.pid)); err == nil {
-		s.descriptors.Store(max(s.descriptors.Load(), int64(len(entries))))
+		s.descriptors = max(s.descriptors, len(entries))
 	}
 	resident, err := r.statusBytes("VmRSS:")
 	if err != nil {
 		return // it has ended
 	}
 	unread := unreadBytes(r.addresses())
-	s.unread.Store(max(s.unread.Load(), unread))
-	s.memory.Store(max(s.memory.Load(), resident+unread))
+	s.unread = max(s.unread, unread)
+	s.memory = max(s.memory, resident+unread)
 }
 
 func (s *sampler) stop() {
