The common cache namespace follows from the set of isolated organisations

Cause: the salt of organisations that share parts was that of the weights alone, the same before and after the change. And a request that was accepted before it and sent after it took the salt from its old configuration.

An isolated organisation has a namespace of its own, all others one that is a digest of the isolated set of the configuration. It is read from the newest configuration when the request is sent, together with the decision what is fetched and saved; placement uses it at each choice.

Why it works: whoever left parts in a common namespace had a configuration with the same isolated set, so it is not isolated now, whatever came in between and however old the sender's configuration was. Nothing is remembered, so an instance that has just started agrees with the others. "configuration in force" logs the namespace.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -139,10 +139,7 @@
 	if t.IsEngine && t.WeightVersion != "" && ex.Metadata.Model == t.Model {
 		options.WeightVersion = t.WeightVersion
 		options.EnginePriority = f.enginePriority(ex)
-		options.CacheSalt = t.WeightVersion + "." + cacheIsolation(ex)
-		f.setCacheTransfer(ex, choice, options)
 	}
-	f.RequestLog.RecordPlacement(choice, options)
 	path := ex.Request.RequestURI
 	if path == "" || path[0] != '/' {
 		path = ex.Request.URL.RequestURI()
@@ -157,6 +154,11 @@
 			}
 			f.RequestLog.RecordSend(ex, f.current(ex.Pool.Name, t), f.Targets.ListState(), f.Clock.Elapsed())
 			options.Timeout = f.timeAtTarget(ex, t)
+			if options.WeightVersion != "" {
+				options.CacheSalt = options.WeightVersion + "." + f.cacheNamespace(ex)
+				f.setCacheTransfer(ex, choice, options)
+			}
+			f.RequestLog.RecordPlacement(choice, options)
 			return f.Dialect.TargetHeader(ex.Request.Header, options), nil
 		},
 		MatchesResponse: func(h http.Header) bool {
--- a/pkg/relay/forward.go
+++ b/pkg/relay/forward.go
@@ -144,7 +144,7 @@
 func (f *ForwardFilter) placementRequest(ex *Exchange) *placement.Request {
 	r := &placement.Request{
 		Parts: ex.Metadata.PromptParts, PromptTokens: ex.Metadata.PromptTokens, MaxOutputTokens: ex.Metadata.MaxOutputTokens,
-		BodyBytes: len(ex.Body), SpreadKey: ex.Metadata.ID, CacheSalt: cacheIsolation(ex),
+		BodyBytes: len(ex.Body), SpreadKey: ex.Metadata.ID,
 	}
 	if ex.Pool.Kind == tables.PoolEngine && ex.Metadata.Model != "" {
 		r.NewestVersion = f.Targets.NewestVersion(ex.Metadata.Model)
@@ -152,13 +152,14 @@
 	return r
 }
 
-// cacheIsolation returns the name of the organisation if its cached parts must
-// not be shared with others, and "" otherwise.
-func cacheIsolation(ex *Exchange) string {
-	if ex.Organisation != nil && ex.Organisation.HasIsolatedCache {
-		return ex.Organisation.Name
-	}
-	return ""
+// cacheNamespace returns the namespace of the request's cached parts in the newest
+// configuration. The request may have been accepted under an older one.
+func (f *ForwardFilter) cacheNamespace(ex *Exchange) string {
+	snapshot := ex.Snapshot
+	if f.KeyFilter != nil {
+		snapshot = f.KeyFilter.Configuration.Snapshot()
+	}
+	return snapshot.CacheNamespace(ex.OrganisationName())
 }
 
 // checkCanStart returns an error if no attempt may start: the caller is gone,
--- a/pkg/relay/weights.go
+++ b/pkg/relay/weights.go
@@ -72,6 +72,7 @@
 // pickAmong is pickTarget among the given targets.
 func (f *ForwardFilter) pickAmong(ex *Exchange, r *placement.Request, tried map[string]bool, hasRoom func(*target.Target) bool, candidates []*target.Target) placement.Choice {
 	now, untilDeadline := f.Clock.Elapsed(), time.Until(ex.Deadline)
+	r.CacheSalt = f.cacheNamespace(ex)
 	pick := func(needed time.Duration) placement.Choice {
 		return f.Placer.Pick(candidates, r, func(t *target.Target) bool {
 			return tried[t.Key()] || !t.IntakeForChoice(now).Allowed || timeOnWeights(t, now) < min(needed, untilDeadline) || hasRoom != nil && !hasRoom(t)
--- a/pkg/state/configuration.go
+++ b/pkg/state/configuration.go
@@ -237,7 +237,7 @@
 	c.revision, c.value, c.olderEra = object.Version, object.Value, 0
 	c.snapshot.Store(snapshot)
 	c.Log.Info("configuration in force", "version", snapshot.Generation, "before", before, "revision", objectstore.FormatRevision(object.Version),
-		"routes", len(snapshot.Tables.Routes), "organisations", len(snapshot.Tables.Organisations))
+		"routes", len(snapshot.Tables.Routes), "organisations", len(snapshot.Tables.Organisations), "common_cache_namespace", snapshot.CacheNamespace(""))
 	if c.OnApplied != nil {
 		c.OnApplied(snapshot)
 	}
--- a/pkg/tables/snapshot.go
+++ b/pkg/tables/snapshot.go
@@ -16,7 +16,8 @@
 	organisations map[string]*Organisation
 	// apiKeys is indexed by the first bytes of the digest. The whole digest is
 	// then compared in constant time.
-	apiKeys map[digestIndex][]apiKeyEntry
+	apiKeys     map[digestIndex][]apiKeyEntry
+	commonCache string // see CacheNamespace
 }
 
 type digestIndex [4]byte
@@ -35,6 +36,7 @@
 		pools:         make(map[string]*Pool, len(t.Pools)),
 		organisations: make(map[string]*Organisation, len(t.Organisations)),
 		apiKeys:       make(map[digestIndex][]apiKeyEntry),
+		commonCache:   commonCacheNamespace(t.Organisations),
 	}
 	for i := range t.Pools {
 		s.pools[t.Pools[i].Name] = &t.Pools[i]
