Requests for a model that the list does not state carry a cache namespace

Cause: the salt was set only together with the expected weights, which are known for one model of a target. No salt is one salt for all.

Change: every request to an engine, and every one that names prompt parts, carries VERSION.NAMESPACE; the version is empty where the weights of the model are not known. Then nothing is fetched or saved, as before, because stored parts outlast a change of weights.

Evidence: TestRequestForAnotherModelOfTheEngineIsIsolated failed before with two empty salts.

--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -154,10 +154,7 @@
 			}
 			f.RequestLog.RecordSend(ex, f.current(ex.Pool.Name, t), f.Targets.ListState(), f.Clock.Elapsed())
 			options.Timeout = f.timeAtTarget(ex, t)
-			if options.WeightVersion != "" {
-				options.CacheSalt = options.WeightVersion + "." + f.cacheNamespace(ex)
-				f.setCacheTransfer(ex, choice, options)
-			}
+			f.setCacheOptions(ex, choice, options)
 			f.RequestLog.RecordPlacement(choice, options)
 			return f.Dialect.TargetHeader(ex.Request.Header, options), nil
 		},
@@ -167,6 +164,19 @@
 	}
 }
 
+// setCacheOptions sets the cache salt, which consists of the weights, if they are known for
+// the model, and the cache namespace. Without a salt all organisations would share parts.
+// Parts of unknown weights are neither fetched nor saved.
+func (f *ForwardFilter) setCacheOptions(ex *Exchange, choice placement.Choice, options *ForwardOptions) {
+	if !choice.Target.IsEngine && len(ex.Metadata.PromptParts) == 0 {
+		return
+	}
+	options.CacheSalt = options.WeightVersion + "." + f.cacheNamespace(ex)
+	if options.WeightVersion != "" {
+		f.setCacheTransfer(ex, choice, options)
+	}
+}
+
 // setCacheTransfer tells the target from where to fetch cached parts of the
 // prompt and whether to save them in the cache store.
 func (f *ForwardFilter) setCacheTransfer(ex *Exchange, choice placement.Choice, options *ForwardOptions) {
--- a/pkg/relay/cachenamespace_test.go
+++ b/pkg/relay/cachenamespace_test.go
@@ -81,3 +81,16 @@
 	assert.Assert(t, after != before, "salt %q before and after", before)
 	assert.Equal(t, f.saltOf(testTarget, testKey), after)
 }
+
+// Requests for a model other than the one that the list states for an engine carried no
+// salt, which is one salt for all organisations.
+func TestRequestForAnotherModelOfTheEngineIsIsolated(t *testing.T) {
+	f, testTarget := newIsolationFixture(t)
+	f.targets[0].Model = "first-model"
+	f.isolate("one")
+	alone, others := f.saltOf(testTarget, testKey), f.saltOf(testTarget, "key-of-two")
+	assert.Assert(t, alone != "" && others != "" && alone != others, "salts %q and %q", alone, others)
+	f.targets[0].IsEngine = false // the list states no model at all
+	assert.Equal(t, f.saltOf(testTarget, testKey), alone)
+	assert.Equal(t, f.saltOf(testTarget, "key-of-two"), others)
+}
