--- a/review/standin-3/forgotten.go
+++ b/review/standin-3/forgotten.go
@@ -27,8 +27,7 @@
 		killAfter   = 700 * time.Millisecond // the third crash
 		restartTime = 500 * time.Millisecond
 	)
-	f.store.PutConfiguration(1, []string{apiKey}, 15000,
-		platformtest.Route{Name: "book", PathPrefix: "/book/", Kind: "non_idempotent", MaxAttempts: 1, TimeoutMS: 2000})
+	f.configure(platformtest.Route{Name: "book", PathPrefix: "/book/", Kind: "non_idempotent", MaxAttempts: 1, TimeoutMS: 2000})
 	var mu sync.Mutex
 	var reached, crashed []time.Time
 	third := make(chan struct{})
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,10 +13,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"pause":     runPause,
-	"poison":    runPoison,
-	"crashloop": runCrashLoop,
+	"outages":   runOutages,
 	"forgotten": runForgotten,
+	"pause":     runPause,
+	"slow":      runSlow,
 }
 
 func main() {
--- a/review/standin-3/pause.go
+++ b/review/standin-3/pause.go
@@ -26,8 +26,7 @@
 		pauseFrom   = 500 * time.Millisecond // after a 503, the time in which requests may be on their way
 		refusalTime = 100 * time.Millisecond // a busy runner queues a request before it turns it away
 	)
-	f.store.PutConfiguration(1, []string{apiKey}, 15000,
-		platformtest.Route{Name: "lookup", PathPrefix: "/lookup/", Kind: "idempotent", MaxAttempts: 2, TimeoutMS: 2000})
+	f.configure(platformtest.Route{Name: "lookup", PathPrefix: "/lookup/", Kind: "idempotent", MaxAttempts: 2, TimeoutMS: 2000})
 	var mu sync.Mutex
 	busy := false
 	pausedUntil := make(map[string]time.Time) // by machine, from the first refusal
@@ -70,7 +69,7 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	counts := make(map[string]int)
-	for n := range 16 {
+	for n := range 24 {
 		group.Go(func() {
 			e := f.edges[n%2]
 			for i := 0; ; i++ {
@@ -83,7 +82,7 @@
 				mu.Lock()
 				counts[fmt.Sprint(a.status)]++
 				mu.Unlock()
-				time.Sleep(60 * time.Millisecond)
+				time.Sleep(30 * time.Millisecond)
 			}
 		})
 	}
--- a/review/standin-3/runners.go
+++ b/review/standin-3/runners.go
@@ -11,7 +11,26 @@
 	"lacewingwheel.example/lacewingwheel/platform/platformtest"
 )
 
-const apiKey = "key-of-o"
+const (
+	apiKey      = "key-of-o"
+	serviceName = "app"
+)
+
+// configure writes a configuration with one route to the service and one tenant with ample limits.
+func (f *fleet) configure(r platformtest.Route) {
+	f.store.Put(platform.KindConfiguration, platform.NameConfiguration, map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": r.Name, "host": host, "path_prefix": r.PathPrefix, "kind": r.Kind, "timeout_ms": r.TimeoutMS, "target_latency_ms": 500,
+			"priority": 0, "service": serviceName, "max_attempts": r.MaxAttempts, "public": false, "sticky": false, "resumable": false,
+		}},
+		"services": []map[string]any{{"name": serviceName, "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "o", "api_keys": []string{apiKey}, "unit": "tokens", "uncached_tokens": 200, "isolated": false, "rate_per_s": 386419, "burst": 386419},
+		},
+	})
+}
 
 // runners are the runners of a service. One that crashes is replaced by a new incarnation with
 // another id.
@@ -24,10 +43,9 @@
 	all     []*platformtest.Target
 }
 
-// startRunners starts n runners and registers them.
+// startRunners starts n runners of a plain service and registers them.
 func (f *fleet) startRunners(n int, faults func(t *platformtest.Target) func(n int, id string) platformtest.Fault) (*runners, error) {
 	s := &runners{f: f, faults: faults}
-	f.store.Put(platform.KindWeights, "m", map[string]any{"model": "m", "version": 1})
 	for range n {
 		if _, err := s.start(); err != nil {
 			return nil, err
@@ -45,8 +63,6 @@
 	if err != nil {
 		return nil, err
 	}
-	t.Model = "m"
-	t.SetStream(6, 40*time.Millisecond)
 	faults := s.faults(t)
 	t.SetFaults(func(n int, id string) platformtest.Fault {
 		fault := faults(n, id)
@@ -64,7 +80,7 @@
 
 // register writes the entry of a runner.
 func (s *runners) register(t *platformtest.Target) {
-	s.f.store.Put(platform.KindTargets, t.ID, t.Entry(platformtest.PoolName, "a"))
+	s.f.store.Put(platform.KindTargets, t.ID, t.Entry(serviceName, "a"))
 }
 
 // crash ends a runner: its listener and all of its connections close. Its entry is removed after
