--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -185,7 +185,7 @@
 	cmd := exec.Command("target/lacewingwheel", "edge", "--metrics-port", deployMetrics)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LACEWINGWHEEL_NODE_FILE=" + e.settingsFile, "GOMAXPROCS=1"}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := startAndRemember(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
@@ -196,6 +196,35 @@
 	return nil
 }
 
+// started are all processes that this program has started.
+var started struct {
+	mu       sync.Mutex
+	cmds     []*exec.Cmd
+	isClosed bool
+}
+
+func startAndRemember(cmd *exec.Cmd) error {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	if started.isClosed {
+		return errCannotRun
+	}
+	started.cmds = append(started.cmds, cmd)
+	return cmd.Start()
+}
+
+// killStarted ends all processes when this program is told to end.
+func killStarted() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	started.isClosed = true
+	for _, cmd := range started.cmds {
+		if cmd.Process != nil {
+			_ = cmd.Process.Kill() // it may have ended
+		}
+	}
+}
+
 // logDir returns the directory for the logs of the edges: REVIEW_LOGS, which is kept, or dir.
 func logDir(dir string) string {
 	if kept := os.Getenv("REVIEW_LOGS"); kept != "" {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-interrupted
+		killStarted()
+		os.Exit(2)
+	}()
 	r := &record{out: file, started: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.printf("case %s, disruption: %t", os.Args[1], trouble)
